--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of galenaspool.
+
+fn main() {}
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,26 @@
+//! Settings of a process (JSON with comments) and the operators' sheet (CSV).
+//!
+//! ```
+//! use conf::Settings;
+//!
+//! let settings = Settings::parse(
+//!     r#"{
+//!         // One of the two instances of dc1.
+//!         "instance": "entry-1",
+//!         "data_centre": "dc1",
+//!         "http_address": "127.0.0.1:7001",
+//!         "peer_address": "127.0.0.1:7101",
+//!         "platform_url": "http://127.0.0.1:7900",
+//!     }"#,
+//! )?;
+//! assert_eq!(settings.heartbeat_interval_ms, 1_000);
+//! # Ok::<(), conf::SettingsError>(())
+//! ```
+
+mod peer_address;
+mod settings;
+mod settings_error;
+
+pub use peer_address::PeerAddress;
+pub use settings::Settings;
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/crates/conf/src/settings.rs
@@ -0,0 +1,335 @@
+use std::net::SocketAddr;
+
+use model::{DataCentreId, InstanceId};
+use serde::Deserialize;
+
+use crate::{PeerAddress, SettingsError};
+
+/// Settings of an entry instance. Every key but the first five has a default.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Data centre of this instance.
+    pub data_centre: DataCentreId,
+    /// Address of the HTTP interface for callers and operators.
+    pub http_address: SocketAddr,
+    /// Address of the gRPC interface for other instances.
+    pub peer_address: SocketAddr,
+    /// Base URL of the platform's service.
+    pub platform_url: String,
+    /// Other entry instances.
+    #[serde(default)]
+    pub peers: Vec<PeerAddress>,
+    /// Interval of heartbeats between instances. Default 1,000 ms.
+    #[serde(default = "defaults::heartbeat_interval_ms")]
+    pub heartbeat_interval_ms: u64,
+    /// Silence after which a peer is suspected and gets no forwarded requests. Default 3,000 ms.
+    #[serde(default = "defaults::peer_suspect_ms")]
+    pub peer_suspect_ms: u64,
+    /// Silence after which a peer that the platform does not list as live is forgotten. Default 10,000 ms.
+    #[serde(default = "defaults::peer_dead_ms")]
+    pub peer_dead_ms: u64,
+    /// Interval of polling the configuration row. At most 5 s, so that one path alone meets 7 s. Default 1,000 ms.
+    #[serde(default = "defaults::config_poll_interval_ms")]
+    pub config_poll_interval_ms: u64,
+    /// Interval of polling the platform's list of workers and instances. Default 1,000 ms.
+    #[serde(default = "defaults::listing_poll_interval_ms")]
+    pub listing_poll_interval_ms: u64,
+    /// Time to live of the scheduling lease. Default 2,000 ms.
+    #[serde(default = "defaults::scheduling_lease_ttl_ms")]
+    pub scheduling_lease_ttl_ms: u64,
+    /// Interval of renewing the scheduling lease. Default 500 ms.
+    #[serde(default = "defaults::scheduling_lease_renew_ms")]
+    pub scheduling_lease_renew_ms: u64,
+    /// Time to live of slot leases of running work and of grants. Default 5,000 ms.
+    #[serde(default = "defaults::slot_lease_ttl_ms")]
+    pub slot_lease_ttl_ms: u64,
+    /// Time to live of slot leases between reservation and start. Default 2,000 ms.
+    #[serde(default = "defaults::reserve_lease_ttl_ms")]
+    pub reserve_lease_ttl_ms: u64,
+    /// Interval of renewing the leases at a worker. Default 1,000 ms.
+    #[serde(default = "defaults::worker_renew_interval_ms")]
+    pub worker_renew_interval_ms: u64,
+    /// Time after which a command to a worker without reply is lost. Default 2,000 ms.
+    #[serde(default = "defaults::worker_timeout_ms")]
+    pub worker_timeout_ms: u64,
+    /// Silence after which a connection to a worker is closed. Default 4,000 ms.
+    #[serde(default = "defaults::worker_silent_ms")]
+    pub worker_silent_ms: u64,
+    /// Time after which a store request without reply is unknown. Default 2,000 ms.
+    #[serde(default = "defaults::store_timeout_ms")]
+    pub store_timeout_ms: u64,
+    /// Budget of store writes of this instance. Default 60 1/s.
+    #[serde(default = "defaults::store_writes_per_s")]
+    pub store_writes_per_s: u64,
+    /// Budget of store reads of this instance. Default 300 1/s.
+    #[serde(default = "defaults::store_reads_per_s")]
+    pub store_reads_per_s: u64,
+    /// Interval of writing batched attempt records. Default 25 ms.
+    #[serde(default = "defaults::record_batch_interval_ms")]
+    pub record_batch_interval_ms: u64,
+    /// Granted slots that the instance asks for. Default 32 slots.
+    #[serde(default = "defaults::urgent_slots_per_instance")]
+    pub urgent_slots_per_instance: u64,
+    /// Deadline of urgent requests that state none. Default 2,000 ms.
+    #[serde(default = "defaults::urgent_deadline_ms")]
+    pub urgent_deadline_ms: u64,
+    /// Longest time that a caller may wait in one request. Default 60,000 ms.
+    #[serde(default = "defaults::max_wait_ms")]
+    pub max_wait_ms: u64,
+    /// Largest request body. Default 1,048,576 bytes.
+    #[serde(default = "defaults::max_body_bytes")]
+    pub max_body_bytes: u64,
+    /// Most requests open at once; more are refused. Default 10,000 requests.
+    #[serde(default = "defaults::max_open_requests")]
+    pub max_open_requests: u64,
+    /// Time between failing readiness and closing the listener in a planned stop. Default 2,000 ms.
+    #[serde(default = "defaults::balancer_drain_ms")]
+    pub balancer_drain_ms: u64,
+    /// Longest time that a planned stop waits for open requests. Default 120,000 ms.
+    #[serde(default = "defaults::stop_timeout_ms")]
+    pub stop_timeout_ms: u64,
+    /// Time without store and other data centres after which nothing starts; 0 means no limit. Default 0 ms.
+    #[serde(default = "defaults::cut_off_start_limit_ms")]
+    pub cut_off_start_limit_ms: u64,
+    /// Newest timeline events kept in memory. Default 20,000 events.
+    #[serde(default = "defaults::timeline_capacity_events")]
+    pub timeline_capacity_events: u64,
+}
+
+impl Settings {
+    /// Reads settings from JSON with comments and trailing commas, and checks them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] for the first key that is unknown, missing or out of range.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = json5::from_str(text).map_err(|error| SettingsError::Parse {
+            message: error.to_string(),
+        })?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// Checks ranges, URLs and peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] for the first value that is not allowed.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        if !self.platform_url.starts_with("http://") {
+            return Err(SettingsError::InvalidUrl {
+                key: "platform_url",
+                value: self.platform_url.clone(),
+            });
+        }
+        for (index, peer) in self.peers.iter().enumerate() {
+            let listed_before = self.peers[..index].iter().any(|other| other.instance == peer.instance);
+            if listed_before || peer.instance == self.instance {
+                return Err(SettingsError::DuplicatePeer {
+                    instance: peer.instance.clone(),
+                });
+            }
+        }
+        for Range {
+            key,
+            value,
+            min,
+            max,
+            unit,
+        } in self.ranges()
+        {
+            if value < min || value > max {
+                return Err(SettingsError::OutOfRange {
+                    key,
+                    value,
+                    min,
+                    max,
+                    unit,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn ranges(&self) -> impl Iterator<Item = Range> {
+        [
+            Range::new("heartbeat_interval_ms", self.heartbeat_interval_ms, 50, 10_000, "ms"),
+            Range::new("peer_suspect_ms", self.peer_suspect_ms, 100, 60_000, "ms"),
+            Range::new("peer_dead_ms", self.peer_dead_ms, 500, 600_000, "ms"),
+            Range::new("config_poll_interval_ms", self.config_poll_interval_ms, 50, 5_000, "ms"),
+            Range::new(
+                "listing_poll_interval_ms",
+                self.listing_poll_interval_ms,
+                50,
+                10_000,
+                "ms",
+            ),
+            Range::new(
+                "scheduling_lease_ttl_ms",
+                self.scheduling_lease_ttl_ms,
+                200,
+                30_000,
+                "ms",
+            ),
+            Range::new(
+                "scheduling_lease_renew_ms",
+                self.scheduling_lease_renew_ms,
+                50,
+                10_000,
+                "ms",
+            ),
+            Range::new("slot_lease_ttl_ms", self.slot_lease_ttl_ms, 500, 60_000, "ms"),
+            Range::new("reserve_lease_ttl_ms", self.reserve_lease_ttl_ms, 200, 30_000, "ms"),
+            Range::new(
+                "worker_renew_interval_ms",
+                self.worker_renew_interval_ms,
+                50,
+                10_000,
+                "ms",
+            ),
+            Range::new("worker_timeout_ms", self.worker_timeout_ms, 100, 30_000, "ms"),
+            Range::new("worker_silent_ms", self.worker_silent_ms, 200, 60_000, "ms"),
+            Range::new("store_timeout_ms", self.store_timeout_ms, 100, 30_000, "ms"),
+            Range::new("store_writes_per_s", self.store_writes_per_s, 1, 1_000, "1/s"),
+            Range::new("store_reads_per_s", self.store_reads_per_s, 1, 5_000, "1/s"),
+            Range::new(
+                "record_batch_interval_ms",
+                self.record_batch_interval_ms,
+                1,
+                1_000,
+                "ms",
+            ),
+            Range::new(
+                "urgent_slots_per_instance",
+                self.urgent_slots_per_instance,
+                0,
+                4_096,
+                "slots",
+            ),
+            Range::new("urgent_deadline_ms", self.urgent_deadline_ms, 10, 600_000, "ms"),
+            Range::new("max_wait_ms", self.max_wait_ms, 100, 600_000, "ms"),
+            Range::new("max_body_bytes", self.max_body_bytes, 1_024, 67_108_864, "bytes"),
+            Range::new("max_open_requests", self.max_open_requests, 1, 1_000_000, "requests"),
+            Range::new("balancer_drain_ms", self.balancer_drain_ms, 0, 60_000, "ms"),
+            Range::new("stop_timeout_ms", self.stop_timeout_ms, 100, 3_600_000, "ms"),
+            Range::new(
+                "cut_off_start_limit_ms",
+                self.cut_off_start_limit_ms,
+                0,
+                86_400_000,
+                "ms",
+            ),
+            Range::new(
+                "timeline_capacity_events",
+                self.timeline_capacity_events,
+                100,
+                1_000_000,
+                "events",
+            ),
+        ]
+        .into_iter()
+    }
+}
+
+/// Value of a key with its allowed range.
+#[derive(Debug, Clone, Copy)]
+struct Range {
+    key: &'static str,
+    value: u64,
+    min: u64,
+    max: u64,
+    unit: &'static str,
+}
+
+impl Range {
+    const fn new(key: &'static str, value: u64, min: u64, max: u64, unit: &'static str) -> Self {
+        Self {
+            key,
+            value,
+            min,
+            max,
+            unit,
+        }
+    }
+}
+
+mod defaults {
+    pub(super) const fn heartbeat_interval_ms() -> u64 {
+        1_000
+    }
+    pub(super) const fn peer_suspect_ms() -> u64 {
+        3_000
+    }
+    pub(super) const fn peer_dead_ms() -> u64 {
+        10_000
+    }
+    pub(super) const fn config_poll_interval_ms() -> u64 {
+        1_000
+    }
+    pub(super) const fn listing_poll_interval_ms() -> u64 {
+        1_000
+    }
+    pub(super) const fn scheduling_lease_ttl_ms() -> u64 {
+        2_000
+    }
+    pub(super) const fn scheduling_lease_renew_ms() -> u64 {
+        500
+    }
+    pub(super) const fn slot_lease_ttl_ms() -> u64 {
+        5_000
+    }
+    pub(super) const fn reserve_lease_ttl_ms() -> u64 {
+        2_000
+    }
+    pub(super) const fn worker_renew_interval_ms() -> u64 {
+        1_000
+    }
+    pub(super) const fn worker_timeout_ms() -> u64 {
+        2_000
+    }
+    pub(super) const fn worker_silent_ms() -> u64 {
+        4_000
+    }
+    pub(super) const fn store_timeout_ms() -> u64 {
+        2_000
+    }
+    pub(super) const fn store_writes_per_s() -> u64 {
+        60
+    }
+    pub(super) const fn store_reads_per_s() -> u64 {
+        300
+    }
+    pub(super) const fn record_batch_interval_ms() -> u64 {
+        25
+    }
+    pub(super) const fn urgent_slots_per_instance() -> u64 {
+        32
+    }
+    pub(super) const fn urgent_deadline_ms() -> u64 {
+        2_000
+    }
+    pub(super) const fn max_wait_ms() -> u64 {
+        60_000
+    }
+    pub(super) const fn max_body_bytes() -> u64 {
+        1_048_576
+    }
+    pub(super) const fn max_open_requests() -> u64 {
+        10_000
+    }
+    pub(super) const fn balancer_drain_ms() -> u64 {
+        2_000
+    }
+    pub(super) const fn stop_timeout_ms() -> u64 {
+        120_000
+    }
+    pub(super) const fn cut_off_start_limit_ms() -> u64 {
+        0
+    }
+    pub(super) const fn timeline_capacity_events() -> u64 {
+        20_000
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry daemon of galenaspool.
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/job_row.rs
@@ -0,0 +1,77 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{Attempt, DataCentreId, JobId, JobSpec, JobState, Refusal};
+
+/// Durable record of a job, kept in the platform's table under `job/{organisation}/{request}`.
+///
+/// The row is inserted if absent, which makes a repeated request the same job, and changed by compare-and-set.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// Job as submitted.
+    pub spec: JobSpec,
+    /// SHA-256 of the canonical body, to recognise a reused request id.
+    pub digest: String,
+    /// Data centre whose scheduler owns the job.
+    pub data_centre: DataCentreId,
+    /// State of the job.
+    pub state: JobState,
+    /// When the job was accepted, in milliseconds of Unix time.
+    pub accepted_unix_ms: u64,
+    /// Attempts in order; the last one is current.
+    #[serde(default)]
+    pub attempts: Vec<Attempt>,
+    /// Length of the stored answer in bytes, once finished.
+    #[serde(default)]
+    pub answer_length_bytes: Option<u64>,
+    /// SHA-256 of the stored answer, once finished.
+    #[serde(default)]
+    pub answer_sha256: Option<String>,
+    /// Message of the task, if the job failed.
+    #[serde(default)]
+    pub failure: Option<String>,
+    /// Reason, if the job did not run.
+    #[serde(default)]
+    pub refusal: Option<Refusal>,
+    /// Whether the caller asked for cancellation.
+    #[serde(default)]
+    pub cancel_requested: bool,
+}
+
+impl JobRow {
+    /// Creates the row of a newly accepted job.
+    pub fn new(spec: JobSpec, data_centre: DataCentreId, accepted_unix_ms: u64) -> Self {
+        Self {
+            digest: spec.digest(),
+            spec,
+            data_centre,
+            state: JobState::Queued,
+            accepted_unix_ms,
+            attempts: Vec::new(),
+            answer_length_bytes: None,
+            answer_sha256: None,
+            failure: None,
+            refusal: None,
+            cancel_requested: false,
+        }
+    }
+
+    /// Returns the identity of the job.
+    pub fn id(&self) -> JobId {
+        self.spec.id()
+    }
+
+    /// Returns the key of the row in the platform's table.
+    pub fn key(&self) -> String {
+        Self::key_of(&self.id())
+    }
+
+    /// Returns the key of the row of `job`.
+    pub fn key_of(job: &JobId) -> String {
+        format!("job/{job}")
+    }
+
+    /// Returns the key of the answer body in the object store.
+    pub fn answer_key_of(job: &JobId) -> String {
+        format!("answer/{job}")
+    }
+}
--- /dev/null
+++ b/crates/model/src/scheduling_lease.rs
@@ -0,0 +1,26 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{DataCentreId, Epoch, InstanceId};
+
+/// Row `sched/{data_centre}` that names the holder of a data centre's scheduling lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SchedulingLease {
+    /// Instance that holds the lease.
+    pub holder: InstanceId,
+    /// Epoch of this holder.
+    pub epoch: Epoch,
+    /// Number of renewals; a reader sees from a change that the holder is alive, without comparing clocks.
+    pub renewal: u64,
+    /// Time to live in milliseconds, counted by each reader from when it saw the renewal change.
+    pub ttl_ms: u64,
+    /// Whether the holder gave the lease up in a planned stop.
+    #[serde(default)]
+    pub released: bool,
+}
+
+impl SchedulingLease {
+    /// Returns the key of the row of `data_centre`.
+    pub fn key_of(data_centre: &DataCentreId) -> String {
+        format!("sched/{data_centre}")
+    }
+}
--- /dev/null
+++ b/crates/policy/src/event.rs
@@ -0,0 +1,59 @@
+use crate::{JobKey, WorkerKey};
+
+/// What happened to jobs and workers since the last decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// All parts of the job run.
+    Started {
+        /// Job.
+        job: JobKey,
+    },
+    /// The reservation or start failed and everything was released; nothing ran. The job is queued again.
+    NotStarted {
+        /// Job.
+        job: JobKey,
+        /// Worker that refused, if one did.
+        worker: Option<WorkerKey>,
+    },
+    /// The job ran to its end. The key is invalid afterwards.
+    Finished {
+        /// Job.
+        job: JobKey,
+        /// Measured run time in milliseconds.
+        run_ms: u64,
+    },
+    /// The job failed on a worker. It is queued again if it may be repeated, or else given up by a decision.
+    Failed {
+        /// Job.
+        job: JobKey,
+        /// Worker of the failed part.
+        worker: WorkerKey,
+    },
+    /// The job was stopped by a preemption or because a worker was lost; nothing of it runs. It is queued again.
+    Stopped {
+        /// Job.
+        job: JobKey,
+        /// Run time that a checkpoint preserved, in milliseconds.
+        preserved_ms: u64,
+    },
+    /// The job is gone for another reason, such as cancellation. Frees what it held. The key is invalid afterwards.
+    Removed {
+        /// Job.
+        job: JobKey,
+    },
+    /// The worker answers and takes work.
+    WorkerUp {
+        /// Worker.
+        worker: WorkerKey,
+    },
+    /// The worker does not answer. Jobs with a part there are reported by their own events.
+    WorkerDown {
+        /// Worker.
+        worker: WorkerKey,
+    },
+    /// The worker is leaving: running work goes on, nothing new starts there.
+    WorkerLeaving {
+        /// Worker.
+        worker: WorkerKey,
+    },
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,11 @@
+//! One data centre's scheduler as a state machine: [`Input`]s in, [`Action`]s out.
+//!
+//! The machine does no I/O and reads no clock, so that tests can inject every fault at every step.
+
+mod action;
+mod input;
+mod write_id;
+
+pub use action::Action;
+pub use input::{Input, LostCommand, WorkerReply, WriteOutcome};
+pub use write_id::WriteId;
--- /dev/null
+++ b/crates/timer/src/subscribe.rs
@@ -0,0 +1,57 @@
+use std::fmt;
+use std::time::Duration;
+
+use actix::{Message, Recipient};
+
+use crate::Tick;
+
+/// Subscription to ticks. It ends when the subscriber stops.
+pub struct Subscribe {
+    pub(crate) interval: Duration,
+    pub(crate) once: bool,
+    pub(crate) topic: u32,
+    pub(crate) recipient: Recipient<Tick>,
+}
+
+impl Subscribe {
+    /// Creates a periodic subscription. A tick that finds the subscriber's mailbox full is skipped.
+    pub const fn every(interval: Duration, recipient: Recipient<Tick>) -> Self {
+        Self {
+            interval,
+            once: false,
+            topic: 0,
+            recipient,
+        }
+    }
+
+    /// Creates a subscription to a single tick.
+    pub const fn once(after: Duration, recipient: Recipient<Tick>) -> Self {
+        Self {
+            interval: after,
+            once: true,
+            topic: 0,
+            recipient,
+        }
+    }
+
+    /// Sets the topic that comes with each tick.
+    #[must_use]
+    pub const fn topic(mut self, topic: u32) -> Self {
+        self.topic = topic;
+        self
+    }
+}
+
+impl fmt::Debug for Subscribe {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Subscribe")
+            .field("interval", &self.interval)
+            .field("once", &self.once)
+            .field("topic", &self.topic)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Message for Subscribe {
+    type Result = ();
+}
--- /dev/null
+++ b/crates/timer/src/timer_actor.rs
@@ -0,0 +1,42 @@
+use actix::prelude::*;
+
+use crate::{Subscribe, Tick};
+
+/// Actor that sends ticks to its subscribers.
+#[derive(Debug, Default)]
+pub struct Timer {
+    _private: (),
+}
+
+impl Actor for Timer {
+    type Context = Context<Self>;
+}
+
+impl Handler<Subscribe> for Timer {
+    type Result = ();
+
+    fn handle(&mut self, subscribe: Subscribe, ctx: &mut Self::Context) {
+        let Subscribe {
+            interval,
+            once,
+            topic,
+            recipient,
+        } = subscribe;
+        if once {
+            ctx.run_later(interval, move |_, _| recipient.do_send(Tick { topic }));
+            return;
+        }
+        tick_every(ctx, interval, topic, recipient);
+    }
+}
+
+/// Sends a tick after each interval until the subscriber is gone.
+fn tick_every(ctx: &mut Context<Timer>, interval: std::time::Duration, topic: u32, recipient: Recipient<Tick>) {
+    ctx.run_later(interval, move |_, ctx| {
+        if recipient.connected() {
+            // A full mailbox means that the subscriber is behind; one more tick would not help it.
+            let _ = recipient.try_send(Tick { topic });
+            tick_every(ctx, interval, topic, recipient);
+        }
+    });
+}
--- /dev/null
+++ b/crates/trace/src/event_kind.rs
@@ -0,0 +1,109 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! event_kinds {
+    ($($(#[$doc:meta])* $name:ident = $text:literal,)+) => {
+        /// Kind of a timeline event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum EventKind {
+            $($(#[$doc])* $name,)+
+            /// Kind that a newer version introduced.
+            #[serde(other)]
+            Other,
+        }
+
+        impl EventKind {
+            /// All kinds in order.
+            pub const ALL: &[Self] = &[$(Self::$name,)+ Self::Other];
+
+            /// Returns the name in logs and on the wire.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)+
+                    Self::Other => "other",
+                }
+            }
+        }
+    };
+}
+
+event_kinds! {
+    /// An instance started.
+    InstanceStarted = "instance_started",
+    /// A planned stop began.
+    InstanceStopping = "instance_stopping",
+    /// A planned stop ended with no request open.
+    InstanceStopped = "instance_stopped",
+    /// A request was accepted.
+    RequestAccepted = "request_accepted",
+    /// A request was refused; nothing ran.
+    RequestRefused = "request_refused",
+    /// A caller got its answer.
+    RequestAnswered = "request_answered",
+    /// The outcome of a request is not known yet.
+    RequestIndeterminate = "request_indeterminate",
+    /// An attempt record is durable.
+    AttemptRecorded = "attempt_recorded",
+    /// A slot lease was granted by a worker.
+    LeaseGranted = "lease_granted",
+    /// A slot lease lapsed or was revoked.
+    LeaseEnded = "lease_ended",
+    /// All parts of a job run.
+    JobStarted = "job_started",
+    /// A job ended.
+    JobEnded = "job_ended",
+    /// A job was stopped or checkpointed for the sake of another.
+    JobPreempted = "job_preempted",
+    /// A job was queued again.
+    JobRequeued = "job_requeued",
+    /// The caller cancelled a job.
+    JobCancelled = "job_cancelled",
+    /// The instance acquired a scheduling lease.
+    SchedulerElected = "scheduler_elected",
+    /// The instance lost or released a scheduling lease.
+    SchedulerDeposed = "scheduler_deposed",
+    /// Recovery is complete and work may start.
+    SchedulerRecovered = "scheduler_recovered",
+    /// A grant was given to an instance.
+    GrantGiven = "grant_given",
+    /// A grant ended.
+    GrantEnded = "grant_ended",
+    /// A worker answers.
+    WorkerUp = "worker_up",
+    /// A worker does not answer.
+    WorkerDown = "worker_down",
+    /// A worker is leaving.
+    WorkerLeaving = "worker_leaving",
+    /// A worker was put in quarantine.
+    WorkerQuarantined = "worker_quarantined",
+    /// A worker left quarantine.
+    WorkerReleased = "worker_released",
+    /// A peer answers.
+    PeerUp = "peer_up",
+    /// A peer does not answer.
+    PeerDown = "peer_down",
+    /// A configuration was accepted.
+    ConfigAccepted = "config_accepted",
+    /// A configuration came into force at this instance.
+    ConfigInForce = "config_in_force",
+    /// A data centre was taken out, as far as this instance knows.
+    DataCentreOut = "data_centre_out",
+    /// A data centre was taken back in, as far as this instance knows.
+    DataCentreIn = "data_centre_in",
+    /// A guaranteed shape cannot be packed.
+    GuaranteeLost = "guarantee_lost",
+    /// The store stopped answering.
+    StoreDown = "store_down",
+    /// The store answers again.
+    StoreUp = "store_up",
+    /// A charge was written.
+    ChargeWritten = "charge_written",
+}
+
+impl fmt::Display for EventKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
