--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -4,8 +4,12 @@
 
 mod action;
 mod input;
+mod scheduler;
+mod settings;
 mod write_id;
 
 pub use action::Action;
 pub use input::{Input, LostCommand, WorkerReply, WriteOutcome};
+pub use scheduler::Scheduler;
+pub use settings::Settings;
 pub use write_id::WriteId;
