--- /dev/null
+++ b/crates/sched/src/admission.rs
@@ -0,0 +1,312 @@
+use model::{JobId, JobRow, JobState, Outcome, Refusal};
+use policy::{Event as Observed, JobKey, Policy};
+use trace::{Event, EventKind};
+
+use crate::Action;
+use crate::job::{Job, Key, Phase};
+use crate::run::Cause;
+use crate::scheduler::{Mode, Scheduler};
+
+/// Most parked or queued jobs that one tick takes up, so that a wave costs a bounded amount for each tick.
+const MAX_PER_TICK: usize = 64;
+
+impl<P: Policy> Scheduler<P> {
+    /// Takes a job that an entry instance hands over.
+    pub(crate) fn submitted(&mut self, row: JobRow, version: u64, actions: &mut Vec<Action>) {
+        if self.mode == Mode::Recovering {
+            let is_newer = self.early_rows.get(&row.id()).is_none_or(|(_, known)| *known < version);
+            if is_newer {
+                self.early_rows.insert(row.id(), (row, version));
+            }
+        } else {
+            self.take_row(row, version, actions);
+        }
+    }
+
+    /// Takes a row of an unfinished job, known or not; stale rows of known jobs change nothing.
+    pub(crate) fn take_row(&mut self, row: JobRow, version: u64, actions: &mut Vec<Action>) {
+        if row.data_centre != self.data_centre || row.state.is_final() {
+            return;
+        }
+        if let Some(key) = self.by_id.get(&row.id()).copied() {
+            let is_cancelled = row.cancel_requested;
+            let job = &self.jobs[key];
+            if job.open.is_none() && version > job.version {
+                self.conflict(key, Some((Box::new(row), version)), actions);
+            } else if is_cancelled {
+                self.cancel(key, actions);
+            }
+            return;
+        }
+        let id = row.id();
+        let is_resume = row.attempts.last().is_some_and(|last| {
+            last.state == model::AttemptState::Stopped && (row.spec.checkpointable || !row.spec.idempotent)
+        });
+        let is_adopted = matches!(row.state, JobState::Running | JobState::Indeterminate) || is_resume;
+        let key = self.jobs.insert(Job::new(row, version));
+        self.parked.insert(key);
+        self.by_id.insert(id.clone(), key);
+        if self.early_cancels.remove(&id) {
+            self.jobs[key].is_cancelled = true;
+        }
+        if is_adopted && self.jobs[key].last_attempt() > 0 {
+            self.adopt(key, actions);
+        } else {
+            self.submit(key, actions);
+        }
+    }
+
+    /// Hands a job that is not running to the policy's queue.
+    pub(crate) fn submit(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.is_cancelled {
+            self.end_cancelled(key, actions);
+            return;
+        }
+        if !job.may_start() {
+            let message = "stopped before its end; it may not run again".to_owned();
+            self.finalize(key, JobState::Failed, Outcome::Failed { message }, actions);
+            return;
+        }
+        let mut spec = job.row.spec.clone();
+        if let Some(deadline_ms) = &mut spec.deadline_ms {
+            let waited_ms = self.now_unix_ms.saturating_sub(job.row.accepted_unix_ms);
+            if waited_ms >= *deadline_ms {
+                self.refuse(key, Refusal::DeadlinePassed, actions);
+                return;
+            }
+            *deadline_ms -= waited_ms;
+        }
+        match self.policy.submit(self.now_ms, &spec) {
+            Ok(policy_key) => {
+                job.policy_key = Some(policy_key);
+                self.by_policy.insert(policy_key, key);
+                self.set_phase(key, Phase::Queued);
+            }
+            // Work that was queued before keeps its place in the table; only new work is refused.
+            Err(Refusal::QueueFull { .. }) if !job.row.attempts.is_empty() => self.set_phase(key, Phase::Parked),
+            Err(refusal) => self.refuse(key, refusal, actions),
+        }
+    }
+
+    /// Ends a job that will not be started again: `did_not_run` only if no attempt may have started.
+    pub(crate) fn refuse(&mut self, key: Key, refusal: Refusal, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.has_run() {
+            let message = refusal.to_string();
+            self.finalize(key, JobState::Failed, Outcome::Failed { message }, actions);
+        } else {
+            job.row.refusal = Some(refusal.clone());
+            self.finalize(key, JobState::DidNotRun, Outcome::DidNotRun { refusal }, actions);
+        }
+    }
+
+    /// Makes a job final; the outcome is told once the row is written.
+    pub(crate) fn finalize(&mut self, key: Key, state: JobState, outcome: Outcome, actions: &mut Vec<Action>) {
+        self.detach(key, |job| Observed::Removed { job });
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.row.state = state;
+        job.row.cancel_requested = job.is_cancelled;
+        match &outcome {
+            Outcome::Ran { answer } => {
+                job.row.answer_length_bytes = Some(answer.length_bytes);
+                job.row.answer_sha256 = Some(answer.sha256.clone());
+                job.answer = Some(Box::new(answer.clone()));
+            }
+            Outcome::Failed { message } => job.row.failure = Some(message.clone()),
+            _ => {}
+        }
+        job.run = None;
+        job.outcome = Some(Box::new(outcome));
+        let id = job.id.clone();
+        let kind = match state {
+            JobState::Cancelled => EventKind::JobCancelled,
+            JobState::DidNotRun => EventKind::RequestRefused,
+            _ => EventKind::JobEnded,
+        };
+        self.event(Event::new(kind).job(id), actions);
+        self.set_phase(key, Phase::Final);
+        self.mark_dirty(key);
+    }
+
+    /// Tells a final outcome, once.
+    pub(crate) fn tell_outcome(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if let Some(outcome) = job.outcome.take() {
+            let job = job.id.clone();
+            actions.push(Action::Outcome { job, outcome });
+        }
+    }
+
+    /// Takes the job away from the policy with a last event.
+    pub(crate) fn detach(&mut self, key: Key, event: impl FnOnce(JobKey) -> Observed) {
+        if let Some(policy_key) = self.jobs.get_mut(key).and_then(|job| job.policy_key.take()) {
+            self.by_policy.remove(policy_key);
+            self.policy.observe(self.now_ms, event(policy_key));
+        }
+    }
+
+    /// Drops a job from memory.
+    pub(crate) fn forget(&mut self, key: Key) {
+        self.detach(key, |job| Observed::Removed { job });
+        // Leaves the sets of jobs by phase.
+        self.set_phase(key, Phase::Final);
+        let Some(job) = self.jobs.remove(key) else { return };
+        self.by_id.remove(&job.id);
+        self.forget_writes(key, job.open.as_ref());
+        for seat in job.run.iter().flat_map(|run| &run.seats) {
+            self.workers[seat.worker].seats.remove(&seat.lease);
+        }
+    }
+
+    /// Takes a caller's cancellation; unknown jobs are left to the flag in their row.
+    pub(crate) fn cancel_requested(&mut self, job: JobId, actions: &mut Vec<Action>) {
+        if let Some(key) = self.by_id.get(&job).copied() {
+            self.cancel(key, actions);
+        } else if self.mode == Mode::Recovering {
+            self.early_cancels.insert(job);
+        }
+    }
+
+    /// Cancels a job in any phase. What has been dispatched is ended first.
+    pub(crate) fn cancel(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.is_cancelled || job.phase == Phase::Final {
+            return;
+        }
+        job.is_cancelled = true;
+        match job.phase {
+            Phase::Queued | Phase::Parked => self.end_cancelled(key, actions),
+            // An adopted attempt is settled first, and an unknown one stays unknown until a worker proves what ran.
+            _ => self.end_run(key, Cause::Cancelled, actions),
+        }
+    }
+
+    /// Makes a job final as cancelled; nothing of it runs.
+    pub(crate) fn end_cancelled(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let started = job.has_run();
+        self.finalize(key, JobState::Cancelled, Outcome::Cancelled { started }, actions);
+    }
+
+    /// Merges a row that another process changed in between.
+    pub(crate) fn conflict(&mut self, key: Key, current: Option<(Box<JobRow>, u64)>, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some((row, version)) = current.filter(|(row, _)| row.data_centre == self.data_centre) else {
+            self.drop_foreign(key, None, actions);
+            return;
+        };
+        let is_same_end = row.state.is_final() && row.state == job.row.state && row.attempts == job.row.attempts;
+        if is_same_end && job.charges.is_empty() {
+            self.tell_outcome(key, actions);
+            self.forget(key);
+            return;
+        }
+        let is_foreign = row.state.is_final()
+            || row.attempts.last().is_some_and(|theirs| {
+                let ours = job.row.attempts.iter().find(|ours| ours.number == theirs.number);
+                ours.is_none_or(|ours| ours.placement != theirs.placement)
+            });
+        if is_foreign {
+            self.drop_foreign(key, Some((row, version)), actions);
+            return;
+        }
+        job.version = version;
+        let is_recording = job.phase == Phase::Recording;
+        if job.is_dirty {
+            self.mark_dirty(key);
+        }
+        if row.cancel_requested && !is_recording {
+            self.cancel(key, actions);
+        } else if row.cancel_requested {
+            self.jobs[key].is_cancelled = true;
+            self.end_run(key, Cause::Cancelled, actions);
+        }
+    }
+
+    /// Gives a job up whose row belongs to another attempt; own work on it is ended first.
+    fn drop_foreign(&mut self, key: Key, replacement: Option<(Box<JobRow>, u64)>, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.is_dirty = false;
+        job.charges.clear();
+        job.replacement = replacement;
+        if job.run.is_some() && job.phase != Phase::Final {
+            self.end_run(key, Cause::Foreign, actions);
+        } else {
+            self.replace(key, actions);
+        }
+    }
+
+    /// Forgets a job and takes up the row that replaces it.
+    pub(crate) fn replace(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let replacement = self.jobs.get_mut(key).and_then(|job| job.replacement.take());
+        self.forget(key);
+        if let Some((row, version)) = replacement {
+            self.take_row(*row, version, actions);
+        }
+    }
+
+    /// Takes a job whose attempt was recorded or is being recorded, but not dispatched, out of the policy's queue.
+    pub(crate) fn park_unstarted(&mut self, key: Key) {
+        self.detach(key, |job| Observed::Removed { job });
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.set_attempt_state(model::AttemptState::NotStarted);
+            job.row.state = JobState::Queued;
+            job.run = None;
+            job.is_dirty = true;
+        }
+        self.set_phase(key, Phase::Parked);
+    }
+
+    /// Submits parked jobs that may go on.
+    pub(crate) fn unpark(&mut self, actions: &mut Vec<Action>) {
+        if !self.is_in_service {
+            return;
+        }
+        let may_go_on = |key: &&Key| {
+            let job = &self.jobs[**key];
+            job.row.spec.idempotent || (self.is_store_up && job.open.is_none())
+        };
+        let keys: Vec<Key> = self
+            .parked
+            .iter()
+            .take(MAX_PER_TICK)
+            .filter(may_go_on)
+            .copied()
+            .collect();
+        for key in keys {
+            self.submit(key, actions);
+        }
+    }
+
+    /// While the data centre is out, gives queued jobs to another data centre that is in service.
+    ///
+    /// Jobs with a checkpoint stay: the row cannot carry it, and starting from the beginning would lose or repeat work.
+    pub(crate) fn move_elsewhere(&mut self, actions: &mut Vec<Action>) {
+        if self.is_in_service || !self.is_store_up {
+            return;
+        }
+        let others: Vec<_> = (self.config.iter().flat_map(|config| &config.data_centres))
+            .filter(|dc| dc.in_service && dc.id != self.data_centre)
+            .map(|dc| dc.id.clone())
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+        let waiting = self.queued.iter().chain(&self.parked);
+        let keys: Vec<Key> = waiting
+            .filter(|key| self.jobs[**key].checkpoints.is_empty() && self.jobs[**key].open.is_none())
+            .take(MAX_PER_TICK)
+            .copied()
+            .collect();
+        for (index, key) in keys.into_iter().enumerate() {
+            self.detach(key, |job| Observed::Removed { job });
+            let job = &mut self.jobs[key];
+            job.row.data_centre = others[index % others.len()].clone();
+            let event = Event::new(EventKind::JobRequeued).job(job.id.clone()).cause("moved");
+            self.event(event, actions);
+            self.set_phase(key, Phase::Final);
+            self.mark_dirty(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/attempts.rs
@@ -0,0 +1,283 @@
+use model::{
+    Attempt, AttemptState, JobState, LeaseId, LeaseKind, LeaseRequest, PartPlacement, Placement, Resources,
+    StartRequest, TaskId,
+};
+use policy::{Decision, Event as Observed, FailReason, JobKey, Policy, Preemption, WorkerKey};
+use trace::{Event, EventKind};
+
+use crate::Action;
+use crate::job::{Key, Phase, has_run};
+use crate::run::{Cause, Part, Run, Stage};
+use crate::scheduler::{Mode, Scheduler, Timer};
+use crate::worker_state::Health;
+
+impl<P: Policy> Scheduler<P> {
+    /// Carries out a decision of the policy.
+    pub(crate) fn carry_out(&mut self, decision: Decision, actions: &mut Vec<Action>) {
+        let key_of = |job: JobKey| self.by_policy.get(job).copied();
+        match decision {
+            Decision::Start { job, workers } => match key_of(job) {
+                Some(key) => self.begin(key, &workers, actions),
+                None => self.policy.observe(self.now_ms, Observed::Removed { job }),
+            },
+            Decision::Preempt { job, mode } => {
+                if let Some(key) = key_of(job) {
+                    self.preempt(key, mode, actions);
+                }
+            }
+            Decision::Refuse { job, refusal } => {
+                if let Some(key) = self.by_policy.remove(job) {
+                    self.jobs[key].policy_key = None;
+                    self.refuse(key, refusal, actions);
+                }
+            }
+            Decision::Fail { job, reason } => {
+                if let Some(key) = self.by_policy.remove(job) {
+                    self.jobs[key].policy_key = None;
+                    let message = match reason {
+                        FailReason::FailedEverywhere => "failed on the bounded number of workers",
+                        FailReason::NotIdempotent => "failed, and may not run again",
+                    };
+                    let last = self.jobs[key].row.failure.take();
+                    let message = last.map_or(message.to_owned(), |last| format!("{message}: {last}"));
+                    self.finalize(key, JobState::Failed, model::Outcome::Failed { message }, actions);
+                }
+            }
+            Decision::GuaranteeLost { organisation, .. } => {
+                let event = Event::new(EventKind::GuaranteeLost).cause(organisation.as_str());
+                self.event(event, actions);
+            }
+        }
+    }
+
+    /// Writes the record of a new attempt. No worker is told before the record is durable, or may be buffered.
+    fn begin(&mut self, key: Key, workers: &[WorkerKey], actions: &mut Vec<Action>) {
+        let now_unix_ms = self.now_unix_ms;
+        let may_record = self.is_store_up || self.jobs[key].row.spec.idempotent;
+        let has_room = self.writes.buffered.len() < self.settings.max_buffered_jobs;
+        if self.mode != Mode::Active || !self.is_in_service || !may_record || !has_room {
+            self.detach(key, |job| Observed::Removed { job });
+            self.set_phase(key, Phase::Parked);
+            return;
+        }
+        if !self.jobs[key].may_start() {
+            self.detach(key, |job| Observed::Removed { job });
+            self.submit(key, actions);
+            return;
+        }
+        let mut leases: Vec<(WorkerKey, LeaseId)> = Vec::new();
+        let mut placement = Placement::default();
+        for worker in workers {
+            let known = leases
+                .iter()
+                .find(|(other, _)| other == worker)
+                .map(|(_, lease)| *lease);
+            let lease = known.unwrap_or_else(|| self.next_lease());
+            leases.push((*worker, lease));
+            placement.parts.push(PartPlacement {
+                worker: self.policy.worker_id(*worker).clone(),
+                lease,
+            });
+        }
+        let index = |id: &model::WorkerId| self.worker_index[id];
+        let job = &mut self.jobs[key];
+        let number = job.last_attempt() + 1;
+        let run = Run::new(number, &placement, Stage::Planned, || Part::Idle, index);
+        // Attempts that never started need no record; dropping them bounds the row.
+        job.row.attempts.retain(has_run);
+        job.row.attempts.push(Attempt {
+            number,
+            epoch: self.epoch,
+            placement,
+            state: AttemptState::Recorded,
+            recorded_unix_ms: now_unix_ms,
+        });
+        job.row.state = JobState::Running;
+        job.run = Some(run);
+        self.set_phase(key, Phase::Recording);
+        self.mark_dirty(key);
+    }
+
+    /// Returns a new lease id.
+    pub(crate) fn next_lease(&mut self) -> LeaseId {
+        self.lease_sequence += 1;
+        LeaseId::new(self.epoch, self.lease_sequence)
+    }
+
+    /// Requests the leases of a recorded attempt.
+    pub(crate) fn reserve(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let op = self.next_op();
+        let live_until_ms = self.now_ms + self.settings.worker_timeout_ms + self.settings.reserve_lease_ttl_ms;
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let need = job.row.spec.need_per_part();
+        let Some(run) = &mut job.run else { return };
+        let silent = run
+            .seats
+            .iter()
+            .find(|seat| self.workers[seat.worker].health != Health::Up);
+        if let Some(seat) = silent {
+            let cause = Cause::Refused(Some(seat.worker));
+            self.end_run(key, cause, actions);
+            return;
+        }
+        run.reserved_ms = self.now_ms;
+        for seat in &mut run.seats {
+            seat.stage = Stage::Asked;
+            seat.op = op;
+            seat.live_until_ms = live_until_ms;
+            let worker = &mut self.workers[seat.worker];
+            worker.seats.insert(seat.lease, key);
+            let mut resources = Resources::default();
+            seat.parts.iter().for_each(|_| resources += need);
+            actions.push(Action::Lease {
+                worker: worker.id.clone(),
+                request: LeaseRequest {
+                    lease: seat.lease,
+                    epoch: self.epoch,
+                    holder: self.instance.clone(),
+                    kind: LeaseKind::Attempt,
+                    resources,
+                    ttl_ms: self.settings.reserve_lease_ttl_ms,
+                },
+            });
+        }
+        self.set_phase(key, Phase::Reserving);
+        self.arm(self.now_ms + self.reserve_bound_ms(), Timer::Job(key));
+    }
+
+    /// Returns the age at which a reservation is given up, so that no start meets an expired lease.
+    const fn reserve_bound_ms(&self) -> u64 {
+        self.settings.reserve_lease_ttl_ms * 3 / 4
+    }
+
+    /// Starts all parts; all leases are granted.
+    fn start(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let op = self.next_op();
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let spec = &job.row.spec;
+        let Some(run) = &mut job.run else { return };
+        for seat in &mut run.seats {
+            seat.op = op;
+            for part in &seat.parts {
+                let index = usize::from(*part);
+                run.parts[index] = Part::Sent;
+                actions.push(Action::Start {
+                    worker: self.workers[seat.worker].id.clone(),
+                    request: Box::new(StartRequest {
+                        lease: seat.lease,
+                        epoch: self.epoch,
+                        task: TaskId::new(job.id.clone(), run.number, *part),
+                        resources: spec.need_per_part(),
+                        payload: spec.payload.clone(),
+                        resume_from: job.checkpoints.get(index).cloned(),
+                        checkpointable: spec.checkpointable,
+                    }),
+                });
+            }
+        }
+        // The short reservation must be renewed before it expires, so the next renewal is due at once.
+        let workers: Vec<usize> = run.seats.iter().map(|seat| seat.worker).collect();
+        for ix in workers {
+            self.arm_worker(ix, self.now_ms);
+        }
+        self.set_phase(key, Phase::Starting);
+    }
+
+    /// Ends a running job for the sake of another.
+    fn preempt(&mut self, key: Key, mode: Preemption, actions: &mut Vec<Action>) {
+        let grace_until_ms = self.now_ms + self.settings.checkpoint_grace_ms;
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let event = Event::new(EventKind::JobPreempted)
+            .job(job.id.clone())
+            .attempt(job.last_attempt());
+        let takes_checkpoint = mode == Preemption::Checkpoint && job.row.spec.checkpointable;
+        if let Some(run) = job.run.as_mut().filter(|run| run.cause.is_none())
+            && takes_checkpoint
+            && job.phase == Phase::Running
+        {
+            run.grace_until_ms = Some(grace_until_ms);
+            for seat in &run.seats {
+                for part in seat
+                    .parts
+                    .iter()
+                    .filter(|part| !run.parts[usize::from(**part)].is_settled())
+                {
+                    actions.push(Action::Checkpoint {
+                        worker: self.workers[seat.worker].id.clone(),
+                        task: TaskId::new(job.id.clone(), run.number, *part),
+                    });
+                }
+            }
+            self.arm(grace_until_ms, Timer::Job(key));
+        }
+        self.event(event, actions);
+        self.end_run(key, Cause::Preempted, actions);
+    }
+
+    /// Begins to end the attempt of a job. A later cause replaces a preemption, but nothing else.
+    pub(crate) fn end_run(&mut self, key: Key, cause: Cause, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(run) = &mut job.run else { return };
+        if run.cause.is_none() || run.cause == Some(Cause::Preempted) || cause == Cause::Foreign {
+            run.cause = Some(cause);
+        }
+        if cause != Cause::Preempted {
+            run.grace_until_ms = None;
+        }
+        self.advance(key, actions);
+    }
+
+    /// Takes the next step of an attempt, as far as what is known of its seats and parts allows.
+    pub(crate) fn advance(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let (phase, id) = (job.phase, job.id.clone());
+        let Some(run) = &mut job.run else { return };
+        if run.cause.is_none() {
+            if run.has_ended_part() {
+                run.cause = Some(Cause::PartEnded);
+            } else if run.is_finished() {
+                run.cause = Some(Cause::Complete);
+            }
+        } else if run.grace_until_ms.is_some() && run.parts.iter().all(Part::is_settled) {
+            run.grace_until_ms = None;
+        }
+        if run.cause.is_some() {
+            if run.grace_until_ms.is_none() {
+                self.release(key, actions);
+            }
+            return;
+        }
+        match phase {
+            Phase::Reserving if run.all_seats(&[Stage::Granted]) => self.start(key, actions),
+            Phase::Starting | Phase::Adopting if run.all_seats(&[Stage::Granted]) && run.is_running() => {
+                if phase == Phase::Starting {
+                    run.started_ms = self.now_ms;
+                }
+                let number = run.number;
+                if let Some(policy_key) = job.policy_key
+                    && phase == Phase::Starting
+                {
+                    self.policy.observe(self.now_ms, Observed::Started { job: policy_key });
+                }
+                self.set_phase(key, Phase::Running);
+                self.event(Event::new(EventKind::JobStarted).job(id).attempt(number), actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes note that the deadline of a phase passed.
+    pub(crate) fn job_due(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let reserve_bound_ms = self.reserve_bound_ms();
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(run) = &mut job.run else { return };
+        if run.grace_until_ms.is_some_and(|until_ms| until_ms <= self.now_ms) {
+            run.grace_until_ms = None;
+            self.advance(key, actions);
+        } else if job.phase == Phase::Reserving && run.reserved_ms + reserve_bound_ms <= self.now_ms {
+            let slow = run.seats.iter().find(|seat| seat.stage == Stage::Asked);
+            let cause = Cause::Refused(slow.map(|seat| seat.worker));
+            self.end_run(key, cause, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/recovery.rs
@@ -0,0 +1,297 @@
+use std::collections::BTreeMap;
+
+use model::{
+    Attempt, AttemptState, Epoch, Inventory, JobId, JobRow, JobState, LeaseId, LeaseKind, PartPlacement, TaskReport,
+    TaskState, WorkerId,
+};
+use policy::{Event as Observed, Policy, WorkerKey};
+use trace::{Event, EventKind};
+
+use crate::Action;
+use crate::job::{Key, Phase};
+use crate::run::{Cause, Part, Run, Stage};
+use crate::scheduler::{Mode, Scheduler, Timer};
+use crate::worker_state::{Health, WorkerState};
+
+/// Part of the retention of task reports that is left out, for clocks that differ between instances.
+const RETENTION_MARGIN_MS: u64 = 60_000;
+
+impl<P: Policy> Scheduler<P> {
+    /// Begins recovery: fences every worker and reads the rows.
+    pub(crate) fn elected(&mut self, epoch: Epoch, actions: &mut Vec<Action>) {
+        if self.mode != Mode::Following {
+            if epoch <= self.epoch {
+                return;
+            }
+            self.step_down("elected_again", actions);
+        }
+        self.mode = Mode::Recovering;
+        self.epoch = epoch;
+        self.lease_sequence = 0;
+        self.is_scanned = false;
+        self.event(Event::new(EventKind::SchedulerElected), actions);
+        for ix in 0..self.workers.len() {
+            self.workers[ix].last_reply_ms = self.now_ms;
+            self.probe(ix, actions);
+        }
+        actions.push(Action::ScanJobs);
+        self.recovery_until_ms = self.now_ms + self.settings.recovery_wait_ms;
+        self.arm(self.recovery_until_ms, Timer::Recovery);
+    }
+
+    /// Takes the rows of unfinished jobs.
+    pub(crate) fn job_rows(&mut self, rows: Vec<(JobRow, u64)>, actions: &mut Vec<Action>) {
+        let is_recovering = self.mode == Mode::Recovering;
+        for (row, version) in rows {
+            self.submitted(row, version, actions);
+        }
+        if is_recovering {
+            self.is_scanned = true;
+            self.check_recovered(actions);
+        }
+    }
+
+    /// Ends recovery once the rows are there and every worker answered or had time to.
+    pub(crate) fn check_recovered(&mut self, actions: &mut Vec<Action>) {
+        if self.mode != Mode::Recovering {
+            return;
+        }
+        let is_late = self.recovery_until_ms <= self.now_ms;
+        if !self.is_scanned {
+            if is_late {
+                actions.push(Action::ScanJobs);
+                self.recovery_until_ms = self.now_ms + self.settings.recovery_wait_ms;
+                self.arm(self.recovery_until_ms, Timer::Recovery);
+            }
+            return;
+        }
+        let is_heard = |worker: &WorkerState| worker.inventory.is_some() || worker.fence_op.is_none();
+        if is_late || self.workers.iter().all(is_heard) {
+            self.recovered(actions);
+        }
+    }
+
+    fn recovered(&mut self, actions: &mut Vec<Action>) {
+        self.mode = Mode::Active;
+        let inventories: BTreeMap<usize, Box<Inventory>> = (self.workers.iter_mut().enumerate())
+            .filter_map(|(ix, worker)| Some((ix, worker.inventory.take()?)))
+            .collect();
+        for (row, version) in std::mem::take(&mut self.early_rows).into_values() {
+            self.take_row(row, version, actions);
+        }
+        self.early_cancels.clear();
+        self.adopt_unrecorded(&inventories, actions);
+        let op = self.next_op();
+        let count = self.workers.len() as u64;
+        for ix in 0..self.workers.len() {
+            if let Some(inventory) = inventories.get(&ix) {
+                self.reconcile(ix, inventory, op, actions);
+                self.up(ix, inventory.leaving, actions);
+            } else {
+                self.down(ix, actions);
+            }
+            // Spreads the renewals over the interval.
+            let offset_ms = ix as u64 * self.settings.worker_renew_interval_ms / count;
+            self.arm_worker(ix, self.now_ms + offset_ms);
+        }
+        self.arm(self.now_ms + self.settings.scan_interval_ms, Timer::Scan);
+        self.event(Event::new(EventKind::SchedulerRecovered), actions);
+        self.supply_grants(actions);
+    }
+
+    /// Takes over the last attempt of a row that a former holder, or this one before, recorded.
+    pub(crate) fn adopt(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let live_until_ms = self.now_ms + self.settings.worker_timeout_ms + self.settings.slot_lease_ttl_ms;
+        let job = &self.jobs[key];
+        let Some(attempt) = job.row.attempts.last().cloned() else {
+            return;
+        };
+        let was_ended = attempt.state == AttemptState::Stopped;
+        let age_ms = self.now_unix_ms.saturating_sub(attempt.recorded_unix_ms);
+        let part = || if was_ended { Part::Running } else { Part::Sent };
+        let mut run = Run::new(attempt.number, &attempt.placement, Stage::Inherited, part, |id| {
+            self.index_of(id)
+        });
+        run.is_absence_proof = age_ms + RETENTION_MARGIN_MS < self.settings.task_retention_ms;
+        run.started_ms = self.now_ms.saturating_sub(age_ms);
+        if was_ended {
+            run.cause = Some(Cause::Preempted);
+        } else if self.jobs[key].is_cancelled {
+            run.cause = Some(Cause::Cancelled);
+        }
+        let mut workers = Vec::new();
+        for seat in &mut run.seats {
+            seat.live_until_ms = live_until_ms;
+            self.workers[seat.worker].seats.insert(seat.lease, key);
+            workers.push(seat.worker);
+        }
+        let keys: Option<Vec<WorkerKey>> = (attempt.placement.parts.iter())
+            .map(|place| self.policy.worker_key(&place.worker))
+            .collect();
+        let job = &mut self.jobs[key];
+        job.run = Some(run);
+        if let Some(keys) = keys.filter(|_| !was_ended) {
+            let policy_key = self.policy.adopt(self.now_ms, &job.row.spec, &keys);
+            job.policy_key = Some(policy_key);
+            self.by_policy.insert(policy_key, key);
+        }
+        self.set_phase(key, Phase::Adopting);
+        for ix in workers {
+            if self.workers[ix].health == Health::Up {
+                self.probe(ix, actions);
+            }
+        }
+    }
+
+    fn index_of(&mut self, id: &WorkerId) -> usize {
+        if let Some(ix) = self.worker_index.get(id) {
+            return *ix;
+        }
+        // A worker that left the list may still hold an attempt; it is asked until the attempt is settled.
+        let ix = self.workers.len();
+        let mut worker = WorkerState::new(id.clone(), self.policy.worker_key(id));
+        worker.health = Health::Down;
+        self.workers.push(worker);
+        self.worker_index.insert(id.clone(), ix);
+        self.arm_worker(ix, self.now_ms);
+        ix
+    }
+
+    /// Rebuilds attempts that a former holder started while the store was away, from the inventories alone.
+    fn adopt_unrecorded(&mut self, inventories: &BTreeMap<usize, Box<Inventory>>, actions: &mut Vec<Action>) {
+        let mut found: BTreeMap<JobId, Vec<(&WorkerId, &TaskReport)>> = BTreeMap::new();
+        for inventory in inventories.values() {
+            for report in &inventory.tasks {
+                let Some(key) = self.by_id.get(&report.task.job) else {
+                    continue;
+                };
+                let job = &self.jobs[*key];
+                let is_useful = matches!(report.state, TaskState::Running | TaskState::Finished);
+                if job.run.is_none() && report.task.attempt > job.last_attempt() && is_useful {
+                    found
+                        .entry(job.id.clone())
+                        .or_default()
+                        .push((&inventory.worker, report));
+                }
+            }
+        }
+        for (id, mut reports) in found {
+            let key = self.by_id[&id];
+            let Some(number) = reports.iter().map(|(_, report)| report.task.attempt).max() else {
+                continue;
+            };
+            reports.retain(|(_, report)| report.task.attempt == number);
+            reports.sort_by_key(|(_, report)| report.task.part);
+            let parts = usize::from(self.jobs[key].row.spec.shape.parts);
+            let is_whole = reports.len() == parts
+                && (reports.iter().enumerate()).all(|(index, (_, report))| usize::from(report.task.part) == index);
+            if !is_whole {
+                // The leases of a partial gang are revoked as unknown ones.
+                continue;
+            }
+            self.detach(key, |job| Observed::Removed { job });
+            let job = &mut self.jobs[key];
+            let place = |(worker, report): &(&WorkerId, &TaskReport)| PartPlacement {
+                worker: (*worker).clone(),
+                lease: report.lease,
+            };
+            job.row.attempts.push(Attempt {
+                number,
+                epoch: reports[0].1.lease.epoch,
+                placement: reports.iter().map(place).collect(),
+                state: AttemptState::Recorded,
+                recorded_unix_ms: self.now_unix_ms,
+            });
+            job.row.state = JobState::Running;
+            self.adopt(key, actions);
+            self.mark_dirty(key);
+        }
+    }
+
+    /// Settles what is known of a worker's leases by its inventory, which was read by the command with number `op`.
+    pub(crate) fn reconcile(&mut self, ix: usize, inventory: &Inventory, op: u64, actions: &mut Vec<Action>) {
+        let mut reports: BTreeMap<LeaseId, Vec<&TaskReport>> = BTreeMap::new();
+        for report in &inventory.tasks {
+            reports.entry(report.lease).or_default().push(report);
+        }
+        let is_live = |lease: LeaseId| inventory.leases.iter().any(|info| info.lease == lease);
+        let seats: Vec<(LeaseId, Key)> = self.workers[ix]
+            .seats
+            .iter()
+            .map(|(lease, key)| (*lease, *key))
+            .collect();
+        for (lease, key) in seats {
+            let own = reports.get(&lease).map_or(&[][..], Vec::as_slice);
+            self.reconcile_seat(ix, key, lease, own, is_live(lease), op, actions);
+        }
+        for info in inventory.leases.iter().filter(|info| info.kind == LeaseKind::Attempt) {
+            if !self.workers[ix].seats.contains_key(&info.lease) {
+                actions.push(Action::Revoke {
+                    worker: inventory.worker.clone(),
+                    lease: info.lease,
+                });
+            }
+        }
+        self.reconcile_grants(ix, &inventory.leases, op, actions);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "what an inventory says of one seat")]
+    fn reconcile_seat(
+        &mut self,
+        ix: usize,
+        key: Key,
+        lease: LeaseId,
+        reports: &[&TaskReport],
+        is_live: bool,
+        op: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let epoch = self.epoch;
+        let Some(run) = self.jobs.get_mut(key).and_then(|job| job.run.as_mut()) else {
+            return;
+        };
+        for report in reports {
+            run.apply(report);
+        }
+        if lease.epoch < epoch {
+            // The fence revoked the lease unless a task had been started under it, and no start is accepted any more.
+            run.settle_absent(lease);
+        }
+        let is_settled = run.is_seat_settled(lease);
+        let Some(seat) = run.seat_mut(lease) else { return };
+        let is_older = seat.op < op;
+        let is_lost = match seat.stage {
+            Stage::Inherited | Stage::Lapsed if is_live => {
+                seat.stage = Stage::Granted;
+                false
+            }
+            Stage::Inherited | Stage::Lapsed if lease.epoch < epoch => {
+                seat.stage = Stage::Released;
+                false
+            }
+            // Of this epoch: a command may still be on its way, so that only a revocation settles it.
+            Stage::Inherited | Stage::Lapsed => {
+                seat.stage = Stage::Granted;
+                true
+            }
+            Stage::Asked if is_live && is_older => {
+                seat.stage = Stage::Granted;
+                false
+            }
+            Stage::Granted => is_older && !is_settled && (!is_live || reports.len() < seat.parts.len()),
+            Stage::Revoking => {
+                actions.push(Action::Revoke {
+                    worker: self.workers[ix].id.clone(),
+                    lease,
+                });
+                false
+            }
+            Stage::Asked | Stage::Planned | Stage::Released => false,
+        };
+        if is_lost && self.jobs[key].phase != Phase::Reserving {
+            self.end_run(key, Cause::PartEnded, actions);
+        } else {
+            self.advance(key, actions);
+        }
+    }
+}
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -1,19 +1,85 @@
-use model::{DataCentreId, Epoch, InstanceId, JobId, WorkerId};
-use policy::{Policy, Stats};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
+use model::{Config, DataCentreId, Epoch, InstanceId, JobId, JobRow, WorkerId};
+use policy::{Decision, JobKey, Policy, Stats};
+use slotmap::{SecondaryMap, SlotMap};
+use trace::{Event, EventKind};
+
+use crate::grants::Grants;
+use crate::job::{Job, Key, Phase};
+use crate::worker_state::WorkerState;
+use crate::writes::Writes;
 use crate::{Action, Input, Settings};
 
+/// Whether the scheduler commands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Another instance holds the lease, or none.
+    Following,
+    /// Elected; inventories and rows are being read.
+    Recovering,
+    /// Starts work.
+    Active,
+    /// Finishes what is open and starts nothing.
+    Stopping,
+}
+
+/// What a deadline is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// End of waiting for workers in recovery.
+    Recovery,
+    /// Next poll of the table.
+    Scan,
+    /// Next command to a worker.
+    Worker(usize),
+    /// Deadline of a job's phase.
+    Job(Key),
+    /// Next attempt of writes that were not done.
+    Writes,
+    /// Next attempt to supply grants.
+    Grants,
+    /// End of a planned stop.
+    HandOver,
+}
+
 /// Scheduler of one data centre.
 ///
-/// It follows until an election makes it the holder, and commands nothing before and after.
-#[derive(Debug)]
+/// It follows until an election makes it the holder, and commands nothing before that and after it is deposed.
+#[derive(Debug, Clone)]
 pub struct Scheduler<P> {
-    settings: Settings,
-    policy: P,
-    instance: InstanceId,
-    data_centre: DataCentreId,
-    workers: Vec<WorkerId>,
-    epoch: Option<Epoch>,
+    pub(crate) settings: Settings,
+    pub(crate) policy: P,
+    pub(crate) instance: InstanceId,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) mode: Mode,
+    pub(crate) epoch: Epoch,
+    pub(crate) now_ms: u64,
+    pub(crate) now_unix_ms: u64,
+    pub(crate) workers: Vec<WorkerState>,
+    pub(crate) worker_index: HashMap<WorkerId, usize>,
+    pub(crate) jobs: SlotMap<Key, Job>,
+    pub(crate) by_id: HashMap<JobId, Key>,
+    pub(crate) by_policy: SecondaryMap<JobKey, Key>,
+    pub(crate) queued: BTreeSet<Key>,
+    pub(crate) parked: BTreeSet<Key>,
+    /// Jobs in a transient phase.
+    pub(crate) transient: BTreeSet<Key>,
+    pub(crate) timers: BTreeSet<(u64, Timer)>,
+    pub(crate) writes: Writes,
+    pub(crate) grants: Grants,
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) is_in_service: bool,
+    pub(crate) is_store_up: bool,
+    /// Rows that arrived during recovery, with their versions.
+    pub(crate) early_rows: BTreeMap<JobId, (JobRow, u64)>,
+    pub(crate) early_cancels: BTreeSet<JobId>,
+    pub(crate) is_scanned: bool,
+    pub(crate) recovery_until_ms: u64,
+    pub(crate) lease_sequence: u64,
+    pub(crate) op: u64,
+    decisions: Vec<Decision>,
 }
 
 impl<P: Policy> Scheduler<P> {
@@ -25,24 +91,57 @@
         data_centre: DataCentreId,
         workers: Vec<WorkerId>,
     ) -> Self {
+        let workers: Vec<_> = workers
+            .into_iter()
+            .map(|id| WorkerState::new(id.clone(), policy.worker_key(&id)))
+            .collect();
+        let worker_index = workers.iter().enumerate().map(|(ix, w)| (w.id.clone(), ix)).collect();
         Self {
             settings,
             policy,
             instance,
             data_centre,
+            mode: Mode::Following,
+            epoch: Epoch(0),
+            now_ms: 0,
+            now_unix_ms: 0,
             workers,
-            epoch: None,
+            worker_index,
+            jobs: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_policy: SecondaryMap::new(),
+            queued: BTreeSet::new(),
+            parked: BTreeSet::new(),
+            transient: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            writes: Writes::default(),
+            grants: Grants::default(),
+            config: None,
+            is_in_service: true,
+            is_store_up: true,
+            early_rows: BTreeMap::new(),
+            early_cancels: BTreeSet::new(),
+            is_scanned: false,
+            recovery_until_ms: 0,
+            lease_sequence: 0,
+            op: 0,
+            decisions: Vec::new(),
         }
     }
 
     /// Returns the epoch under which the scheduler commands; `None` while it follows.
     pub fn epoch(&self) -> Option<Epoch> {
-        self.epoch
+        (self.mode != Mode::Following).then_some(self.epoch)
     }
 
     /// Returns whether the job is in memory: queued, running, or not yet final in the table.
-    pub fn knows(&self, _job: &JobId) -> bool {
-        false
+    pub fn knows(&self, job: &JobId) -> bool {
+        self.by_id.contains_key(job) || self.early_rows.contains_key(job)
+    }
+
+    /// Returns the number of jobs in memory.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
     }
 
     /// Returns the current figures of the policy.
@@ -52,20 +151,154 @@
 
     /// Takes an input and appends what has to be done to `actions`.
     ///
-    /// `now_ms` is a monotonic clock; `now_unix_ms` only enters records.
-    pub fn handle(&mut self, _now_ms: u64, _now_unix_ms: u64, input: Input, actions: &mut Vec<Action>) {
+    /// `now_ms` is a monotonic clock; `now_unix_ms` only enters records and the age of records.
+    pub fn handle(&mut self, now_ms: u64, now_unix_ms: u64, input: Input, actions: &mut Vec<Action>) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.now_unix_ms = now_unix_ms;
         match input {
-            Input::Elected { epoch } => {
-                self.epoch = Some(epoch);
-                actions.extend(self.workers.iter().map(|worker| Action::Fence {
-                    worker: worker.clone(),
-                    epoch,
-                }));
-                actions.push(Action::ScanJobs);
+            Input::Elected { epoch } => self.elected(epoch, actions),
+            Input::Deposed => self.step_down("lease_lost", actions),
+            Input::StoreReachable(is_up) => self.store_reachable(is_up, actions),
+            Input::Configured { config } => self.configured(config, actions),
+            Input::Instances { wanted_slots } => self.instances(wanted_slots, actions),
+            _ if self.mode == Mode::Following => {}
+            Input::JobRows { rows } => self.job_rows(rows, actions),
+            Input::Submitted { row, version } => self.submitted(*row, version, actions),
+            Input::CancelRequested { job } => self.cancel_requested(job, actions),
+            Input::Worker { worker, reply } => self.worker_reply(&worker, reply, actions),
+            Input::WorkerLeaving { worker } => self.worker_leaving(&worker, actions),
+            Input::Written { write, outcome } => self.written(write, outcome, actions),
+            Input::GrantReleased { worker, lease } => self.grant_released(&worker, lease, actions),
+            Input::Stopping => self.stopping(actions),
+            Input::Tick => self.tick(actions),
+        }
+        if self.mode == Mode::Active {
+            self.decide(actions);
+        }
+        if self.mode != Mode::Following {
+            self.pump_writes(actions);
+        }
+        if self.mode == Mode::Stopping {
+            self.check_handed_over(actions);
+        }
+    }
+
+    /// Appends an event with the data centre and the epoch filled in.
+    pub(crate) fn event(&self, event: Event, actions: &mut Vec<Action>) {
+        let event = event.data_centre(self.data_centre.clone()).epoch(self.epoch);
+        actions.push(Action::Event(Box::new(event)));
+    }
+
+    /// Arms a timer.
+    pub(crate) fn arm(&mut self, at_ms: u64, timer: Timer) {
+        self.timers.insert((at_ms, timer));
+    }
+
+    /// Returns the number of the next command.
+    pub(crate) fn next_op(&mut self) -> u64 {
+        self.op += 1;
+        self.op
+    }
+
+    /// Moves a job to a phase and keeps the sets of jobs by phase.
+    pub(crate) fn set_phase(&mut self, key: Key, phase: Phase) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        match job.phase {
+            Phase::Queued => self.queued.remove(&key),
+            Phase::Parked => self.parked.remove(&key),
+            old if old.is_transient() => self.transient.remove(&key),
+            _ => false,
+        };
+        job.phase = phase;
+        match phase {
+            Phase::Queued => self.queued.insert(key),
+            Phase::Parked => self.parked.insert(key),
+            new if new.is_transient() => self.transient.insert(key),
+            _ => false,
+        };
+    }
+
+    /// Commands nothing any more and forgets everything; the successor rebuilds it.
+    pub(crate) fn step_down(&mut self, cause: &'static str, actions: &mut Vec<Action>) {
+        if self.mode == Mode::Following {
+            return;
+        }
+        self.event(Event::new(EventKind::SchedulerDeposed).cause(cause), actions);
+        self.mode = Mode::Following;
+        let keys: Vec<Key> = self.jobs.keys().collect();
+        for key in keys {
+            self.forget(key);
+        }
+        self.release_all_grants();
+        self.timers.clear();
+        self.writes = Writes::default();
+        self.early_rows.clear();
+        self.early_cancels.clear();
+        for worker in &mut self.workers {
+            *worker = WorkerState::new(worker.id.clone(), worker.key);
+        }
+    }
+
+    fn tick(&mut self, actions: &mut Vec<Action>) {
+        while let Some((at_ms, timer)) = self.timers.first().copied() {
+            if at_ms > self.now_ms {
+                break;
+            }
+            self.timers.pop_first();
+            match timer {
+                Timer::Recovery => self.check_recovered(actions),
+                Timer::Scan => self.scan(actions),
+                Timer::Worker(ix) => self.worker_due(ix, actions),
+                Timer::Job(key) => self.job_due(key, actions),
+                Timer::Writes => self.requeue_writes(),
+                Timer::Grants => self.supply_grants(actions),
+                Timer::HandOver => self.hand_over(actions),
+            }
+            if self.mode == Mode::Following {
+                return;
             }
-            Input::Deposed => self.epoch = None,
-            Input::Stopping => actions.push(Action::HandedOver),
-            _ => {}
         }
+        if self.mode == Mode::Active {
+            self.unpark(actions);
+            self.move_elsewhere(actions);
+        }
+    }
+
+    fn decide(&mut self, actions: &mut Vec<Action>) {
+        if self.writes.buffered.len() >= self.settings.max_buffered_jobs {
+            return;
+        }
+        let mut decisions = std::mem::take(&mut self.decisions);
+        self.policy.decide(self.now_ms, &mut decisions);
+        for decision in decisions.drain(..) {
+            self.carry_out(decision, actions);
+        }
+        self.decisions = decisions;
+    }
+
+    fn scan(&mut self, actions: &mut Vec<Action>) {
+        actions.push(Action::ScanJobs);
+        self.arm(self.now_ms + self.settings.scan_interval_ms, Timer::Scan);
+    }
+
+    fn stopping(&mut self, actions: &mut Vec<Action>) {
+        if self.mode != Mode::Active {
+            self.hand_over(actions);
+            return;
+        }
+        self.mode = Mode::Stopping;
+        self.withdraw(actions);
+        self.arm(self.now_ms + self.settings.hand_over_wait_ms, Timer::HandOver);
+    }
+
+    fn check_handed_over(&mut self, actions: &mut Vec<Action>) {
+        if self.transient.is_empty() && self.writes.is_idle() {
+            self.hand_over(actions);
+        }
+    }
+
+    fn hand_over(&mut self, actions: &mut Vec<Action>) {
+        actions.push(Action::HandedOver);
+        self.step_down("handed_over", actions);
     }
 }
--- /dev/null
+++ b/crates/sched/tests/common/command.rs
@@ -0,0 +1,47 @@
+use model::{Epoch, LeaseId, LeaseRequest, RenewRequest, StartRequest, TaskId};
+use sched::LostCommand;
+
+/// Deliberate defect of a worker or table, to show that a check can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// Accepts commands of any epoch.
+    IgnoresEpoch,
+    /// Starts a task again that it already started.
+    StartsTwice,
+    /// Keeps tasks running whose lease has expired, and ignores revocations.
+    IgnoresLeases,
+    /// Cuts the body of an answer and fixes its digest.
+    CutsAnswers,
+    /// Does not report tasks that ended when a lease is revoked or an inventory read.
+    ForgetsTasks,
+    /// Reports accelerator time under another lease, which the table takes as a charge.
+    ForeignCharge,
+    /// The table loses acknowledged rows of finished jobs.
+    LosesRows,
+}
+
+/// Command to a worker as the driver sends it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    Fence(Epoch),
+    Lease(LeaseRequest),
+    Start(StartRequest),
+    Renew(RenewRequest),
+    Stop(Epoch, TaskId),
+    Checkpoint(Epoch, TaskId),
+    Revoke(Epoch, LeaseId),
+}
+
+impl Command {
+    /// Returns what the driver reports if no reply arrives.
+    pub fn lost(&self) -> LostCommand {
+        match self {
+            Self::Fence(_) => LostCommand::Fence,
+            Self::Lease(request) => LostCommand::Lease(request.lease),
+            Self::Start(request) => LostCommand::Start(request.task.clone()),
+            Self::Renew(_) => LostCommand::Renew,
+            Self::Stop(_, task) | Self::Checkpoint(_, task) => LostCommand::End(task.clone()),
+            Self::Revoke(_, lease) => LostCommand::Revoke(*lease),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/common/worker.rs
@@ -0,0 +1,384 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::{
+    Answer, Epoch, InstanceId, Inventory, LeaseId, LeaseInfo, LeaseKind, LeaseRequest, RenewRequest, Resources,
+    StartRequest, TaskId, TaskReport, TaskState, WorkerError, WorkerId, WorkerReport,
+};
+use sched::WorkerReply;
+
+use super::{Command, Defect};
+
+/// Start of a task, as the worker itself logged it.
+#[derive(Debug, Clone)]
+pub struct Started {
+    pub task: TaskId,
+    pub lease: LeaseId,
+    pub at_ms: u64,
+    /// When the task ended; `None` while it runs.
+    pub end_ms: Option<u64>,
+    pub state: TaskState,
+    pub is_resumed: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Lease {
+    holder: InstanceId,
+    kind: LeaseKind,
+    resources: Resources,
+    until_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Task {
+    report: TaskReport,
+    done_ms: u64,
+    sequence: u64,
+    log: usize,
+}
+
+/// Worker that honours leases, epochs, fences, revocations and repeated starts.
+#[derive(Debug, Clone)]
+pub struct FakeWorker {
+    pub id: WorkerId,
+    pub log: Vec<Started>,
+    pub defect: Option<Defect>,
+    pub fails_all: bool,
+    pub is_leaving: bool,
+    pub is_dead: bool,
+    pub frozen_at_ms: Option<u64>,
+    epoch: Epoch,
+    capacity: Resources,
+    leases: BTreeMap<LeaseId, Lease>,
+    /// Leases that were revoked or expired, which a late request must not bring back.
+    ended: BTreeSet<LeaseId>,
+    tasks: BTreeMap<TaskId, Task>,
+    sequence: u64,
+}
+
+impl FakeWorker {
+    /// Creates an idle worker.
+    pub fn new(id: WorkerId, capacity: Resources, defect: Option<Defect>) -> Self {
+        Self {
+            id,
+            log: Vec::new(),
+            defect,
+            fails_all: false,
+            is_leaving: false,
+            is_dead: false,
+            frozen_at_ms: None,
+            epoch: Epoch(0),
+            capacity,
+            leases: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            tasks: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Loses everything but its log, as a process that is killed does; it stays away.
+    pub fn kill(&mut self, now_ms: u64) {
+        self.pass(now_ms);
+        self.is_dead = true;
+        self.forget(now_ms);
+    }
+
+    /// Loses its memory and answers again at once.
+    pub fn restart(&mut self, now_ms: u64) {
+        self.pass(now_ms);
+        self.forget(now_ms);
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        for task in std::mem::take(&mut self.tasks).into_values() {
+            let log = &mut self.log[task.log];
+            log.end_ms.get_or_insert(now_ms);
+        }
+        self.leases.clear();
+        self.ended.clear();
+        self.sequence = 0;
+    }
+
+    /// Lets time pass: tasks finish, leases expire and stop their tasks.
+    pub fn pass(&mut self, now_ms: u64) {
+        if self.frozen_at_ms.is_some() || self.is_dead {
+            return;
+        }
+        let running: Vec<TaskId> = self.running();
+        for id in running {
+            let task = &self.tasks[&id];
+            let until_ms = self.leases.get(&task.report.lease).map_or(0, |lease| lease.until_ms);
+            let done_ms = task.done_ms;
+            if done_ms <= now_ms && done_ms <= until_ms {
+                let state = if self.fails_all {
+                    TaskState::Failed
+                } else {
+                    TaskState::Finished
+                };
+                self.end(&id, state, done_ms);
+            } else if until_ms <= now_ms && self.defect != Some(Defect::IgnoresLeases) {
+                self.end(&id, TaskState::Stopped, until_ms);
+            } else if done_ms <= now_ms {
+                self.end(&id, TaskState::Finished, done_ms);
+            }
+        }
+        let lapsed: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, l)| l.until_ms <= now_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lapsed {
+            self.leases.remove(&id);
+            self.ended.insert(id);
+        }
+    }
+
+    /// Thaws a frozen worker; what was due meanwhile happens now.
+    pub fn thaw(&mut self, now_ms: u64) {
+        let Some(frozen_ms) = self.frozen_at_ms.take() else {
+            return;
+        };
+        for task in self.tasks.values_mut().filter(|task| !task.report.state.is_ended()) {
+            task.done_ms += now_ms - frozen_ms;
+        }
+        for id in self.running() {
+            let lease = self.tasks[&id].report.lease;
+            if self.leases.get(&lease).is_none_or(|lease| lease.until_ms <= now_ms) {
+                // It made no progress while frozen, so that its run ended when the freeze began.
+                self.end(&id, TaskState::Stopped, frozen_ms);
+            }
+        }
+        self.pass(now_ms);
+    }
+
+    fn running(&self) -> Vec<TaskId> {
+        let running = self.tasks.values().filter(|task| !task.report.state.is_ended());
+        running.map(|task| task.report.task.clone()).collect()
+    }
+
+    fn end(&mut self, id: &TaskId, state: TaskState, at_ms: u64) {
+        self.sequence += 1;
+        let Some(task) = self.tasks.get_mut(id) else { return };
+        task.sequence = self.sequence;
+        let log = &mut self.log[task.log];
+        log.end_ms = Some(at_ms);
+        log.state = state;
+        task.report.state = state;
+        task.report.accelerator_ms = at_ms - log.at_ms;
+        match state {
+            TaskState::Finished => {
+                let body = expected_part(id);
+                let body = if self.defect == Some(Defect::CutsAnswers) {
+                    body[1..].to_owned()
+                } else {
+                    body
+                };
+                task.report.answer = Some(Answer::new(id.job.request.clone(), body));
+            }
+            TaskState::Failed => task.report.failure = Some("fails everything".into()),
+            TaskState::Checkpointed => task.report.checkpoint = Some(format!("checkpoint of {id}")),
+            _ => {}
+        }
+    }
+
+    fn reports(&self, keep: impl Fn(&Task) -> bool) -> Vec<TaskReport> {
+        let knows = |task: &&Task| self.defect != Some(Defect::ForgetsTasks) || !task.report.state.is_ended();
+        let tasks = self.tasks.values().filter(|task| keep(task)).filter(knows);
+        tasks.map(|task| task.report.clone()).collect()
+    }
+
+    /// Returns the inventory.
+    pub fn inventory(&self, now_ms: u64) -> Inventory {
+        let info = |(id, lease): (&LeaseId, &Lease)| LeaseInfo {
+            lease: *id,
+            holder: lease.holder.clone(),
+            kind: lease.kind,
+            resources: lease.resources,
+            remaining_ms: lease.until_ms - now_ms,
+        };
+        Inventory {
+            worker: self.id.clone(),
+            epoch: self.epoch,
+            leaving: self.is_leaving,
+            sequence: self.sequence,
+            leases: self.leases.iter().map(info).collect(),
+            tasks: self.reports(|_| true),
+        }
+    }
+
+    fn check(&mut self, epoch: Epoch) -> Result<(), WorkerError> {
+        if epoch < self.epoch && self.defect != Some(Defect::IgnoresEpoch) {
+            return Err(WorkerError::Fenced { highest: self.epoch });
+        }
+        self.epoch = self.epoch.max(epoch);
+        Ok(())
+    }
+
+    /// Carries out a command.
+    pub fn handle(&mut self, now_ms: u64, command: Command) -> WorkerReply {
+        self.pass(now_ms);
+        match command {
+            Command::Fence(epoch) => {
+                if self.check(epoch).is_ok() {
+                    let used: BTreeSet<LeaseId> = self.tasks.values().map(|task| task.report.lease).collect();
+                    let ended = &mut self.ended;
+                    self.leases.retain(|id, lease| {
+                        let keep = lease.kind == LeaseKind::Grant || id.epoch >= epoch || used.contains(id);
+                        keep || !ended.insert(*id)
+                    });
+                }
+                WorkerReply::Fenced(Box::new(self.inventory(now_ms)))
+            }
+            Command::Lease(request) => WorkerReply::Leased {
+                lease: request.lease,
+                result: self.lease(now_ms, request),
+            },
+            Command::Start(request) => WorkerReply::Started {
+                task: request.task.clone(),
+                result: self.start(now_ms, request).map(Box::new),
+            },
+            Command::Renew(request) => WorkerReply::Renewed(self.renew(now_ms, request).map(Box::new)),
+            Command::Stop(epoch, task) => self.finish(now_ms, epoch, task, TaskState::Stopped),
+            Command::Checkpoint(epoch, task) => self.finish(now_ms, epoch, task, TaskState::Checkpointed),
+            Command::Revoke(epoch, lease) => WorkerReply::Revoked {
+                lease,
+                result: self.check(epoch).map(|()| self.revoke(now_ms, lease)),
+            },
+        }
+    }
+
+    /// Renews a grant for its holder, by lease id alone.
+    pub fn renew_grant(&mut self, now_ms: u64, lease: LeaseId) {
+        self.pass(now_ms);
+        let is_away = self.is_dead || self.frozen_at_ms.is_some();
+        if let Some(lease) = self
+            .leases
+            .get_mut(&lease)
+            .filter(|lease| !is_away && lease.kind == LeaseKind::Grant)
+        {
+            lease.until_ms = now_ms + 5_000;
+        }
+    }
+
+    fn lease(&mut self, now_ms: u64, request: LeaseRequest) -> Result<(), WorkerError> {
+        self.check(request.epoch)?;
+        if self.ended.contains(&request.lease) {
+            return Err(WorkerError::LeaseNotLive);
+        }
+        if self.leases.contains_key(&request.lease) {
+            return Ok(());
+        }
+        if self.is_leaving {
+            return Err(WorkerError::Leaving);
+        }
+        let mut used = Resources::default();
+        self.leases.values().for_each(|lease| used += lease.resources);
+        if !self.capacity.fits(used + request.resources) {
+            return Err(WorkerError::NoCapacity);
+        }
+        let lease = Lease {
+            holder: request.holder,
+            kind: request.kind,
+            resources: request.resources,
+            until_ms: now_ms + request.ttl_ms,
+        };
+        self.leases.insert(request.lease, lease);
+        Ok(())
+    }
+
+    fn start(&mut self, now_ms: u64, request: StartRequest) -> Result<TaskReport, WorkerError> {
+        self.check(request.epoch)?;
+        let known = self
+            .tasks
+            .get(&request.task)
+            .filter(|_| self.defect != Some(Defect::StartsTwice));
+        if let Some(task) = known {
+            return Ok(task.report.clone());
+        }
+        if !self.leases.contains_key(&request.lease) {
+            return Err(WorkerError::LeaseNotLive);
+        }
+        if request.lease.epoch < self.epoch && self.defect != Some(Defect::IgnoresEpoch) {
+            return Err(WorkerError::Fenced { highest: self.epoch });
+        }
+        self.sequence += 1;
+        let report = TaskReport {
+            task: request.task.clone(),
+            lease: request.lease,
+            state: TaskState::Running,
+            answer: None,
+            failure: None,
+            checkpoint: None,
+            accelerator_ms: 0,
+        };
+        self.log.push(Started {
+            task: request.task.clone(),
+            lease: request.lease,
+            at_ms: now_ms,
+            end_ms: None,
+            state: TaskState::Running,
+            is_resumed: request.resume_from.is_some(),
+        });
+        let run_ms = if self.fails_all {
+            10
+        } else {
+            request.payload.as_u64().unwrap_or(0)
+        };
+        let task = Task {
+            report: report.clone(),
+            done_ms: now_ms + run_ms,
+            sequence: self.sequence,
+            log: self.log.len() - 1,
+        };
+        self.tasks.insert(request.task, task);
+        Ok(report)
+    }
+
+    fn renew(&mut self, now_ms: u64, request: RenewRequest) -> Result<WorkerReport, WorkerError> {
+        self.check(request.epoch)?;
+        let mut lapsed = Vec::new();
+        for id in request.leases {
+            match self.leases.get_mut(&id) {
+                Some(lease) => lease.until_ms = now_ms + request.ttl_ms,
+                None => lapsed.push(id),
+            }
+        }
+        Ok(WorkerReport {
+            worker: self.id.clone(),
+            leaving: self.is_leaving,
+            sequence: self.sequence,
+            changes: self.reports(|task| task.sequence > request.after_sequence),
+            lapsed,
+        })
+    }
+
+    fn finish(&mut self, now_ms: u64, epoch: Epoch, task: TaskId, state: TaskState) -> WorkerReply {
+        let mut result = self.check(epoch).and_then(|()| {
+            let known = self.tasks.get(&task).ok_or(WorkerError::UnknownTask)?;
+            Ok(Box::new(known.report.clone()))
+        });
+        if result.as_ref().is_ok_and(|report| !report.state.is_ended()) {
+            self.end(&task, state, now_ms);
+            result = Ok(Box::new(self.tasks[&task].report.clone()));
+        }
+        WorkerReply::Ended { task, result }
+    }
+
+    fn revoke(&mut self, now_ms: u64, lease: LeaseId) -> Vec<TaskReport> {
+        if self.defect != Some(Defect::IgnoresLeases) {
+            for id in self.running() {
+                if self.tasks[&id].report.lease == lease {
+                    self.end(&id, TaskState::Stopped, now_ms);
+                }
+            }
+            self.leases.remove(&lease);
+            self.ended.insert(lease);
+        }
+        self.reports(|task| task.report.lease == lease)
+    }
+}
+
+/// Returns the body that a part of a job answers.
+pub fn expected_part(task: &TaskId) -> String {
+    format!("{}#{}", task.job, task.part)
+}
