feat(sched): fault matrix, defects that its checks find, grants and service tests

Cause: the path without faults says nothing of losses. The matrix found: adopted attempts were taken as vanished; tasks stopped before a successor could adopt them when the holder died between start and first renewal; a lost checkpoint command ended work that may run once; checkpoints of an earlier attempt were lost in a failover; an attempt number was used twice after a store outage; a planned stop during a store outage let leases of running work expire; a stale row made the policy hold capacity twice; a grant on its way at a failover was never handed over. Ruled out: false passes, by eight deliberate defects that the checks must find (defects.rs). Change: renewal before each start, repeated checkpoint requests, checkpoints read from inventories, attempt numbers above every one that a worker knows, leases kept until Deposed, policy holds adopted work only after its leases are settled, adopted grants handed over again, restarts seen by a lower sequence. Tests live in one binary.

--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -72,7 +72,7 @@
         /// Lease.
         lease: LeaseId,
     },
-    /// Hand a granted slot lease to an instance.
+    /// Hand a granted slot lease to an instance. May be repeated for a lease that the instance already holds.
     Grant {
         /// Instance.
         instance: InstanceId,
@@ -100,5 +100,8 @@
     /// Append an event to the timeline.
     Event(Box<trace::Event>),
     /// Everything is handed over; the scheduling lease can be released.
+    ///
+    /// The leases of running work are kept until the driver reports that the release is done, by
+    /// [`Input::Deposed`](crate::Input::Deposed).
     HandedOver,
 }
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -43,7 +43,13 @@
             last.state == model::AttemptState::Stopped && (row.spec.checkpointable || !row.spec.idempotent)
         });
         let is_adopted = matches!(row.state, JobState::Running | JobState::Indeterminate) || is_resume;
-        let key = self.jobs.insert(Job::new(row, version));
+        let mut job = Job::new(row, version);
+        let parts = usize::from(job.row.spec.shape.parts);
+        let found = self.found_checkpoints.range((id.clone(), 0)..=(id.clone(), u32::MAX));
+        if let Some((_, whole)) = found.rev().find(|(_, checkpoints)| checkpoints.len() == parts) {
+            job.checkpoints = whole.values().cloned().collect();
+        }
+        let key = self.jobs.insert(job);
         self.parked.insert(key);
         self.by_id.insert(id.clone(), key);
         if self.early_cancels.remove(&id) {
--- a/crates/sched/src/attempts.rs
+++ b/crates/sched/src/attempts.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use model::{
     Attempt, AttemptState, JobState, LeaseId, LeaseKind, LeaseRequest, PartPlacement, Placement, Resources,
     StartRequest, TaskId,
@@ -81,7 +83,7 @@
         }
         let index = |id: &model::WorkerId| self.worker_index[id];
         let job = &mut self.jobs[key];
-        let number = job.last_attempt() + 1;
+        let number = job.last_attempt().max(job.seen_attempt) + 1;
         let run = Run::new(number, &placement, Stage::Planned, || Part::Idle, index);
         // Attempts that never started need no record; dropping them bounds the row.
         job.row.attempts.retain(has_run);
@@ -151,8 +153,21 @@
     }
 
     /// Starts all parts; all leases are granted.
+    ///
+    /// A renewal goes first: under the short reservation alone, tasks would stop before a successor can adopt them if
+    /// the holder died right after the start.
     fn start(&mut self, key: Key, actions: &mut Vec<Action>) {
         let op = self.next_op();
+        self.set_phase(key, Phase::Starting);
+        let seats = self
+            .jobs
+            .get(key)
+            .and_then(|job| job.run.as_ref())
+            .map(|run| &run.seats);
+        let workers: BTreeSet<usize> = seats.into_iter().flatten().map(|seat| seat.worker).collect();
+        for ix in workers {
+            self.renew(ix, actions);
+        }
         let Some(job) = self.jobs.get_mut(key) else { return };
         let spec = &job.row.spec;
         let Some(run) = &mut job.run else { return };
@@ -175,12 +190,6 @@
                 });
             }
         }
-        // The short reservation must be renewed before it expires, so the next renewal is due at once.
-        let workers: Vec<usize> = run.seats.iter().map(|seat| seat.worker).collect();
-        for ix in workers {
-            self.arm_worker(ix, self.now_ms);
-        }
-        self.set_phase(key, Phase::Starting);
     }
 
     /// Ends a running job for the sake of another.
@@ -196,24 +205,33 @@
             && job.phase == Phase::Running
         {
             run.grace_until_ms = Some(grace_until_ms);
-            for seat in &run.seats {
-                for part in seat
-                    .parts
-                    .iter()
-                    .filter(|part| !run.parts[usize::from(**part)].is_settled())
-                {
-                    actions.push(Action::Checkpoint {
-                        worker: self.workers[seat.worker].id.clone(),
-                        task: TaskId::new(job.id.clone(), run.number, *part),
-                    });
-                }
-            }
-            self.arm(grace_until_ms, Timer::Job(key));
+            self.request_checkpoints(key, actions);
         }
         self.event(event, actions);
         self.end_run(key, Cause::Preempted, actions);
     }
 
+    /// Asks for a checkpoint of each part that still runs, and again while the grace period lasts.
+    ///
+    /// A repeated request takes no second checkpoint, and a lost one must not end work that cannot run again.
+    fn request_checkpoints(&mut self, key: Key, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let Some(run) = &job.run else { return };
+        for seat in &run.seats {
+            for part in seat
+                .parts
+                .iter()
+                .filter(|part| !run.parts[usize::from(**part)].is_settled())
+            {
+                actions.push(Action::Checkpoint {
+                    worker: self.workers[seat.worker].id.clone(),
+                    task: TaskId::new(job.id.clone(), run.number, *part),
+                });
+            }
+        }
+        self.arm(self.now_ms + self.settings.checkpoint_grace_ms / 4, Timer::Job(key));
+    }
+
     /// Begins to end the attempt of a job. A later cause replaces a preemption, but nothing else.
     pub(crate) fn end_run(&mut self, key: Key, cause: Cause, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(key) else { return };
@@ -233,7 +251,13 @@
         let (phase, id) = (job.phase, job.id.clone());
         let Some(run) = &mut job.run else { return };
         if run.cause.is_none() {
-            if run.has_ended_part() {
+            if run.has_only_checkpoints() && job.row.spec.checkpointable {
+                // A former holder was ending the attempt; the checkpoints count only if every part has one.
+                run.cause = Some(Cause::Preempted);
+                run.grace_until_ms = Some(self.now_ms + self.settings.checkpoint_grace_ms);
+                self.request_checkpoints(key, actions);
+                return;
+            } else if run.has_ended_part() {
                 run.cause = Some(Cause::PartEnded);
             } else if run.is_finished() {
                 run.cause = Some(Cause::Complete);
@@ -260,6 +284,7 @@
                     self.policy.observe(self.now_ms, Observed::Started { job: policy_key });
                 }
                 self.set_phase(key, Phase::Running);
+                self.hold(key);
                 self.event(Event::new(EventKind::JobStarted).job(id).attempt(number), actions);
             }
             _ => {}
@@ -271,9 +296,13 @@
         let reserve_bound_ms = self.reserve_bound_ms();
         let Some(job) = self.jobs.get_mut(key) else { return };
         let Some(run) = &mut job.run else { return };
-        if run.grace_until_ms.is_some_and(|until_ms| until_ms <= self.now_ms) {
-            run.grace_until_ms = None;
-            self.advance(key, actions);
+        if let Some(until_ms) = run.grace_until_ms {
+            if until_ms > self.now_ms {
+                self.request_checkpoints(key, actions);
+            } else {
+                run.grace_until_ms = None;
+                self.advance(key, actions);
+            }
         } else if job.phase == Phase::Reserving && run.reserved_ms + reserve_bound_ms <= self.now_ms {
             let slow = run.seats.iter().find(|seat| seat.stage == Stage::Asked);
             let cause = Cause::Refused(slow.map(|seat| seat.worker));
--- a/crates/sched/src/ending.rs
+++ b/crates/sched/src/ending.rs
@@ -32,7 +32,7 @@
             }
         }
         for lease in unsent {
-            run.settle_absent(lease);
+            run.settle_absent(lease, &[]);
         }
         let is_over = run.all_seats(&[Stage::Released, Stage::Lapsed]);
         if job.phase != Phase::Unknown {
--- a/crates/sched/src/grants.rs
+++ b/crates/sched/src/grants.rs
@@ -330,6 +330,12 @@
             if is_new && let Some(share) = self.grants.instances.get_mut(&info.holder) {
                 share.is_gone = true;
             }
+            // The holder may never have heard of a grant that was on its way; a repeated one changes nothing.
+            actions.push(Action::Grant {
+                instance: info.holder.clone(),
+                worker: self.workers[ix].id.clone(),
+                lease: info.lease,
+            });
             if !self.is_in_service {
                 self.recall(info.lease, actions);
             }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -84,6 +84,8 @@
     pub(crate) is_cancelled: bool,
     /// Row of another holder that takes the place of this one once the own attempt has ended.
     pub(crate) replacement: Option<(Box<JobRow>, u64)>,
+    /// Highest attempt that a worker knows. Task ids name the attempt, so a later one needs a higher number.
+    pub(crate) seen_attempt: u32,
 }
 
 impl Job {
@@ -105,6 +107,7 @@
             outcome: None,
             checkpoints: Vec::new(),
             replacement: None,
+            seen_attempt: 0,
         }
     }
 
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -76,10 +76,18 @@
         let inventories: BTreeMap<usize, Box<Inventory>> = (self.workers.iter_mut().enumerate())
             .filter_map(|(ix, worker)| Some((ix, worker.inventory.take()?)))
             .collect();
+        for report in inventories.values().flat_map(|inventory| &inventory.tasks) {
+            if let Some(checkpoint) = &report.checkpoint {
+                let key = (report.task.job.clone(), report.task.attempt);
+                let found = self.found_checkpoints.entry(key).or_default();
+                found.insert(report.task.part, checkpoint.clone());
+            }
+        }
         for (row, version) in std::mem::take(&mut self.early_rows).into_values() {
             self.take_row(row, version, actions);
         }
         self.early_cancels.clear();
+        self.found_checkpoints.clear();
         self.adopt_unrecorded(&inventories, actions);
         let op = self.next_op();
         let count = self.workers.len() as u64;
@@ -94,6 +102,10 @@
             let offset_ms = ix as u64 * self.settings.worker_renew_interval_ms / count;
             self.arm_worker(ix, self.now_ms + offset_ms);
         }
+        let adopting: Vec<Key> = self.transient.iter().copied().collect();
+        for key in adopting {
+            self.hold(key);
+        }
         self.arm(self.now_ms + self.settings.scan_interval_ms, Timer::Scan);
         self.event(Event::new(EventKind::SchedulerRecovered), actions);
         self.supply_grants(actions);
@@ -125,16 +137,7 @@
             self.workers[seat.worker].seats.insert(seat.lease, key);
             workers.push(seat.worker);
         }
-        let keys: Option<Vec<WorkerKey>> = (attempt.placement.parts.iter())
-            .map(|place| self.policy.worker_key(&place.worker))
-            .collect();
-        let job = &mut self.jobs[key];
-        job.run = Some(run);
-        if let Some(keys) = keys.filter(|_| !was_ended) {
-            let policy_key = self.policy.adopt(self.now_ms, &job.row.spec, &keys);
-            job.policy_key = Some(policy_key);
-            self.by_policy.insert(policy_key, key);
-        }
+        self.jobs[key].run = Some(run);
         self.set_phase(key, Phase::Adopting);
         for ix in workers {
             if self.workers[ix].health == Health::Up {
@@ -143,6 +146,28 @@
         }
     }
 
+    /// Lets the policy hold what an adopted attempt occupies.
+    ///
+    /// An attempt with a lease that is proven to be gone holds nothing: a stale row may name capacity that another job
+    /// occupies by now.
+    pub(crate) fn hold(&mut self, key: Key) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(run) = job.run.as_ref().filter(|run| run.cause.is_none()) else {
+            return;
+        };
+        let Some(attempt) = job.row.attempts.last() else { return };
+        let places = attempt.placement.parts.iter();
+        let keys: Option<Vec<WorkerKey>> = places.map(|place| self.policy.worker_key(&place.worker)).collect();
+        if let Some(keys) = keys
+            && job.policy_key.is_none()
+            && run.all_seats(&[Stage::Granted, Stage::Inherited])
+        {
+            let policy_key = self.policy.adopt(self.now_ms, &job.row.spec, &keys);
+            job.policy_key = Some(policy_key);
+            self.by_policy.insert(policy_key, key);
+        }
+    }
+
     fn index_of(&mut self, id: &WorkerId) -> usize {
         if let Some(ix) = self.worker_index.get(id) {
             return *ix;
@@ -167,7 +192,7 @@
                 };
                 let job = &self.jobs[*key];
                 let is_useful = matches!(report.state, TaskState::Running | TaskState::Finished);
-                if job.run.is_none() && report.task.attempt > job.last_attempt() && is_useful {
+                if report.task.attempt > job.last_attempt() && is_useful {
                     found
                         .entry(job.id.clone())
                         .or_default()
@@ -191,6 +216,11 @@
             }
             self.detach(key, |job| Observed::Removed { job });
             let job = &mut self.jobs[key];
+            // An earlier attempt in the row ended before this one began, or there would be none.
+            for seat in job.run.take().iter().flat_map(|run| &run.seats) {
+                self.workers[seat.worker].seats.remove(&seat.lease);
+            }
+            job.set_attempt_state(AttemptState::Stopped);
             let place = |(worker, report): &(&WorkerId, &TaskReport)| PartPlacement {
                 worker: (*worker).clone(),
                 lease: report.lease,
@@ -214,6 +244,12 @@
         for report in &inventory.tasks {
             reports.entry(report.lease).or_default().push(report);
         }
+        for report in &inventory.tasks {
+            if let Some(key) = self.by_id.get(&report.task.job) {
+                let seen = &mut self.jobs[*key].seen_attempt;
+                *seen = (*seen).max(report.task.attempt);
+            }
+        }
         let is_live = |lease: LeaseId| inventory.leases.iter().any(|info| info.lease == lease);
         let seats: Vec<(LeaseId, Key)> = self.workers[ix]
             .seats
@@ -255,7 +291,8 @@
         }
         if lease.epoch < epoch {
             // The fence revoked the lease unless a task had been started under it, and no start is accepted any more.
-            run.settle_absent(lease);
+            let present: Vec<u16> = reports.iter().map(|report| report.task.part).collect();
+            run.settle_absent(lease, &present);
         }
         let is_settled = run.is_seat_settled(lease);
         let Some(seat) = run.seat_mut(lease) else { return };
--- a/crates/sched/src/replies.rs
+++ b/crates/sched/src/replies.rs
@@ -73,7 +73,7 @@
             Err(error) => {
                 // No start was sent under it, so a late copy of the request can only hold the slot until it expires.
                 seat.stage = Stage::Released;
-                run.settle_absent(lease);
+                run.settle_absent(lease, &[]);
                 if error == WorkerError::Leaving {
                     self.leave(ix, Leaving::Reported, actions);
                 }
@@ -94,7 +94,7 @@
             let lease = report.lease;
             let is_settled = run.is_seat_settled(lease);
             if let Some(seat) = run.seat_mut(lease)
-                && seat.stage == Stage::Lapsed
+                && (seat.stage == Stage::Lapsed || (seat.stage == Stage::Revoking && seat.is_revoked))
                 && is_settled
             {
                 seat.stage = Stage::Released;
@@ -167,24 +167,24 @@
         let Some(run) = self.jobs.get_mut(key).and_then(|job| job.run.as_mut()) else {
             return;
         };
-        let mut is_running = false;
+        let mut present = Vec::new();
         for report in &reports {
             run.apply(report);
             if !report.state.is_ended() {
                 // The worker revokes without stopping: nothing more can start, and what runs is stopped by command.
-                is_running = true;
+                present.push(report.task.part);
                 actions.push(Action::Stop {
                     worker: self.workers[ix].id.clone(),
                     task: report.task.clone(),
                 });
             }
         }
-        if is_running {
-            return;
-        }
-        run.settle_absent(lease);
+        run.settle_absent(lease, &present);
         if let Some(seat) = run.seat_mut(lease) {
-            seat.stage = Stage::Released;
+            seat.is_revoked = true;
+            if present.is_empty() {
+                seat.stage = Stage::Released;
+            }
         }
         let event = Event::new(EventKind::LeaseEnded)
             .lease(lease)
@@ -237,10 +237,13 @@
             self.probe(ix, actions);
             return;
         }
-        worker.has_regressed = false;
+        let has_restarted = std::mem::take(&mut worker.has_regressed);
         worker.sequence = inventory.sequence;
+        if has_restarted {
+            self.distrust(ix);
+        }
         if self.mode == Mode::Recovering {
-            worker.inventory = Some(inventory);
+            self.workers[ix].inventory = Some(inventory);
             self.check_recovered(actions);
         } else {
             self.reconcile(ix, &inventory, op, actions);
@@ -248,6 +251,15 @@
         }
     }
 
+    /// The worker lost its memory: that it does not know a task proves nothing about the task.
+    fn distrust(&mut self, ix: usize) {
+        for key in self.workers[ix].seats.values() {
+            if let Some(run) = self.jobs.get_mut(*key).and_then(|job| job.run.as_mut()) {
+                run.is_absence_proof = false;
+            }
+        }
+    }
+
     /// The worker answers and its leases are settled.
     pub(crate) fn up(&mut self, ix: usize, is_leaving: bool, actions: &mut Vec<Action>) {
         let worker = &mut self.workers[ix];
--- a/crates/sched/src/run.rs
+++ b/crates/sched/src/run.rs
@@ -31,6 +31,8 @@
     pub(crate) stage: Stage,
     /// When the lease has certainly expired, unless it is renewed again.
     pub(crate) live_until_ms: u64,
+    /// Whether the worker confirmed the revocation, so that only tasks that run are left.
+    pub(crate) is_revoked: bool,
     /// Number of the last command that could change the seat.
     pub(crate) op: u64,
 }
@@ -140,6 +142,7 @@
                     parts: SmallVec::from_iter([index as u16]),
                     stage,
                     live_until_ms: 0,
+                    is_revoked: false,
                     op: 0,
                 }),
             }
@@ -192,6 +195,16 @@
         })
     }
 
+    /// Returns whether some parts ended with a checkpoint while all others run.
+    pub(crate) fn has_only_checkpoints(&self) -> bool {
+        let is_checkpoint = |part: &Part| part.ended(TaskState::Checkpointed).is_some();
+        let all = self
+            .parts
+            .iter()
+            .all(|part| is_checkpoint(part) || matches!(part, Part::Running | Part::Sent));
+        all && self.parts.iter().any(is_checkpoint) && !self.parts.iter().all(is_checkpoint)
+    }
+
     /// Returns whether any part started or may have started.
     pub(crate) fn has_started(&self) -> bool {
         self.parts.iter().any(|part| !matches!(part, Part::Idle | Part::Never))
@@ -215,13 +228,13 @@
         true
     }
 
-    /// Settles the parts of a seat that a conclusive reply of the worker did not mention.
-    pub(crate) fn settle_absent(&mut self, lease: LeaseId) {
+    /// Settles the parts of a seat that a conclusive reply of the worker did not mention, except those in `present`.
+    pub(crate) fn settle_absent(&mut self, lease: LeaseId, present: &[u16]) {
         let is_proof = self.is_absence_proof;
         let Some(seat) = self.seats.iter().find(|seat| seat.lease == lease) else {
             return;
         };
-        for index in &seat.parts {
+        for index in seat.parts.iter().filter(|index| !present.contains(index)) {
             let part = &mut self.parts[usize::from(*index)];
             match part {
                 Part::Idle => *part = Part::Never,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -23,6 +23,8 @@
     Active,
     /// Finishes what is open and starts nothing.
     Stopping,
+    /// Only keeps leases until it is deposed.
+    HandedOver,
 }
 
 /// What a deadline is for.
@@ -75,6 +77,8 @@
     /// Rows that arrived during recovery, with their versions.
     pub(crate) early_rows: BTreeMap<JobId, (JobRow, u64)>,
     pub(crate) early_cancels: BTreeSet<JobId>,
+    /// Checkpoint of each part by job and attempt, as the inventories of a recovery list them.
+    pub(crate) found_checkpoints: BTreeMap<(JobId, u32), BTreeMap<u16, String>>,
     pub(crate) is_scanned: bool,
     pub(crate) recovery_until_ms: u64,
     pub(crate) lease_sequence: u64,
@@ -121,6 +125,7 @@
             is_store_up: true,
             early_rows: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
+            found_checkpoints: BTreeMap::new(),
             is_scanned: false,
             recovery_until_ms: 0,
             lease_sequence: 0,
@@ -161,6 +166,7 @@
             Input::StoreReachable(is_up) => self.store_reachable(is_up, actions),
             Input::Configured { config } => self.configured(config, actions),
             Input::Instances { wanted_slots } => self.instances(wanted_slots, actions),
+            Input::Stopping if self.mode == Mode::Following => actions.push(Action::HandedOver),
             _ if self.mode == Mode::Following => {}
             Input::JobRows { rows } => self.job_rows(rows, actions),
             Input::Submitted { row, version } => self.submitted(*row, version, actions),
@@ -282,8 +288,10 @@
     }
 
     fn stopping(&mut self, actions: &mut Vec<Action>) {
-        if self.mode != Mode::Active {
+        if self.mode == Mode::Recovering {
             self.hand_over(actions);
+        }
+        if self.mode != Mode::Active {
             return;
         }
         self.mode = Mode::Stopping;
@@ -297,8 +305,14 @@
         }
     }
 
+    /// Says that the scheduling lease can be released.
+    ///
+    /// Leases of running work are kept until the driver reports [`Input::Deposed`], as the release may fail while the
+    /// store is away.
     fn hand_over(&mut self, actions: &mut Vec<Action>) {
-        actions.push(Action::HandedOver);
-        self.step_down("handed_over", actions);
+        if self.mode != Mode::HandedOver {
+            self.mode = Mode::HandedOver;
+            actions.push(Action::HandedOver);
+        }
     }
 }
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -26,6 +26,7 @@
             Health::Up if !worker.is_renewing && worker.fence_op.is_none() => self.renew(ix, actions),
             Health::Up => {}
             Health::Unknown | Health::Down => {
+                self.end_adopted(ix, actions);
                 self.expire_seats(ix, actions);
                 self.probe(ix, actions);
             }
@@ -41,7 +42,8 @@
         self.arm_worker(ix, self.now_ms + interval_ms);
     }
 
-    fn renew(&mut self, ix: usize, actions: &mut Vec<Action>) {
+    /// Renews all leases at a worker in one request and asks for task changes.
+    pub(crate) fn renew(&mut self, ix: usize, actions: &mut Vec<Action>) {
         let live_until_ms = self.now_ms + self.settings.worker_timeout_ms + self.settings.slot_lease_ttl_ms;
         let mut leases = Vec::new();
         for (lease, key) in &self.workers[ix].seats {
@@ -114,6 +116,19 @@
         self.drop_grants_at(ix, actions);
     }
 
+    /// Ends the adopted attempts that a silent worker keeps open, so that their other parts do not run on alone.
+    fn end_adopted(&mut self, ix: usize, actions: &mut Vec<Action>) {
+        if self.workers[ix].last_reply_ms + self.settings.worker_down_ms > self.now_ms {
+            return;
+        }
+        let seats: Vec<Key> = self.workers[ix].seats.values().copied().collect();
+        for key in seats {
+            if self.jobs.get(key).is_some_and(|job| job.phase == Phase::Adopting) {
+                self.end_run(key, Cause::PartEnded, actions);
+            }
+        }
+    }
+
     /// Arms the timer of a worker; each has one.
     pub(crate) fn arm_worker(&mut self, ix: usize, at_ms: u64) {
         let worker = &mut self.workers[ix];
--- a/crates/sched/tests/common/checks.rs
+++ b/crates/sched/tests/scheduler/common/checks.rs
@@ -142,11 +142,14 @@
 }
 
 fn check_gangs(world: &World, spec: &JobSpec, starts: &[(usize, &Started)], wrong: &mut Vec<String>) {
-    let mut attempts: BTreeMap<u32, Vec<&Started>> = BTreeMap::new();
+    let mut attempts: BTreeMap<_, Vec<&Started>> = BTreeMap::new();
     for (_, started) in starts {
-        attempts.entry(started.task.attempt).or_default().push(started);
+        attempts
+            .entry((started.task.attempt, started.lease.epoch))
+            .or_default()
+            .push(started);
     }
-    for (attempt, parts) in attempts {
+    for ((attempt, _), parts) in attempts {
         let is_whole = parts.len() >= usize::from(spec.shape.parts);
         let first_ms = parts.iter().map(|part| part.at_ms).min().unwrap_or(0);
         let broken_ms = parts
--- a/crates/sched/tests/common/command.rs
+++ b/crates/sched/tests/scheduler/common/command.rs
@@ -16,6 +16,10 @@
     ForgetsTasks,
     /// Reports accelerator time under another lease, which the table takes as a charge.
     ForeignCharge,
+    /// The configuration that takes the data centre out reaches nobody.
+    LosesConfig,
+    /// Not a defect, but permitted: a revoked lease starts nothing more, and its running tasks go on until stopped.
+    KeepsTasksOnRevoke,
     /// The table loses acknowledged rows of finished jobs.
     LosesRows,
 }
--- a/crates/sched/tests/common/fault.rs
+++ b/crates/sched/tests/scheduler/common/fault.rs
@@ -7,8 +7,12 @@
     HolderKilled,
     /// The holder's process stands still for 10 s, longer than its leases.
     HolderFrozen,
+    /// The holder's process stands still for 3 s, longer than its scheduling lease but not than slot leases.
+    HolderPaused,
     /// The worker dies with its memory and stays away.
     WorkerKilled,
+    /// The worker loses its memory 20 ms later and answers again at once. Workers are assumed not to do this.
+    WorkerRestarted,
     /// The worker stands still for 8 s, longer than its leases.
     WorkerFrozen,
     /// The worker fails every task from now on.
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/scheduler/common/mod.rs
@@ -1,10 +1,10 @@
 //! Small in-memory world for the scheduler: workers, table, links and clock are fakes that tests can make fail.
-#![expect(dead_code, reason = "each test file uses another part of the world")]
 
 mod checks;
 mod command;
 mod fault;
 mod first_fit;
+mod scenario;
 mod table;
 mod worker;
 mod world;
@@ -13,6 +13,7 @@
 pub use command::{Command, Defect};
 pub use fault::{Armed, Fault, Step};
 pub use first_fit::FirstFit;
+pub use scenario::scenario;
 pub use table::Table;
 pub use worker::FakeWorker;
 pub use world::World;
--- a/crates/sched/tests/common/worker.rs
+++ b/crates/sched/tests/scheduler/common/worker.rs
@@ -106,7 +106,11 @@
         let running: Vec<TaskId> = self.running();
         for id in running {
             let task = &self.tasks[&id];
-            let until_ms = self.leases.get(&task.report.lease).map_or(0, |lease| lease.until_ms);
+            let until_ms = match self.leases.get(&task.report.lease) {
+                Some(lease) => lease.until_ms,
+                None if self.defect == Some(Defect::KeepsTasksOnRevoke) => u64::MAX,
+                None => 0,
+            };
             let done_ms = task.done_ms;
             if done_ms <= now_ms && done_ms <= until_ms {
                 let state = if self.fails_all {
@@ -219,7 +223,7 @@
         self.pass(now_ms);
         match command {
             Command::Fence(epoch) => {
-                if self.check(epoch).is_ok() {
+                if self.check(epoch).is_ok() && self.defect != Some(Defect::IgnoresEpoch) {
                     let used: BTreeSet<LeaseId> = self.tasks.values().map(|task| task.report.lease).collect();
                     let ended = &mut self.ended;
                     self.leases.retain(|id, lease| {
@@ -247,17 +251,14 @@
         }
     }
 
-    /// Renews a grant for its holder, by lease id alone.
-    pub fn renew_grant(&mut self, now_ms: u64, lease: LeaseId) {
+    /// Renews a grant for its holder, by lease id alone; returns whether it is live.
+    pub fn renew_grant(&mut self, now_ms: u64, lease: LeaseId) -> bool {
         self.pass(now_ms);
-        let is_away = self.is_dead || self.frozen_at_ms.is_some();
-        if let Some(lease) = self
+        let grant = self
             .leases
             .get_mut(&lease)
-            .filter(|lease| !is_away && lease.kind == LeaseKind::Grant)
-        {
-            lease.until_ms = now_ms + 5_000;
-        }
+            .filter(|lease| lease.kind == LeaseKind::Grant);
+        grant.map(|grant| grant.until_ms = now_ms + 5_000).is_some()
     }
 
     fn lease(&mut self, now_ms: u64, request: LeaseRequest) -> Result<(), WorkerError> {
@@ -347,7 +348,10 @@
             worker: self.id.clone(),
             leaving: self.is_leaving,
             sequence: self.sequence,
-            changes: self.reports(|task| task.sequence > request.after_sequence),
+            changes: (self.tasks.values())
+                .filter(|task| task.sequence > request.after_sequence)
+                .map(|task| task.report.clone())
+                .collect(),
             lapsed,
         })
     }
@@ -357,7 +361,8 @@
             let known = self.tasks.get(&task).ok_or(WorkerError::UnknownTask)?;
             Ok(Box::new(known.report.clone()))
         });
-        if result.as_ref().is_ok_and(|report| !report.state.is_ended()) {
+        let obeys = self.defect != Some(Defect::IgnoresLeases);
+        if obeys && result.as_ref().is_ok_and(|report| !report.state.is_ended()) {
             self.end(&task, state, now_ms);
             result = Ok(Box::new(self.tasks[&task].report.clone()));
         }
@@ -367,7 +372,7 @@
     fn revoke(&mut self, now_ms: u64, lease: LeaseId) -> Vec<TaskReport> {
         if self.defect != Some(Defect::IgnoresLeases) {
             for id in self.running() {
-                if self.tasks[&id].report.lease == lease {
+                if self.tasks[&id].report.lease == lease && self.defect != Some(Defect::KeepsTasksOnRevoke) {
                     self.end(&id, TaskState::Stopped, now_ms);
                 }
             }
--- a/crates/sched/tests/common/world.rs
+++ b/crates/sched/tests/scheduler/common/world.rs
@@ -5,7 +5,7 @@
 use sched::{Action, Input, Scheduler, Settings, WorkerReply, WriteId};
 use trace::EventKind;
 
-use super::{Armed, Command, Defect, FakeWorker, FirstFit, Step, Table, config};
+use super::{Armed, Command, Defect, FakeWorker, Fault, FirstFit, Step, Table, config};
 
 mod drive;
 mod strike;
@@ -38,6 +38,7 @@
     Thaw(usize),
     Revive(usize),
     ThawWorker(usize),
+    RestartWorker(usize),
     Reach(Step),
     RenewGrants,
 }
@@ -69,6 +70,8 @@
     epoch: Option<Epoch>,
     sees_store: bool,
     is_stopping: bool,
+    /// Whether the scheduling lease can be released.
+    is_handed_over: bool,
 }
 
 /// Two entry instances, some workers and the platform, driven by one event queue.
@@ -80,11 +83,13 @@
     pub armed: Vec<Armed>,
     pub outcomes: Vec<(JobId, Outcome)>,
     pub specs: Vec<JobSpec>,
-    pub grants: BTreeMap<LeaseId, usize>,
+    pub grants: BTreeMap<LeaseId, (usize, WorkerId)>,
     pub out_ms: Option<u64>,
     pub leaving_ms: Option<(usize, u64)>,
     pub last_fault_ms: u64,
     pub events: Vec<(u64, EventKind)>,
+    /// Number of actions that all schedulers asked for.
+    pub actions: usize,
     nodes: Vec<Node>,
     queue: BTreeMap<(u64, u64), Ev>,
     sequence: u64,
@@ -105,7 +110,7 @@
         let capacity = Resources::new(8, 8, 32_000, 64_000);
         let ids: Vec<WorkerId> = (1..=workers).map(|n| format!("w{n}").parse().unwrap()).collect();
         let node = |name: &str| Node {
-            sched: Self::scheduler(name, &ids),
+            sched: Self::scheduler(name, &ids, Settings::default()),
             incarnation: 0,
             process: Process::Runs,
             inbox: VecDeque::new(),
@@ -113,6 +118,7 @@
             epoch: None,
             sees_store: true,
             is_stopping: false,
+            is_handed_over: false,
         };
         let mut world = Self {
             now_ms: 0,
@@ -132,6 +138,7 @@
             leaving_ms: None,
             last_fault_ms: 0,
             events: Vec::new(),
+            actions: 0,
             nodes: vec![node("a"), node("b")],
             queue: BTreeMap::new(),
             sequence: 0,
@@ -153,11 +160,11 @@
         world
     }
 
-    fn scheduler(name: &str, workers: &[WorkerId]) -> Scheduler<FirstFit> {
+    fn scheduler(name: &str, workers: &[WorkerId], settings: Settings) -> Scheduler<FirstFit> {
         let capacity = Resources::new(8, 8, 32_000, 64_000);
         let policy = FirstFit::new(workers, capacity);
         let (instance, dc) = (name.parse().unwrap(), "dc1".parse().unwrap());
-        Scheduler::new(Settings::default(), policy, instance, dc, workers.to_vec())
+        Scheduler::new(settings, policy, instance, dc, workers.to_vec())
     }
 
     fn post(&mut self, at_ms: u64, ev: Ev) {
@@ -239,6 +246,34 @@
         }
     }
 
+    /// Arms a fault, if there is one.
+    pub fn arm(&mut self, fault: Option<Fault>, step: Step, skip: u32) {
+        self.armed.extend(fault.map(|fault| Armed::new(fault, step, skip)));
+    }
+
+    /// Makes the schedulers buffer at most this many records.
+    pub fn set_max_buffered(&mut self, max_buffered_jobs: usize) {
+        for (node, name) in self.nodes.iter_mut().zip(["a", "b"]) {
+            let ids: Vec<WorkerId> = self.workers.iter().map(|worker| worker.id.clone()).collect();
+            let settings = Settings {
+                max_buffered_jobs,
+                ..Settings::default()
+            };
+            node.sched = Self::scheduler(name, &ids, settings);
+        }
+    }
+
+    /// Returns how many grants an instance holds that are live at a worker which is up.
+    pub fn live_grants(&self) -> usize {
+        let inventories = self
+            .workers
+            .iter()
+            .filter(|worker| !worker.is_dead)
+            .map(|w| w.inventory(self.now_ms));
+        let leases = inventories.flat_map(|inventory| inventory.leases);
+        leases.filter(|info| self.grants.contains_key(&info.lease)).count()
+    }
+
     /// Returns how many jobs the holder keeps in memory.
     pub fn jobs_in_memory(&self) -> usize {
         self.nodes.iter().map(|node| node.sched.job_count()).sum()
--- a/crates/sched/tests/common/world/drive.rs
+++ b/crates/sched/tests/scheduler/common/world/drive.rs
@@ -2,7 +2,7 @@
 
 use sched::{Action, Input, WorkerReply};
 
-use super::super::{Command, Step, config};
+use super::super::{Command, Defect, Step, config};
 use super::{Ev, LEASE_MS, LINK_MS, Message, Process, TICK_MS, TIMEOUT_MS, World, Write};
 
 impl World {
@@ -78,12 +78,20 @@
             Ev::Thaw(node) => self.thaw(node),
             Ev::Revive(node) => self.revive(node),
             Ev::ThawWorker(worker) => self.workers[worker].thaw(self.now_ms),
+            Ev::RestartWorker(worker) => self.workers[worker].restart(self.now_ms),
             Ev::Reach(step) => self.reach(step),
             Ev::RenewGrants => {
-                for (lease, node) in self.grants.clone() {
-                    let is_live = self.nodes[node].process == Process::Runs;
-                    for worker in self.workers.iter_mut().filter(|_| is_live) {
-                        worker.renew_grant(self.now_ms, lease);
+                for (lease, (node, id)) in self.grants.clone() {
+                    let Some(worker) = self.workers.iter_mut().find(|worker| worker.id == id) else {
+                        continue;
+                    };
+                    let is_away = worker.is_dead || worker.frozen_at_ms.is_some();
+                    if self.nodes[node].process != Process::Runs || is_away || worker.renew_grant(self.now_ms, lease) {
+                        continue;
+                    }
+                    self.grants.remove(&lease);
+                    if let Some(holder) = self.holder {
+                        self.send(holder, 2 * LINK_MS, Input::GrantReleased { worker: id, lease });
                     }
                 }
                 self.post(self.now_ms + 1_000, Ev::RenewGrants);
@@ -103,8 +111,13 @@
             Step::Out => {
                 self.out_ms = Some(self.now_ms + late_ms);
                 let config = Arc::new(config(self.version, false, false));
-                (0..2)
-                    .for_each(|node| self.send(node, LINK_MS + late_ms, Input::Configured { config: config.clone() }));
+                for node in 0..if self.table.defect == Some(Defect::LosesConfig) {
+                    0
+                } else {
+                    2
+                } {
+                    self.send(node, LINK_MS + late_ms, Input::Configured { config: config.clone() });
+                }
             }
             Step::Leaving => {
                 self.leaving_ms = Some((0, self.now_ms));
@@ -120,7 +133,10 @@
                     self.send(node, LINK_MS + late_ms, Input::Stopping);
                 }
             }
-            Step::Checkpoint => self.configure(true, true),
+            Step::Checkpoint => {
+                let in_service = self.out_ms.is_none() || self.table.defect == Some(Defect::LosesConfig);
+                self.configure(in_service, true);
+            }
             _ => {}
         }
     }
@@ -138,6 +154,7 @@
         if !is_up {
             return;
         }
+        self.release_lease(node);
         if self.nodes[node].epoch.is_some_and(|epoch| epoch < self.epoch) {
             self.nodes[node].epoch = None;
             self.handle(node, Input::Deposed);
@@ -154,6 +171,15 @@
         }
     }
 
+    fn release_lease(&mut self, node: usize) {
+        let me = &mut self.nodes[node];
+        if me.is_handed_over && me.epoch == Some(self.epoch) && self.store_down_until_ms <= self.now_ms {
+            me.epoch = None;
+            self.holder = None;
+            self.send(node, LINK_MS, Input::Deposed);
+        }
+    }
+
     pub(super) fn handle(&mut self, node: usize, input: Input) {
         let unix_ms = self.unix_ms();
         let me = &mut self.nodes[node];
@@ -170,6 +196,7 @@
         // The clocks of the instances differ.
         let clock_ms = self.now_ms + 7_777 * node as u64;
         me.sched.handle(clock_ms, unix_ms, input, &mut actions);
+        self.actions += actions.len();
         self.perform_all(node, actions);
     }
 
@@ -238,16 +265,21 @@
             }
             Action::Outcome { job, outcome } => self.outcomes.push((job, *outcome)),
             Action::Event(event) => self.events.push((self.now_ms, event.kind)),
-            Action::Grant { instance, lease, .. } => {
-                self.grants.insert(lease, usize::from(instance.as_str() == "b"));
+            Action::Grant {
+                instance,
+                worker,
+                lease,
+            } => {
+                self.grants
+                    .insert(lease, (usize::from(instance.as_str() == "b"), worker));
             }
             Action::RecallGrant { worker, lease, .. } => {
                 self.grants.remove(&lease);
                 self.send(node, 10, Input::GrantReleased { worker, lease });
             }
             Action::HandedOver => {
-                self.nodes[node].epoch = None;
-                self.holder = None;
+                self.nodes[node].is_handed_over = true;
+                self.release_lease(node);
             }
         }
     }
--- a/crates/sched/tests/common/world/strike.rs
+++ b/crates/sched/tests/scheduler/common/world/strike.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use model::{JobId, JobRow, WorkerId};
-use sched::{Input, WriteOutcome};
+use sched::{Input, Settings, WriteOutcome};
 
 use super::super::{Fault, Step, config};
 use super::{Ev, LEASE_MS, LINK_MS, Message, Process, TIMEOUT_MS, World, Write};
@@ -78,12 +78,9 @@
                 due.push(armed.fault);
             }
         }
-        let job = job.unwrap_or_else(|| self.specs[0].id());
-        let placed = self
-            .table
-            .rows
-            .get(&job)
-            .and_then(|(row, _)| row.attempts.last().cloned());
+        let job = job.or_else(|| Some(self.specs.first()?.id()));
+        let row = job.as_ref().and_then(|job| self.table.rows.get(job));
+        let placed = row.and_then(|(row, _)| row.attempts.last().cloned());
         let placed = placed.and_then(|a| self.workers.iter().position(|w| w.id == a.placement.parts[0].worker));
         let worker = worker.or(placed).unwrap_or(0);
         for fault in due {
@@ -91,6 +88,8 @@
             match fault {
                 Fault::HolderKilled => self.kill(node.unwrap_or(0)),
                 Fault::HolderFrozen => self.freeze(node.unwrap_or(0), 10_000),
+                Fault::HolderPaused => self.freeze(node.unwrap_or(0), 3_000),
+                Fault::WorkerRestarted => self.post(self.now_ms + 20, Ev::RestartWorker(worker)),
                 Fault::WorkerKilled => self.workers[worker].kill(self.now_ms),
                 Fault::WorkerFrozen => {
                     self.workers[worker].pass(self.now_ms);
@@ -114,7 +113,7 @@
                         self.send(holder, LINK_MS, Input::Submitted { row, version: 1 });
                     }
                 }
-                Fault::Cancelled => self.cancel(&job),
+                Fault::Cancelled => job.iter().for_each(|job| self.cancel(job)),
             }
         }
         message
@@ -134,9 +133,10 @@
     pub(super) fn revive(&mut self, node: usize) {
         let ids: Vec<WorkerId> = self.workers.iter().map(|worker| worker.id.clone()).collect();
         let me = &mut self.nodes[node];
-        me.sched = Self::scheduler(["a", "b"][node], &ids);
+        me.sched = Self::scheduler(["a", "b"][node], &ids, Settings::default());
         me.process = Process::Runs;
         me.is_stopping = false;
+        me.is_handed_over = false;
         me.sees_store = true;
         let config = Arc::new(config(self.version, self.out_ms.is_none(), false));
         self.send(node, LINK_MS, Input::Configured { config });
--- /dev/null
+++ b/crates/sched/tests/scheduler/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the scheduler against an in-memory world; no test sleeps or reads a clock.
+
+mod common;
+mod defects;
+mod faults;
+mod grants;
+mod path;
+mod service;
--- a/crates/sched/tests/path.rs
+++ b/crates/sched/tests/scheduler/path.rs
@@ -1,8 +1,6 @@
 //! Path of a job without faults: a job that never ends, or an answer that is not whole, must be seen here first.
 
-mod common;
-
-use common::{Step, World, check, job};
+use crate::common::{Step, World, check, job};
 use model::{JobState, Outcome};
 use rstest::rstest;
 
