feat(net): HTTP client of workers

Cause: commands to workers had types but no client, and the design needs refusal, unsent command and lost reply told apart. Ruled out: nothing yet; no failure test has run against the client. Change: `WorkerClient` with one connection pool for each address. A silent connection closes the pool of its address; `run` is repeated on another connection, since workers start a task id once.

--- /dev/null
+++ b/crates/net/src/worker/target.rs
@@ -0,0 +1,36 @@
+use std::time::Instant;
+
+use awc::{Client, Connector};
+use model::WorkerId;
+
+use super::WorkerClientOptions;
+
+/// Connections to one address.
+#[derive(Clone)]
+pub(super) struct Target {
+    /// Pool of connections; replaced as a whole once one of them is silent.
+    pub client: Client,
+    /// Number of replacements, so that concurrent timeouts replace the pool once.
+    pub generation: u64,
+    /// When the last reply arrived, or when the pool was created.
+    pub heard_at: Instant,
+    /// Worker that an idle check pings.
+    pub worker: WorkerId,
+}
+
+impl Target {
+    pub fn new(options: &WorkerClientOptions, generation: u64, worker: WorkerId) -> Self {
+        // No limit on connections: `run` occupies one for each task, and waiting for a free one would look like silence.
+        let connector = Connector::new().timeout(options.connect_timeout).limit(0);
+        Self {
+            client: Client::builder()
+                .connector(connector)
+                .disable_timeout()
+                .disable_redirects()
+                .finish(),
+            generation,
+            heard_at: Instant::now(),
+            worker,
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/worker/worker_client_stats.rs
@@ -0,0 +1,14 @@
+/// Counters of a [`WorkerClient`](crate::WorkerClient) since it was created.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkerClientStats {
+    /// Requests, repeated ones included.
+    pub requests: u64,
+    /// Refusals by workers.
+    pub refused: u64,
+    /// Requests that were not sent.
+    pub not_sent: u64,
+    /// Requests whose reply was lost.
+    pub lost: u64,
+    /// Addresses whose connections were closed because one was silent.
+    pub connections_replaced: u64,
+}
