feat(store): HTTP client of the platform

Cause: the traits of the store had no implementation over the platform's protocol. Ruled out: nothing yet; no failure test has run against the client.

--- /dev/null
+++ b/crates/store/src/platform/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP client of the platform.
+
+mod breaker;
+mod budget;
+mod platform_client;
+mod platform_client_options;
+mod platform_client_stats;
+mod transport;
+mod txn_reply;
+
+pub use platform_client::PlatformClient;
+pub use platform_client_options::PlatformClientOptions;
+pub use platform_client_stats::PlatformClientStats;
+pub use txn_reply::{ConflictBody, TxnReply};
--- /dev/null
+++ b/crates/store/src/platform/transport.rs
@@ -0,0 +1,100 @@
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use actix_rt::time::timeout;
+use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use awc::{Client, ClientRequest, Connector, SendClientRequest};
+use bytes::Bytes;
+
+/// Whole reply of the platform.
+pub(super) struct Reply {
+    pub status: StatusCode,
+    pub body: Bytes,
+}
+
+/// Why there is no whole reply.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum NoReply {
+    /// No connection; the request was not sent.
+    NotSent,
+    /// The request was sent and may have taken effect.
+    Lost,
+}
+
+/// Sends requests over pooled connections and replaces silent ones.
+pub(super) struct Transport {
+    client: RefCell<Client>,
+    connect_timeout: Duration,
+    timeout: Duration,
+    heard_at: Cell<Instant>,
+    replaced: Cell<u64>,
+}
+
+impl Transport {
+    const MAX_BODY_BYTES: usize = 256 << 20;
+
+    pub fn new(connect_timeout: Duration, timeout: Duration) -> Self {
+        Self {
+            client: RefCell::new(connect(connect_timeout)),
+            connect_timeout,
+            timeout,
+            heard_at: Cell::new(Instant::now()),
+            replaced: Cell::new(0),
+        }
+    }
+
+    pub const fn replaced(&self) -> u64 {
+        self.replaced.get()
+    }
+
+    pub fn silence(&self) -> Duration {
+        self.heard_at.get().elapsed()
+    }
+
+    /// Sends the request that `build` makes and reads the whole reply.
+    pub async fn send(
+        &self,
+        build: impl FnOnce(&Client) -> ClientRequest,
+        send: impl FnOnce(ClientRequest) -> SendClientRequest,
+    ) -> Result<Reply, NoReply> {
+        let client = self.client.borrow().clone();
+        let generation = self.replaced.get();
+        let exchange = async {
+            let mut reply = send(build(&client)).await.map_err(|error| match error {
+                SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_) => NoReply::NotSent,
+                _ => NoReply::Lost,
+            })?;
+            let body = reply
+                .body()
+                .limit(Self::MAX_BODY_BYTES)
+                .await
+                .map_err(|_| NoReply::Lost)?;
+            Ok(Reply {
+                status: reply.status(),
+                body,
+            })
+        };
+        // Dropping the exchange at the bound closes its connection. The connector bounds the connection by itself.
+        if let Ok(result) = timeout(self.connect_timeout + self.timeout, exchange).await {
+            if result.is_ok() {
+                self.heard_at.set(Instant::now());
+            }
+            return result;
+        }
+        // One silent connection makes the idle ones suspect; all of them are closed, once for concurrent timeouts.
+        if self.replaced.get() == generation {
+            *self.client.borrow_mut() = connect(self.connect_timeout);
+            self.replaced.set(generation + 1);
+        }
+        Err(NoReply::Lost)
+    }
+}
+
+fn connect(connect_timeout: Duration) -> Client {
+    Client::builder()
+        .connector(Connector::new().timeout(connect_timeout).limit(0))
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
