feat(standin): stand-ins for platform, workers and links

Cause: no proof could run without the platform and the workers, and their faults must be brought about on demand.

--- /dev/null
+++ b/crates/standin/src/workers/workers_server.rs
@@ -0,0 +1,67 @@
+use std::time::Duration;
+
+use actix_rt::time::{interval, sleep};
+use actix_web::web::Data;
+use actix_web::{App, HttpServer};
+use store::{PlatformClient, PlatformClientOptions};
+
+use super::WorkersOptions;
+use super::workers_routes::routes;
+use super::workers_shared::Shared;
+use crate::running::listen;
+use crate::{Running, StandinError};
+
+/// Stand-in for many workers.
+#[derive(Debug)]
+pub struct Workers;
+
+impl Workers {
+    /// Starts the workers and registers them with the platform if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError`] if the address cannot be listened on.
+    pub fn start(options: &WorkersOptions) -> Result<Running, StandinError> {
+        const THREADS: usize = 2;
+        let shared = Data::new(Shared::new(options));
+        let (listener, address) = listen(options.address)?;
+        let for_app = Data::clone(&shared);
+        let server = HttpServer::new(move || App::new().app_data(Data::clone(&for_app)).configure(routes))
+            .workers(THREADS)
+            .shutdown_timeout(1);
+        let server = if options.handles_signals {
+            server
+        } else {
+            server.disable_signals()
+        };
+        let server = server
+            .listen(listener)
+            .map_err(|source| StandinError::Listen { address, source })?;
+        let mut running = Running::new(address, server.run());
+        running.keep(actix_rt::spawn(tick(Data::clone(&shared))));
+        if let Some(platform) = &options.platform {
+            let base_url = options.advertise.clone().unwrap_or_else(|| running.url());
+            let client = PlatformClient::new(PlatformClientOptions::new(platform));
+            let pause = Duration::from_millis(options.register_interval_ms);
+            running.keep(actix_rt::spawn(register(shared, client, base_url, pause)));
+        }
+        Ok(running)
+    }
+}
+
+async fn tick(shared: Data<Shared>) {
+    let mut ticks = interval(Duration::from_millis(5));
+    loop {
+        ticks.tick().await;
+        shared.tick();
+    }
+}
+
+/// Registers all workers again and again, so that changes of state and a restarted platform are covered.
+async fn register(shared: Data<Shared>, client: PlatformClient, base_url: String, pause: Duration) {
+    loop {
+        // A platform that is away is tried again after the pause.
+        let _ = client.register(&shared.listing(&base_url)).await;
+        sleep(pause).await;
+    }
+}
