feat(policy): guarantee plan, placement, reclaim, fair share and quarantine

Cause: the crate held only its interfaces; the scheduler and the benchmark need a policy to run. Claimants kept a claim that a new plan had made an obstacle; feasibility of a sheet depended on the plan before it; a quarantined worker that only gangs could use was never probed; work that cannot be preempted and partly fills a new share of its own owner was counted beside that share. A fault of the checks was excluded by tests/suite/checks.rs, which feeds each check a state that breaks its invariant. Change: `GuaranteedShare` implements `Policy`; `Plan::compute` is the guarantee plan as a pure function.

--- /dev/null
+++ b/crates/policy/src/job.rs
@@ -0,0 +1,139 @@
+use model::{Class, JobSpec, Resources, Shape};
+use smallvec::SmallVec;
+
+use crate::WorkerKey;
+use crate::amount::Amount;
+use crate::cluster::Want;
+
+/// State of a job within the policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum State {
+    Queued,
+    /// Holds its workers in the accounts and waits for preempted work to leave them.
+    Claiming,
+    /// A start was decided.
+    Starting,
+    Running,
+    /// A preemption was decided.
+    Stopping,
+    /// A decision that gives the job up is about to be returned.
+    GivenUp,
+}
+
+/// Part of a job that holds resources on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Part {
+    pub worker: WorkerKey,
+    /// What of it is charged to the organisation's share there. Work that can be preempted is charged wholly or not at
+    /// all; of other work that already ran when the share was planned under it, the share takes what it can.
+    pub charge: Amount,
+}
+
+/// What the policy keeps of a job; the payload and the request id stay with the caller.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub organisation: u16,
+    pub class: Class,
+    pub idempotent: bool,
+    pub checkpointable: bool,
+    pub priority: u8,
+    pub need: Resources,
+    pub shape: Shape,
+    pub declared_ms: u64,
+    pub preserved_ms: u64,
+    pub submitted_ms: u64,
+    pub deadline_at_ms: Option<u64>,
+    pub started_ms: u64,
+    pub sequence: u64,
+    /// Runs on capacity that is reserved for another job and has to leave when that job can start.
+    pub backfill: bool,
+    pub state: State,
+    pub parts: SmallVec<[Part; 2]>,
+    pub failed_on: SmallVec<[WorkerKey; 2]>,
+    /// Position in the queue while queued.
+    pub rank: Rank,
+}
+
+/// Order within one queue: priority, then a virtual deadline, then order of arrival.
+pub(crate) type Rank = (u8, u64, u64);
+
+/// Jobs of one organisation that are interchangeable for placement share a queue; only its head is tried.
+///
+/// Processors and memory are rounded up to powers of two, so that the number of queues stays small.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct QueueId {
+    pub class: Class,
+    pub accelerators: u32,
+    pub parts: u16,
+    pub adjacency: model::Adjacency,
+    pub preemptible: bool,
+    pub cpu_bits: u8,
+    pub memory_bits: u8,
+}
+
+impl Job {
+    /// Failures on this many distinct workers show that the job itself is at fault.
+    pub const MAX_FAILED_WORKERS: usize = 3;
+
+    pub fn new(spec: &JobSpec, organisation: u16, boost: u8, now_ms: u64, sequence: u64) -> Self {
+        Self {
+            organisation,
+            class: spec.class,
+            idempotent: spec.idempotent,
+            checkpointable: spec.checkpointable,
+            priority: spec.priority.saturating_add(boost),
+            need: spec.need_per_part(),
+            shape: spec.shape,
+            declared_ms: spec.declared_run_ms,
+            preserved_ms: 0,
+            submitted_ms: now_ms,
+            deadline_at_ms: spec.deadline_ms.map(|deadline| now_ms.saturating_add(deadline)),
+            started_ms: now_ms,
+            sequence,
+            backfill: false,
+            state: State::Queued,
+            parts: SmallVec::new(),
+            failed_on: SmallVec::new(),
+            rank: (0, 0, 0),
+        }
+    }
+
+    pub const fn is_preemptible(&self) -> bool {
+        self.idempotent || self.checkpointable
+    }
+
+    pub fn need(&self) -> Amount {
+        self.need.into()
+    }
+
+    pub fn total_need(&self) -> Amount {
+        self.need().times(self.shape.parts)
+    }
+
+    pub fn want(&self) -> Want {
+        Want {
+            need: self.need(),
+            shape: self.shape,
+        }
+    }
+
+    pub fn queue(&self) -> QueueId {
+        let bits = |amount: u32| (u32::BITS - amount.leading_zeros()) as u8;
+        QueueId {
+            class: self.class,
+            accelerators: self.shape.accelerators(),
+            parts: self.shape.parts,
+            adjacency: self.shape.adjacency,
+            preemptible: self.is_preemptible(),
+            cpu_bits: bits(self.need.cpu_milli),
+            memory_bits: bits(self.need.memory_mib),
+        }
+    }
+
+    pub const fn holds_resources(&self) -> bool {
+        matches!(
+            self.state,
+            State::Claiming | State::Starting | State::Running | State::Stopping
+        )
+    }
+}
--- /dev/null
+++ b/crates/policy/src/passes.rs
@@ -0,0 +1,294 @@
+use std::collections::BTreeSet;
+
+use model::{Class, Refusal};
+use smallvec::SmallVec;
+
+use crate::health::Health;
+use crate::job::{QueueId, State};
+use crate::worker::View;
+use crate::{Decision, GuaranteedShare, JobKey, WorkerKey};
+
+/// What was found out during one pass; capacity only shrinks within it, so a failure need not be repeated.
+#[derive(Debug, Default)]
+pub(crate) struct Pass {
+    /// Queues for which no capacity outside of shares was found.
+    pub no_room: BTreeSet<QueueId>,
+    /// Queues of one organisation whose head cannot start.
+    blocked: BTreeSet<(u16, QueueId)>,
+}
+
+impl GuaranteedShare {
+    /// Bound on starts in one call, so that a burst does not keep the caller from its other work.
+    const MAX_STARTS: usize = 256;
+    /// Queues of one organisation that are tried in one turn.
+    const HEADS_TRIED: usize = 32;
+    /// Pause before the next look for a job that can probe a worker.
+    const PROBE_RETRY_MS: u64 = 1_000;
+    /// Interval of decisions while a returned data centre is paced.
+    const PACE_MS: u64 = 100;
+
+    pub(crate) fn run_passes(&mut self, now_ms: u64, out: &mut Vec<Decision>) {
+        self.now_ms = now_ms;
+        if !self.dirty && self.outbox.is_empty() && now_ms < self.wake_ms {
+            return;
+        }
+        self.dirty = false;
+        self.urgent.update(now_ms);
+        self.end_pauses(now_ms);
+        self.expire(now_ms);
+        for dc in &mut self.cluster.dcs {
+            dc.end_slow_start(now_ms);
+        }
+        let first = out.len();
+        out.append(&mut self.outbox);
+        for decision in &out[first..] {
+            if let Decision::Refuse { job, .. } | Decision::Fail { job, .. } = decision {
+                self.jobs.remove(*job);
+            }
+        }
+        self.start_claimants(now_ms, out);
+        self.use_reservations(now_ms, out);
+        self.send_probes(now_ms, out);
+        self.fill(now_ms, Class::Urgent, out);
+        self.fill(now_ms, Class::Deferred, out);
+        self.make_reservations(now_ms);
+        self.wake_ms = self.next_wake_ms(now_ms);
+    }
+
+    fn next_wake_ms(&self, now_ms: u64) -> u64 {
+        let deadline = self.deadlines.first().map(|entry| entry.0 + 1);
+        let pause = self.pauses.first().map(|entry| entry.0);
+        let probe = self.probes.first().map(|entry| entry.0);
+        let paced = self.cluster.dcs.iter().any(|dc| dc.resumed_ms.is_some());
+        let waiting = !self.waiting.is_empty();
+        [
+            deadline,
+            pause,
+            probe,
+            paced.then_some(now_ms + Self::PACE_MS),
+            waiting.then_some(self.next_scan_ms),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(u64::MAX)
+    }
+
+    fn end_pauses(&mut self, now_ms: u64) {
+        while let Some(&(until, worker)) = self.pauses.first()
+            && until <= now_ms
+        {
+            self.end_pause(worker);
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        while let Some(&(deadline, job)) = self.deadlines.first()
+            && deadline < now_ms
+        {
+            let refusal = Refusal::DeadlinePassed;
+            self.give_up(job, Decision::Refuse { job, refusal });
+        }
+    }
+
+    /// Starts claimants whose workers the preempted work has left.
+    fn start_claimants(&mut self, now_ms: u64, out: &mut Vec<Decision>) {
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        for worker in touched {
+            let jobs: SmallVec<[JobKey; 8]> = self.cluster.workers[worker].jobs.clone();
+            for job in jobs {
+                if self.jobs[job].state == State::Claiming && self.is_covered(job) {
+                    out.push(self.start(now_ms, job));
+                }
+            }
+        }
+    }
+
+    /// Sends one idempotent job of one part to each quarantined worker that is due.
+    fn send_probes(&mut self, now_ms: u64, out: &mut Vec<Decision>) {
+        while let Some(&(due, key)) = self.probes.first()
+            && due <= now_ms
+        {
+            self.probes.remove(&(due, key));
+            let worker = &self.cluster.workers[key];
+            let ready = worker.is_counted() && worker.paused_until_ms == 0 && worker.health.probe.is_none();
+            let job = ready.then(|| self.find_probe(now_ms, key)).flatten();
+            let next = now_ms
+                + if job.is_some() {
+                    Health::PROBE_INTERVAL_MS
+                } else {
+                    Self::PROBE_RETRY_MS
+                };
+            if ready && job.is_none() && self.is_gang_waiting_for(key) {
+                self.begin_probation(key);
+                continue;
+            }
+            if let Some(job) = job {
+                self.hold(job, &SmallVec::from_elem((key, 1), 1), false);
+                self.cluster.workers[key].health.probe = Some(job);
+                out.push(self.start(now_ms, job));
+            }
+            self.cluster.workers[key].health.next_probe_ms = next;
+            self.probes.insert((next, key));
+        }
+    }
+
+    fn find_probe(&self, now_ms: u64, key: WorkerKey) -> Option<JobKey> {
+        let worker = &self.cluster.workers[key];
+        if !self.cluster.dcs[worker.dc].allows_start(now_ms, 1) {
+            return None;
+        }
+        let deferred = self.orgs.iter().flat_map(|org| org.heads(Class::Deferred));
+        deferred
+            .map(|(_, _, job)| job)
+            .filter(|&job| {
+                let job = &self.jobs[job];
+                job.shape.parts == 1 && job.idempotent && worker.free.fits(job.need()) && !job.failed_on.contains(&key)
+            })
+            .min_by_key(|&job| (self.jobs[job].failed_on.len(), job))
+    }
+
+    /// Returns whether idempotent gangs wait that could use the worker and no smaller job can probe it.
+    fn is_gang_waiting_for(&self, key: WorkerKey) -> bool {
+        let mut heads = self.orgs.iter().flat_map(|org| org.heads(Class::Deferred));
+        heads.any(|(_, _, job)| {
+            let job = &self.jobs[job];
+            job.shape.parts > 1 && job.idempotent && !job.failed_on.contains(&key)
+        })
+    }
+
+    /// Starts queued jobs of a class, the organisation that is furthest behind first.
+    fn fill(&mut self, now_ms: u64, class: Class, out: &mut Vec<Decision>) {
+        let mut pass = Pass::default();
+        let mut open: Vec<u16> = (0..self.orgs.len() as u16)
+            .filter(|&org| self.orgs[usize::from(org)].queued[class as usize] > 0)
+            .collect();
+        let total = (self.cluster.dcs.iter()).fold(crate::amount::Amount::default(), |sum, dc| sum + dc.total);
+        let mut starts = 0;
+        while !open.is_empty() {
+            let key = |org: u16| {
+                let org = &self.orgs[usize::from(org)];
+                let share = org.usage.dominant_share(total) / f64::from(org.weight);
+                (!org.is_below_guarantee(), share)
+            };
+            let next = (0..open.len())
+                .min_by(|&a, &b| key(open[a]).partial_cmp(&key(open[b])).expect("shares are finite"))
+                .expect("an organisation is left");
+            if starts == Self::MAX_STARTS {
+                self.dirty = true;
+                return;
+            }
+            if self.take_turn(now_ms, open[next], class, &mut pass, out) {
+                starts += 1;
+            } else {
+                open.swap_remove(next);
+            }
+        }
+    }
+
+    /// Starts one job of the organisation; returns whether there was one.
+    fn take_turn(&mut self, now_ms: u64, org: u16, class: Class, pass: &mut Pass, out: &mut Vec<Decision>) -> bool {
+        let heads = self.orgs[usize::from(org)].heads(class);
+        let mut heads: SmallVec<[_; 32]> = heads
+            .filter(|(_, queue, _)| !pass.blocked.contains(&(org, *queue)))
+            .collect();
+        heads.sort_unstable();
+        for (_, queue, job) in heads.into_iter().take(Self::HEADS_TRIED) {
+            if self.try_start(now_ms, job, queue, pass, out) {
+                return true;
+            }
+            pass.blocked.insert((org, queue));
+        }
+        false
+    }
+
+    fn try_start(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        queue: QueueId,
+        pass: &mut Pass,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let job = &self.jobs[key];
+        if !self.orgs[usize::from(job.organisation)].allows(job.shape.accelerators() as i32) {
+            return false;
+        }
+        if let Some(found) = self.find_in_share(now_ms, key, false) {
+            self.hold(key, &found, true);
+            out.push(self.start(now_ms, key));
+            return true;
+        }
+        if !pass.no_room.contains(&queue) {
+            if let Some(found) = self.find_room(now_ms, key) {
+                self.hold(key, &found, false);
+                out.push(self.start(now_ms, key));
+                return true;
+            }
+            if self.jobs[key].failed_on.is_empty() {
+                pass.no_room.insert(queue);
+            }
+        }
+        if let Some(worker) = self.find_backfill(now_ms, key) {
+            self.hold(key, &SmallVec::from_elem((worker, 1), 1), false);
+            self.jobs[key].backfill = true;
+            out.push(self.start(now_ms, key));
+            return true;
+        }
+        if let Some(found) = self.find_in_share(now_ms, key, true) {
+            return self.claim(now_ms, key, &found, true, |_| true, out);
+        }
+        self.is_urgent(key) && self.preempt_for_urgent(now_ms, key, out)
+    }
+
+    /// Finds free workers outside of the organisation's own share.
+    fn find_room(&self, now_ms: u64, key: JobKey) -> Option<crate::arrange::Arrangement<WorkerKey>> {
+        let job = &self.jobs[key];
+        let last = if job.is_preemptible() { View::Free } else { View::Open };
+        let dcs = self.dcs_by_room();
+        [View::Spare, last].into_iter().find_map(|view| {
+            dcs.iter().find_map(|&dc| {
+                let state = &self.cluster.dcs[dc];
+                let allowed = state.allows_start(now_ms, job.shape.parts)
+                    && (job.class == Class::Urgent || self.leaves_headroom(dc, job.total_need()));
+                allowed
+                    .then(|| self.cluster.place(dc, view, job.want(), &job.failed_on))
+                    .flatten()
+            })
+        })
+    }
+
+    /// Returns whether enough stays free for urgent work after a deferred job of that size.
+    fn leaves_headroom(&self, dc: usize, need: crate::amount::Amount) -> bool {
+        let state = &self.cluster.dcs[dc];
+        let whole = (self.cluster.dcs.iter()).fold(crate::amount::Amount::default(), |sum, dc| sum + dc.total);
+        let (slots, accelerators) = self.urgent.headroom(state.total, whole);
+        state.free.slots - need.slots >= slots && state.free.accelerators - need.accelerators >= accelerators
+    }
+
+    /// Finds a worker with free capacity that is reserved for a job which cannot start before this one ends.
+    fn find_backfill(&self, now_ms: u64, key: JobKey) -> Option<WorkerKey> {
+        let job = &self.jobs[key];
+        if self.reservations.is_empty() || job.shape.parts > 1 || !job.is_preemptible() || job.class == Class::Urgent {
+            return None;
+        }
+        let end = now_ms + self.corrected_ms(key);
+        let reserved = self
+            .reservations
+            .iter()
+            .filter(|reservation| end <= reservation.expected_ms);
+        reserved
+            .flat_map(|reservation| &reservation.workers)
+            .map(|entry| entry.0)
+            .find(|&worker| {
+                let state = &self.cluster.workers[worker];
+                state.is_usable()
+                    && state.free.fits(job.need())
+                    && !job.failed_on.contains(&worker)
+                    && self.cluster.dcs[state.dc].allows_start(now_ms, 1)
+                    && self.leaves_headroom(state.dc, job.need())
+            })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replan.rs
@@ -0,0 +1,338 @@
+use std::collections::BTreeMap;
+
+use model::{Config, Guarantee, OrganisationId, Resources};
+
+use crate::amount::Amount;
+use crate::job::State;
+use crate::org::Org;
+use crate::worker::{Presence, Share};
+use crate::{Decision, GuaranteedShare, JobKey, Plan, PlanError, WorkerKey};
+
+impl GuaranteedShare {
+    pub(crate) fn apply_config(&mut self, now_ms: u64, config: &Config) -> Result<(), PlanError> {
+        config.validate()?;
+        let plan_config = self.plannable(config);
+        // Feasibility is judged on the whole topology: a worker or data centre that is away is a fault or a planned
+        // outage, and neither makes a sheet wrong. No previous plan is taken as a hint, so that every instance judges
+        // alike whatever it saw before.
+        let whole: Vec<Resources> = self.topology.workers().map(|worker| worker.capacity).collect();
+        let nominal = Plan::compute(&plan_config, &self.topology, &whole, &Plan::default());
+        if let Some(slice) = nominal.slices.iter().find(|slice| slice.is_lost()) {
+            return Err(PlanError::DoesNotFit {
+                organisation: slice.organisation.clone(),
+                shape: slice.shape,
+            });
+        }
+        self.plan_config = self.local(plan_config, config);
+        self.update_orgs(config);
+        let former: Vec<bool> = self.cluster.dcs.iter().map(|dc| dc.in_service).collect();
+        for (dc, &was_in_service) in former.iter().enumerate() {
+            let id = &self.cluster.dcs[dc].id;
+            let in_service = config.is_in_service(id) && self.serves(id);
+            self.cluster.dcs[dc].in_service = in_service;
+            if in_service != was_in_service {
+                let members: Vec<WorkerKey> = self.cluster.members(dc).collect();
+                for worker in members {
+                    self.cluster.change(worker, |worker| worker.in_service = in_service);
+                }
+                if in_service && self.configured {
+                    self.cluster.dcs[dc].resumed_ms = Some(now_ms);
+                    self.cluster.dcs[dc].started_since = 0;
+                }
+            }
+        }
+        for (dc, was_in_service) in former.into_iter().enumerate() {
+            if was_in_service && !self.cluster.dcs[dc].in_service {
+                self.evacuate(dc);
+            }
+        }
+        self.configured = true;
+        self.replan();
+        Ok(())
+    }
+
+    /// Returns the configuration without guarantees that belong to data centres outside of the topology.
+    fn plannable(&self, config: &Config) -> Config {
+        let mut config = config.clone();
+        for organisation in &mut config.organisations {
+            organisation.guarantees.retain(|guarantee| {
+                let dc = guarantee.data_centre.as_ref();
+                dc.is_none_or(|dc| self.topology.data_centre(dc).is_some())
+            });
+        }
+        config
+    }
+
+    /// Returns the guarantees that the served data centres provide, each pinned to one of them.
+    ///
+    /// The split is computed without a previous plan, so that every scheduler arrives at the same one.
+    fn local(&self, plan_config: Config, config: &Config) -> Config {
+        if self.served.is_none() {
+            return plan_config;
+        }
+        let usable: Vec<Resources> = (self.topology.data_centres.iter())
+            .flat_map(|dc| {
+                let in_service = config.is_in_service(&dc.id);
+                dc.workers()
+                    .map(move |w| if in_service { w.capacity } else { Resources::default() })
+            })
+            .collect();
+        let nominal = Plan::compute(&plan_config, &self.topology, &usable, &Plan::default());
+        let home: Vec<_> = (self.topology.data_centres.iter())
+            .flat_map(|dc| dc.workers().map(|_| &dc.id))
+            .collect();
+        let mut local = plan_config;
+        for organisation in &mut local.organisations {
+            let own = nominal
+                .slices
+                .iter()
+                .filter(|slice| slice.organisation == organisation.id);
+            let pinned = own.filter_map(|slice| {
+                let dc = slice.workers.first().map(|&(worker, _)| home[worker as usize])?;
+                self.serves(dc).then(|| Guarantee {
+                    shape: slice.shape,
+                    count: 1,
+                    data_centre: Some(dc.clone()),
+                })
+            });
+            organisation.guarantees = pinned.collect();
+        }
+        local
+    }
+
+    fn update_orgs(&mut self, config: &Config) {
+        for org in &mut self.orgs {
+            org.listed = false;
+        }
+        for organisation in &config.organisations {
+            let index = self.org_index(&organisation.id);
+            let org = &mut self.orgs[usize::from(index)];
+            org.listed = true;
+            org.weight = organisation.weight;
+            org.quota = organisation.quota_accelerators;
+            org.queue_limit = organisation.queue_limit;
+            org.boost = [0; 2];
+        }
+        for priority in &config.priorities {
+            let index = self.org_index(&priority.organisation);
+            let boost = &mut self.orgs[usize::from(index)].boost[priority.class as usize];
+            *boost = boost.saturating_add(priority.boost);
+        }
+    }
+
+    pub(crate) fn org_index(&mut self, id: &OrganisationId) -> u16 {
+        if let Some(&index) = self.org_ids.get(id) {
+            return index;
+        }
+        let index = self.orgs.len() as u16;
+        self.orgs.push(Org::new());
+        self.org_ids.insert(id.clone(), index);
+        index
+    }
+
+    /// Computes the plan for the workers that are up and enters it in the accounts.
+    pub(crate) fn replan(&mut self) {
+        self.dirty = true;
+        if !self.configured {
+            return;
+        }
+        let amounts = |deduct: bool| -> Vec<Resources> {
+            let workers = self.cluster.order.iter().zip(self.topology.workers());
+            workers
+                .map(|(&key, described)| {
+                    let worker = &self.cluster.workers[key];
+                    if !self.is_up(key) || !worker.in_service || worker.quarantined {
+                        return Resources::default();
+                    }
+                    let hard = if deduct { worker.hard } else { Amount::default() };
+                    reduced(described.capacity, hard)
+                })
+                .collect()
+        };
+        // Work that cannot be preempted is planned around where possible; a shape under it could not be reclaimed yet.
+        let around = Plan::compute(&self.plan_config, &self.topology, &amounts(true), &self.plan);
+        let plan = if around.lost() == 0 {
+            around
+        } else {
+            let over = Plan::compute(&self.plan_config, &self.topology, &amounts(false), &self.plan);
+            if over.lost() < around.lost() { over } else { around }
+        };
+        self.report_lost(&plan);
+        self.plan = plan;
+        self.enter_plan();
+    }
+
+    fn report_lost(&mut self, plan: &Plan) {
+        let count = |plan: &Plan| {
+            let mut lost = BTreeMap::new();
+            for slice in plan.slices.iter().filter(|slice| slice.is_lost()) {
+                let shape = slice.shape;
+                let key = (shape.parts, shape.accelerators_per_part, shape.adjacency);
+                lost.entry((slice.organisation.clone(), key))
+                    .or_insert((shape, 0_u32))
+                    .1 += 1;
+            }
+            lost
+        };
+        let before = count(&self.plan);
+        for (key, (shape, lost)) in count(plan) {
+            let known = before.get(&key).map_or(0, |entry| entry.1);
+            for _ in known..lost {
+                self.outbox.push(Decision::GuaranteeLost {
+                    organisation: key.0.clone(),
+                    shape,
+                });
+            }
+        }
+    }
+
+    /// Replaces the shares of all workers and charges running work to them again.
+    fn enter_plan(&mut self) {
+        let mut shares: Vec<Vec<Share>> = vec![Vec::new(); self.cluster.order.len()];
+        for org in &mut self.orgs {
+            org.guaranteed = Amount::default();
+            org.share_workers.clear();
+        }
+        for slice in &self.plan.slices {
+            let organisation = self.org_ids[&slice.organisation];
+            for &(position, parts) in &slice.workers {
+                let worker = &self.cluster.workers[self.cluster.order[position as usize]];
+                let capacity = worker.capacity.into();
+                let amount = Amount::from(Plan::need_on(slice.shape, capacity)).times(parts);
+                let list = &mut shares[position as usize];
+                match list.iter_mut().find(|share| share.organisation == organisation) {
+                    Some(share) => share.guaranteed += amount,
+                    None => list.push(Share {
+                        organisation,
+                        guaranteed: amount,
+                        charged: Amount::default(),
+                    }),
+                }
+                self.orgs[usize::from(organisation)].guaranteed += amount;
+            }
+        }
+        for (position, list) in shares.into_iter().enumerate() {
+            let key = self.cluster.order[position];
+            for share in &list {
+                self.orgs[usize::from(share.organisation)].share_workers.push(key);
+            }
+            let worker = &self.cluster.workers[key];
+            if list.is_empty() && worker.shares.is_empty() {
+                continue;
+            }
+            self.recharge(key, &list);
+        }
+        self.recall_claimants();
+    }
+
+    /// Returns claimants to the queue whose claim the new plan turned into an obstacle for another owner.
+    fn recall_claimants(&mut self) {
+        let of_workers = self
+            .cluster
+            .order
+            .iter()
+            .filter(|&&worker| !self.cluster.workers[worker].shares.is_empty());
+        let mut claimants: Vec<JobKey> = of_workers
+            .flat_map(|&worker| self.cluster.workers[worker].jobs.iter().copied())
+            .filter(|&job| {
+                let job = &self.jobs[job];
+                job.state == State::Claiming
+                    && !job.is_preemptible()
+                    && job.parts.iter().any(|part| part.charge != job.need())
+            })
+            .collect();
+        claimants.sort_unstable();
+        claimants.dedup();
+        for job in claimants {
+            self.unclaim(job);
+        }
+    }
+
+    fn recharge(&mut self, key: WorkerKey, list: &[Share]) {
+        let mut jobs: Vec<JobKey> = self.cluster.workers[key].jobs.to_vec();
+        jobs.sort_unstable();
+        jobs.dedup();
+        // Work that cannot be preempted comes first, because it blocks the share of another if it is left outside.
+        jobs.sort_by_key(|&job| self.jobs[job].is_preemptible());
+        let worker = &self.cluster.workers[key];
+        for share in &worker.shares {
+            self.orgs[usize::from(share.organisation)].charged -= share.charged;
+        }
+        let jobs_arena = &mut self.jobs;
+        let orgs = &mut self.orgs;
+        self.cluster.change(key, |worker| {
+            worker.shares = list.iter().copied().collect();
+            worker.guaranteed = list.iter().fold(Amount::default(), |sum, share| sum + share.guaranteed);
+            worker.unclaimed = worker.guaranteed;
+            worker.hard = worker.granted;
+            worker.borrowers = 0;
+            for job in jobs {
+                let job = &mut jobs_arena[job];
+                let (organisation, need, preemptible) = (job.organisation, job.need(), job.is_preemptible());
+                for part in job.parts.iter_mut().filter(|part| part.worker == key) {
+                    part.charge = worker.chargeable(organisation, need, preemptible);
+                    worker.charge(organisation, part.charge);
+                    orgs[usize::from(organisation)].charged += part.charge;
+                    if !preemptible {
+                        worker.hard += need - part.charge;
+                    } else if part.charge != need && job.class == model::Class::Deferred {
+                        worker.borrowers += 1;
+                    }
+                }
+            }
+        });
+    }
+
+    /// Ends or requeues the work of a data centre that was taken out, as far as it can run elsewhere.
+    fn evacuate(&mut self, dc: usize) {
+        let members: Vec<WorkerKey> = self.cluster.members(dc).collect();
+        self.cancel_reservations(&members);
+        let elsewhere = self.cluster.dcs.iter().any(|dc| dc.in_service);
+        let mut jobs: Vec<JobKey> = (members.iter())
+            .flat_map(|&worker| self.cluster.workers[worker].jobs.iter().copied())
+            .collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        for key in jobs {
+            let job = &self.jobs[key];
+            match job.state {
+                State::Claiming => self.unclaim(key),
+                // Urgent work ends soon by itself; stopping it would cost its caller the answer.
+                State::Starting | State::Running
+                    if elsewhere && job.is_preemptible() && job.class == model::Class::Deferred =>
+                {
+                    let decision = self.preempt(key);
+                    self.outbox.push(decision);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(crate) fn set_presence(&mut self, worker: WorkerKey, presence: Presence) {
+        if self.cluster.workers[worker].presence == presence {
+            return;
+        }
+        let before = self.cluster.workers[worker].presence;
+        self.cluster.change(worker, |worker| worker.presence = presence);
+        if presence != Presence::Up {
+            self.cancel_reservations(&[worker]);
+            let jobs: Vec<JobKey> = self.cluster.workers[worker].jobs.to_vec();
+            for job in jobs {
+                if self.jobs[job].state == State::Claiming {
+                    self.unclaim(job);
+                }
+            }
+        }
+        self.dirty = true;
+        let planned = |presence| matches!(presence, Presence::Expected | Presence::Up);
+        let has_share = !self.cluster.workers[worker].shares.is_empty();
+        if planned(before) != planned(presence) && (has_share || self.plan.lost() > 0) {
+            self.replan();
+        }
+    }
+}
+
+fn reduced(capacity: Resources, hard: Amount) -> Resources {
+    (Amount::from(capacity) - hard).into()
+}
--- /dev/null
+++ b/crates/policy/tests/suite/checks.rs
@@ -0,0 +1,74 @@
+//! The independent checks must themselves be able to fail: each is fed a state that breaks its invariant.
+
+use crate::support::{Fault, Ledger, Sim, config, job, topology};
+use model::{Adjacency, Resources, Shape};
+use policy::{Plan, Policy};
+
+#[test]
+fn each_check_finds_its_fault() {
+    let topology = topology(2, 16);
+    let one = Shape::new(1, 8, Adjacency::Worker);
+    let config = config(&topology, &[("a", &[(one, 1)]), ("b", &[])]);
+    let mut sim = Sim::new(topology.clone(), config.clone());
+    let key = |sim: &mut Sim, n| sim.policy.submit(0, &job("b", n, one)).unwrap();
+    let keys: Vec<_> = (0..4).map(|n| key(&mut sim, n)).collect();
+    let whole: Vec<Resources> = topology.workers().map(|worker| worker.capacity).collect();
+    let plan = Plan::compute(&config, &topology, &whole, &Plan::default());
+    let planned = plan.slices[0].workers[0].0 as usize;
+
+    let mut ledger = Ledger::new(&topology);
+    ledger.open.fill(true);
+    let gang = |adjacency| job("b", 9, Shape::new(2, 4, adjacency));
+    assert_eq!(
+        ledger.start(keys[0], &gang(Adjacency::Rack), vec![0]),
+        Err(Fault::PartialGang)
+    );
+    assert_eq!(
+        ledger.start(keys[0], &gang(Adjacency::Worker), vec![0, 1]),
+        Err(Fault::NotAdjacent)
+    );
+    assert_eq!(
+        ledger.start(keys[0], &gang(Adjacency::Rack), vec![3, 4]),
+        Err(Fault::NotAdjacent)
+    );
+    assert_eq!(
+        ledger.start(keys[0], &gang(Adjacency::DataCentre), vec![7, 8]),
+        Err(Fault::NotAdjacent)
+    );
+
+    let hard = job("b", 8, one).idempotent(false);
+    ledger.check_reclaim(&plan).unwrap();
+    ledger.start(keys[1], &hard, vec![planned]).unwrap();
+    assert_eq!(
+        ledger.check_reclaim(&plan),
+        Err(Fault::NotReclaimable { worker: planned })
+    );
+    ledger.tolerate(&plan);
+    ledger.check_reclaim(&plan).unwrap();
+    let overlap = ledger.start(keys[2], &hard, vec![planned]);
+    assert_eq!(overlap, Err(Fault::Overcommitted { worker: planned }));
+    assert_eq!(
+        ledger.check_reclaim(&plan),
+        Err(Fault::NotReclaimable { worker: planned })
+    );
+
+    ledger.open[5] = false;
+    assert_eq!(
+        ledger.start(keys[3], &hard, vec![5]),
+        Err(Fault::Unavailable { worker: 5 })
+    );
+    let mut usable = vec![true; whole.len()];
+    ledger.check_plan(&plan, &usable).unwrap();
+    usable[planned] = false;
+    assert_eq!(
+        ledger.check_plan(&plan, &usable),
+        Err(Fault::PlanInfeasible { worker: planned })
+    );
+    let mut twice = plan.clone();
+    twice.slices.push(plan.slices[0].clone());
+    usable[planned] = true;
+    assert_eq!(
+        ledger.check_plan(&twice, &usable),
+        Err(Fault::PlanInfeasible { worker: planned })
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the scheduling policy.
+
+mod checks;
+mod guarantees;
+mod properties;
+mod support;
--- /dev/null
+++ b/crates/policy/tests/suite/properties.rs
@@ -0,0 +1,168 @@
+//! Properties that hold after any sequence of submissions, cancellations, failures and configuration changes.
+
+use model::{Adjacency, Class, Shape};
+use policy::Policy;
+use proptest::prelude::*;
+
+use crate::support::{Ended, Sim, config, job, topology};
+
+const ORGANISATIONS: [&str; 3] = ["a", "b", "c"];
+
+#[derive(Debug, Clone)]
+enum Op {
+    Submit {
+        organisation: usize,
+        shape: Shape,
+        kind: u8,
+        run_ms: u64,
+        declared_ms: u64,
+        urgent: bool,
+    },
+    Cancel(usize),
+    Down(usize),
+    Up(usize),
+    Break(usize),
+    Guarantee {
+        organisation: usize,
+        shape: Shape,
+        count: u16,
+    },
+    Service {
+        data_centre: usize,
+        in_service: bool,
+    },
+    Wait(u64),
+}
+
+fn shapes() -> impl Strategy<Value = Shape> {
+    let adjacency = prop_oneof![
+        Just(Adjacency::Worker),
+        Just(Adjacency::Rack),
+        Just(Adjacency::DataCentre)
+    ];
+    (1_u16..=6, 0_u16..=8, adjacency)
+        .prop_map(|(parts, accelerators, adjacency)| Shape::new(parts, accelerators, adjacency))
+}
+
+fn ops() -> impl Strategy<Value = Op> {
+    let submit = (
+        0_usize..3,
+        shapes(),
+        0_u8..4,
+        1_u64..20_000,
+        1_u64..20_000,
+        prop::bool::weighted(0.2),
+    )
+        .prop_map(|(organisation, shape, kind, run_ms, declared_ms, urgent)| Op::Submit {
+            organisation,
+            shape: if urgent { Shape::default() } else { shape },
+            kind,
+            run_ms: if urgent { run_ms / 10 + 1 } else { run_ms },
+            declared_ms,
+            urgent,
+        });
+    let guarantee = (0_usize..3, shapes(), 1_u16..3);
+    prop_oneof![
+        12 => submit,
+        1 => (0_usize..64).prop_map(Op::Cancel),
+        1 => (0_usize..16).prop_map(Op::Down),
+        1 => (0_usize..16).prop_map(Op::Up),
+        1 => (0_usize..16).prop_map(Op::Break),
+        1 => guarantee.prop_map(|(organisation, shape, count)| Op::Guarantee { organisation, shape, count }),
+        1 => (0_usize..2, any::<bool>()).prop_map(|(data_centre, in_service)| Op::Service { data_centre, in_service }),
+        4 => (1_u64..5_000).prop_map(Op::Wait),
+    ]
+}
+
+fn apply(sim: &mut Sim, number: usize, op: &Op) {
+    match *op {
+        Op::Submit {
+            organisation,
+            shape,
+            kind,
+            run_ms,
+            declared_ms,
+            urgent,
+        } => {
+            let spec = job(ORGANISATIONS[organisation], number, shape)
+                .idempotent(kind & 1 == 1)
+                .checkpointable(kind & 2 == 2)
+                .declared_run_ms(declared_ms)
+                .class(if urgent { Class::Urgent } else { Class::Deferred });
+            // A refusal is an answer; the job is then not in the policy's care.
+            let _ = sim.submit(&spec, run_ms);
+        }
+        Op::Cancel(index) => {
+            let job = sim.specs.keys().nth(index).copied();
+            if let Some(job) = job {
+                sim.cancel(job);
+            }
+        }
+        Op::Down(worker) => sim.worker_down(worker),
+        Op::Up(worker) => sim.worker_up(worker),
+        Op::Break(worker) => {
+            sim.broken.insert(worker);
+        }
+        Op::Guarantee {
+            organisation,
+            shape,
+            count,
+        } => {
+            let mut next = sim.config.clone();
+            next.organisations[organisation].guarantees = vec![model::Guarantee {
+                shape,
+                count,
+                data_centre: None,
+            }];
+            let before = sim.policy.plan().clone();
+            if sim.configure(next).is_err() {
+                assert_eq!(before, *sim.policy.plan(), "a rejected configuration changed the plan");
+            }
+        }
+        Op::Service {
+            data_centre,
+            in_service,
+        } => {
+            let mut next = sim.config.clone();
+            next.data_centres[data_centre].in_service = in_service;
+            sim.configure(next)
+                .expect("service does not affect whether guarantees fit");
+        }
+        Op::Wait(ms) => {
+            let until_ms = sim.now_ms + ms;
+            sim.run_until(until_ms, 250);
+        }
+    }
+    sim.decide();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Guards against double allocation, partial gangs, blocked guarantees and infeasible plans (checked by the
+    // simulation at each decision) and against jobs that are lost or never end once the cluster is whole.
+    #[test]
+    fn every_sequence_keeps_the_invariants(ops in prop::collection::vec(ops(), 1..120)) {
+        let topology = topology(2, 16);
+        let guarantees = [("a", &[(Shape::new(4, 8, Adjacency::Rack), 1)][..]), ("b", &[(Shape::new(1, 4, Adjacency::Worker), 3)]), ("c", &[])];
+        let mut sim = Sim::new(topology.clone(), config(&topology, &guarantees));
+        for (number, op) in ops.into_iter().enumerate() {
+            apply(&mut sim, number, &op);
+            let stats = sim.policy.stats();
+            prop_assert_eq!(stats.queued_jobs as usize + stats.running_jobs as usize, sim.specs.len() - sim.ended.len());
+        }
+        sim.broken.clear();
+        let mut whole = sim.config.clone();
+        whole.data_centres.iter_mut().for_each(|dc| dc.in_service = true);
+        // Without guarantees there is room for work that cannot be preempted.
+        whole.organisations.iter_mut().for_each(|organisation| organisation.guarantees.clear());
+        sim.configure(whole).unwrap();
+        (0..16).for_each(|worker| sim.worker_up(worker));
+        let until_ms = sim.now_ms + 1_000_000;
+        sim.run_until(until_ms, 1_000);
+        prop_assert_eq!(sim.ended.len(), sim.specs.len(), "jobs are left over; running {:?}, {:?}", sim.ledger.held, sim.policy);
+        prop_assert_eq!(sim.ledger.held.len(), 0);
+        let finished = sim.ended.values().filter(|ended| **ended == Ended::Finished).count();
+        prop_assert!(finished <= sim.starts as usize);
+    }
+}
