test(store,net,standin): failures at the platform, the workers and the links

Cause: the clients had not met the failures they are for. The first runs showed three faults: a connection that closes after the request was sent came back as "not sent" from both clients (awc reports it as a connect error); a stand-in program died of SIGTERM sent right after it printed its address; a grant's renewal carried the scheduler's tasks. Ruled out: a start that never reached the worker (its log showed one start while the client reported "not sent"). Change: `ConnectError::Disconnected` counts as lost; programs handle signals before they print their address; renewals of grants leave out other tasks.

--- a/crates/net/src/worker/transport.rs
+++ b/crates/net/src/worker/transport.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::time::timeout;
 use awc::ClientRequest;
-use awc::error::{JsonPayloadError, SendRequestError};
+use awc::error::{ConnectError, JsonPayloadError, SendRequestError};
 use model::{WorkerError, WorkerId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -94,6 +94,8 @@
             None => call.send().await,
         };
         let mut reply = sent.map_err(|error| match error {
+            // `Disconnected` also means that the connection closed after the request was sent.
+            SendRequestError::Connect(ConnectError::Disconnected) => WorkerCallError::Lost,
             SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_) => {
                 WorkerCallError::NotSent
             }
--- a/crates/standin/src/bin/standin-platform.rs
+++ b/crates/standin/src/bin/standin-platform.rs
@@ -1,11 +1,9 @@
 //! Stand-in program; see `--help`.
 
-use standin::{Platform, PlatformOptions, StandinError};
+use standin::{Platform, PlatformOptions, StandinError, run_program};
 
 #[actix_web::main]
 async fn main() -> Result<(), StandinError> {
     let options = PlatformOptions::from_matches(&PlatformOptions::command().get_matches());
-    let mut running = Platform::start(&options)?;
-    println!("listening on {}", running.address());
-    running.wait().await
+    run_program(|| Platform::start(&options)).await
 }
--- a/crates/standin/src/bin/standin-relay.rs
+++ b/crates/standin/src/bin/standin-relay.rs
@@ -1,11 +1,9 @@
 //! Stand-in program; see `--help`.
 
-use standin::{Relay, RelayOptions, StandinError};
+use standin::{Relay, RelayOptions, StandinError, run_program};
 
 #[actix_web::main]
 async fn main() -> Result<(), StandinError> {
     let options = RelayOptions::from_matches(&RelayOptions::command().get_matches());
-    let mut running = Relay::start(&options)?;
-    println!("listening on {}", running.address());
-    running.wait().await
+    run_program(|| Relay::start(&options)).await
 }
--- a/crates/standin/src/bin/standin-workers.rs
+++ b/crates/standin/src/bin/standin-workers.rs
@@ -1,11 +1,9 @@
 //! Stand-in program; see `--help`.
 
-use standin::{StandinError, Workers, WorkersOptions};
+use standin::{StandinError, Workers, WorkersOptions, run_program};
 
 #[actix_web::main]
 async fn main() -> Result<(), StandinError> {
     let options = WorkersOptions::from_matches(&WorkersOptions::command().get_matches());
-    let mut running = Workers::start(&options)?;
-    println!("listening on {}", running.address());
-    running.wait().await
+    run_program(|| Workers::start(&options)).await
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod failure;
 mod platform;
+mod program;
 mod relay;
 mod running;
 mod standin_error;
@@ -24,6 +25,7 @@
 mod workers;
 
 pub use platform::{Platform, PlatformFaults, PlatformOptions, PlatformStats};
+pub use program::run_program;
 pub use relay::{LinkMode, LinkModeRequest, LinkOptions, LinkStatus, Relay, RelayOptions};
 pub use running::Running;
 pub use standin_error::StandinError;
--- a/crates/standin/src/platform/platform_options.rs
+++ b/crates/standin/src/platform/platform_options.rs
@@ -12,7 +12,6 @@
     pub(crate) list_lag_ms: u64,
     pub(crate) list_ttl_ms: u64,
     pub(crate) list: Option<PathBuf>,
-    pub(crate) handles_signals: bool,
 }
 
 impl PlatformOptions {
@@ -25,11 +24,10 @@
             list_lag_ms: 500,
             list_ttl_ms: 0,
             list: None,
-            handles_signals: false,
         }
     }
 
-    /// Reads the options from the arguments of [`PlatformOptions::command`] and handles signals.
+    /// Reads the options from the arguments of [`PlatformOptions::command`].
     ///
     /// # Panics
     ///
@@ -44,7 +42,6 @@
             list_lag_ms: number("list-lag-ms"),
             list_ttl_ms: number("list-ttl-ms"),
             list: matches.get_one("list").cloned(),
-            handles_signals: true,
         }
     }
 
--- a/crates/standin/src/platform/platform_server.rs
+++ b/crates/standin/src/platform/platform_server.rs
@@ -64,12 +64,8 @@
         let (listener, address) = listen(options.address)?;
         let server = HttpServer::new(move || App::new().app_data(Data::clone(&shared)).configure(routes))
             .workers(THREADS)
+            .disable_signals()
             .shutdown_timeout(1);
-        let server = if options.handles_signals {
-            server
-        } else {
-            server.disable_signals()
-        };
         let server = server
             .listen(listener)
             .map_err(|source| StandinError::Listen { address, source })?;
--- a/crates/standin/src/relay/relay_options.rs
+++ b/crates/standin/src/relay/relay_options.rs
@@ -9,7 +9,6 @@
 pub struct RelayOptions {
     pub(crate) control: SocketAddr,
     pub(crate) links: Vec<LinkOptions>,
-    pub(crate) handles_signals: bool,
 }
 
 impl RelayOptions {
@@ -18,11 +17,10 @@
         Self {
             control: SocketAddr::from(([127, 0, 0, 1], 0)),
             links: Vec::new(),
-            handles_signals: false,
         }
     }
 
-    /// Reads the options from the arguments of [`RelayOptions::command`] and handles signals.
+    /// Reads the options from the arguments of [`RelayOptions::command`].
     ///
     /// # Panics
     ///
@@ -31,7 +29,6 @@
         Self {
             control: *matches.get_one("control").expect("the option has a default"),
             links: matches.get_many("link").unwrap_or_default().cloned().collect(),
-            handles_signals: true,
         }
     }
 
--- a/crates/standin/src/relay/relay_server.rs
+++ b/crates/standin/src/relay/relay_server.rs
@@ -41,12 +41,7 @@
                 .route("/v1/links", get().to(show))
                 .route("/v1/links", post().to(set_mode))
         });
-        let server = server.workers(1).shutdown_timeout(1);
-        let server = if options.handles_signals {
-            server
-        } else {
-            server.disable_signals()
-        };
+        let server = server.workers(1).disable_signals().shutdown_timeout(1);
         let server = server
             .listen(control)
             .map_err(|source| StandinError::Listen { address, source })?;
--- a/crates/standin/src/running.rs
+++ b/crates/standin/src/running.rs
@@ -40,7 +40,7 @@
         format!("http://{}", self.address)
     }
 
-    /// Waits until the server ends, by signal or by [`Running::stop`].
+    /// Waits until the server ends.
     ///
     /// # Errors
     ///
@@ -52,9 +52,9 @@
         }
     }
 
-    /// Stops the server without waiting for its connections.
-    pub async fn stop(&self) {
-        self.handle.stop(false).await;
+    /// Stops the server. A graceful stop waits 1 s for requests that are being served.
+    pub async fn stop(&self, graceful: bool) {
+        self.handle.stop(graceful).await;
     }
 }
 
--- a/crates/standin/src/standin_error.rs
+++ b/crates/standin/src/standin_error.rs
@@ -34,6 +34,9 @@
         #[source]
         source: serde_json::Error,
     },
+    /// Signals cannot be handled.
+    #[error("cannot handle signals")]
+    Signals(#[source] io::Error),
     /// A server ended with an error.
     #[error("server failed")]
     Serve(#[source] io::Error),
--- a/crates/standin/src/workers/worker_commands.rs
+++ b/crates/standin/src/workers/worker_commands.rs
@@ -81,7 +81,8 @@
 
     pub fn renew(&mut self, request: &RenewRequest, now_ms: u64) -> Result<WorkerReport, WorkerError> {
         let is_grant = |id: &LeaseId| self.kind_of(*id) == Some(LeaseKind::Grant);
-        if request.leases.is_empty() || !request.leases.iter().all(is_grant) {
+        let is_scheduler = request.leases.is_empty() || !request.leases.iter().all(is_grant);
+        if is_scheduler {
             self.check_epoch(request.epoch, now_ms)?;
         }
         let mut lapsed = Vec::new();
@@ -91,8 +92,10 @@
                 None => lapsed.push(*id),
             }
         }
-        // Tasks under other holders' grants are left out: their answers concern only the instance that runs them.
-        let concerns = |task: &&Task| task.kind == LeaseKind::Attempt || request.leases.contains(&task.report.lease);
+        // A scheduler sees all tasks but those under grants; their answers concern only the instance that runs them.
+        let concerns = |task: &&Task| {
+            is_scheduler && task.kind == LeaseKind::Attempt || request.leases.contains(&task.report.lease)
+        };
         let newer = self.tasks.values().filter(|task| task.changed > request.after_sequence);
         let mut changes: Vec<&Task> = newer.filter(concerns).collect();
         changes.sort_by_key(|task| task.changed);
--- a/crates/standin/src/workers/workers_options.rs
+++ b/crates/standin/src/workers/workers_options.rs
@@ -16,7 +16,6 @@
     pub(crate) capacity: Resources,
     pub(crate) usage_lag_ms: u64,
     pub(crate) register_interval_ms: u64,
-    pub(crate) handles_signals: bool,
 }
 
 impl WorkersOptions {
@@ -34,11 +33,10 @@
             capacity: Resources::new(8, 8, 32_000, 65_536),
             usage_lag_ms: 2_000,
             register_interval_ms: 1_000,
-            handles_signals: false,
         }
     }
 
-    /// Reads the options from the arguments of [`WorkersOptions::command`] and handles signals.
+    /// Reads the options from the arguments of [`WorkersOptions::command`].
     ///
     /// # Panics
     ///
@@ -61,7 +59,6 @@
             ),
             usage_lag_ms: number("usage-lag-ms"),
             register_interval_ms: number("register-interval-ms"),
-            handles_signals: true,
         }
     }
 
--- a/crates/standin/src/workers/workers_server.rs
+++ b/crates/standin/src/workers/workers_server.rs
@@ -28,12 +28,8 @@
         let for_app = Data::clone(&shared);
         let server = HttpServer::new(move || App::new().app_data(Data::clone(&for_app)).configure(routes))
             .workers(THREADS)
+            .disable_signals()
             .shutdown_timeout(1);
-        let server = if options.handles_signals {
-            server
-        } else {
-            server.disable_signals()
-        };
         let server = server
             .listen(listener)
             .map_err(|source| StandinError::Listen { address, source })?;
--- a/crates/store/src/platform/transport.rs
+++ b/crates/store/src/platform/transport.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::timeout;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::{Client, ClientRequest, Connector, SendClientRequest};
 use bytes::Bytes;
@@ -62,6 +62,8 @@
         let generation = self.replaced.get();
         let exchange = async {
             let mut reply = send(build(&client)).await.map_err(|error| match error {
+                // `Disconnected` also means that the connection closed after the request was sent.
+                SendRequestError::Connect(ConnectError::Disconnected) => NoReply::Lost,
                 SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_) => NoReply::NotSent,
                 _ => NoReply::Lost,
             })?;
