--- /dev/null
+++ b/crates/daemon/src/daemon_error.rs
@@ -0,0 +1,21 @@
+use std::io;
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+/// Error for a daemon that cannot run.
+#[derive(Debug, Error)]
+pub(crate) enum DaemonError {
+    /// The settings cannot be read.
+    #[error("cannot read settings {path}: {source}")]
+    Read { path: PathBuf, source: io::Error },
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] conf::SettingsError),
+    /// The instance cannot start.
+    #[error(transparent)]
+    Entry(#[from] entry::EntryError),
+    /// Signals cannot be received.
+    #[error("cannot receive signals: {0}")]
+    Signals(io::Error),
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,75 @@
-//! Entry daemon of galenaspool.
+//! Entry daemon of galenaspool: reads its settings, serves until a signal, and stops by plan.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use conf::Settings;
+use daemon_error::DaemonError;
+use entry::{Entry, Listeners};
+use signals::stop_signal;
+
+mod daemon_error;
+mod signals;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn command() -> Command {
+    Command::new("galenaspoold")
+        .about("Entry daemon of galenaspool")
+        .version(crate_version!())
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .env("GALENASPOOL_SETTINGS")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings in JSON with comments"),
+        )
+        .arg(
+            Arg::new("check-settings")
+                .long("check-settings")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+fn read_settings(path: &Path) -> Result<Settings, DaemonError> {
+    let text = std::fs::read_to_string(path).map_err(|source| DaemonError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    Ok(Settings::parse(&text)?)
+}
+
+fn run() -> Result<(), DaemonError> {
+    let matches = command().get_matches();
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("the argument is required");
+    let settings = read_settings(path)?;
+    if matches.get_flag("check-settings") {
+        println!("{}: settings are valid", path.display());
+        return Ok(());
+    }
+    let listeners = Listeners::bind(&settings)?;
+    actix_rt::System::new().block_on(async {
+        let stop = stop_signal()?;
+        let entry = Entry::start(settings, listeners)?;
+        stop.await;
+        entry.stop().await;
+        Ok(())
+    })
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("galenaspoold: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/board.rs
@@ -0,0 +1,84 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use model::{DataCentreId, Epoch, InstanceId};
+use store::Listing;
+use tokio::sync::watch;
+
+use crate::config::ConfigView;
+use crate::members::MemberView;
+
+/// What the parts of the process publish to each other: each channel has one writer and any number of readers.
+#[derive(Debug)]
+pub(crate) struct Board {
+    /// Configuration in force; written by the configuration actor.
+    pub(crate) config: watch::Sender<Arc<ConfigView>>,
+    /// Peers; written by the membership actor.
+    pub(crate) members: watch::Sender<Arc<MemberView>>,
+    /// The platform's list as last seen; written by the membership actor.
+    pub(crate) listing: watch::Sender<Arc<Listing>>,
+    /// Holders of scheduling leases; written by the elector of each data centre.
+    pub(crate) holders: watch::Sender<HashMap<DataCentreId, Holder>>,
+    /// Free accelerators of data centres that this instance schedules; written by their drivers.
+    pub(crate) free_accelerators: watch::Sender<HashMap<DataCentreId, u32>>,
+    /// Granted slots and those in use; written by the urgent path.
+    pub(crate) granted_slots: watch::Sender<(u32, u32)>,
+    store_reachable: AtomicBool,
+    stopping: AtomicBool,
+}
+
+/// Holder of a scheduling lease, as the table or the election showed it last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Holder {
+    pub(crate) instance: InstanceId,
+    pub(crate) epoch: Epoch,
+}
+
+impl Board {
+    pub(crate) fn new() -> Self {
+        Self {
+            config: watch::Sender::default(),
+            members: watch::Sender::default(),
+            listing: watch::Sender::default(),
+            holders: watch::Sender::default(),
+            free_accelerators: watch::Sender::default(),
+            granted_slots: watch::Sender::default(),
+            store_reachable: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn config(&self) -> Arc<ConfigView> {
+        self.config.borrow().clone()
+    }
+
+    pub(crate) fn members(&self) -> Arc<MemberView> {
+        self.members.borrow().clone()
+    }
+
+    pub(crate) fn listing(&self) -> Arc<Listing> {
+        self.listing.borrow().clone()
+    }
+
+    pub(crate) fn holder(&self, data_centre: &DataCentreId) -> Option<Holder> {
+        self.holders.borrow().get(data_centre).cloned()
+    }
+
+    pub(crate) fn is_store_reachable(&self) -> bool {
+        self.store_reachable.load(Ordering::Relaxed)
+    }
+
+    /// Records whether the store answers and returns whether this changed.
+    pub(crate) fn set_store_reachable(&self, reachable: bool) -> bool {
+        self.store_reachable.swap(reachable, Ordering::Relaxed) != reachable
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/config/config_actor.rs
@@ -0,0 +1,360 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use model::{Config, DataCentreId, InstanceId};
+use net::peer::{FetchConfigRequest, PushConfigRequest};
+use store::Listing;
+use timer::{Subscribe, Tick, Timer};
+use trace::{Event, EventKind};
+
+use super::proposal::{self, conflict};
+use super::{ConfigView, ServiceChange, ServiceState};
+use crate::ApiError;
+use crate::context::{Clients, Context as Shared};
+use crate::members::PeerLinks;
+use crate::scheduling::check_plan;
+
+const POLL: u32 = 1;
+const OVERLAY: u32 = 2;
+
+/// Interval of recomputing the overlays; a local out by a peer is in force this long after its heartbeat.
+const OVERLAY_INTERVAL: Duration = Duration::from_millis(200);
+/// Bound for calls that exchange configurations between peers.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+/// Most tries of taking a data centre out or in against racing operators.
+const SERVICE_TRIES: u32 = 8;
+
+/// Actor that keeps the configuration in force and accepts changes of it.
+#[derive(Debug)]
+pub(crate) struct ConfigActor {
+    core: Rc<Core>,
+    timer: Addr<Timer>,
+}
+
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) shared: Shared,
+    clients: Clients,
+    pub(super) view: RefCell<ConfigView>,
+    polling: Cell<bool>,
+    pub(super) proposing: Cell<bool>,
+    failed_polls: Cell<u32>,
+    pub(super) heard_store_ms: Cell<u64>,
+}
+
+/// Reads the configuration that is in force at this instance.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<Arc<Config>, ApiError>")]
+pub(crate) struct ReadConfig;
+
+/// Proposes a configuration that is based on the given version.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<Arc<Config>, ApiError>")]
+pub(crate) struct PutConfig {
+    pub(crate) config: Config,
+    pub(crate) based_on: model::ConfigVersion,
+}
+
+/// Takes a data centre out of service or back in.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<ServiceChange, ApiError>")]
+pub(crate) struct SetService {
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) in_service: bool,
+}
+
+/// Hands over an accepted configuration that a peer pushed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Pushed(pub(crate) Config);
+
+/// Asks a peer, which announced a higher version or has a list of workers, for both.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct FetchFrom(pub(crate) InstanceId);
+
+impl ConfigActor {
+    pub(crate) fn new(shared: Shared, clients: Clients, timer: Addr<Timer>) -> Self {
+        let core = Core {
+            heard_store_ms: Cell::new(shared.clock.now_ms()),
+            shared,
+            clients,
+            view: RefCell::default(),
+            polling: Cell::new(false),
+            proposing: Cell::new(false),
+            failed_polls: Cell::new(0),
+        };
+        Self {
+            core: Rc::new(core),
+            timer,
+        }
+    }
+}
+
+impl Core {
+    /// Polls that must fail in a row before the store counts as unreachable; one may just be slow.
+    const FAILED_POLLS: u32 = 2;
+
+    pub(super) fn own(&self) -> &DataCentreId {
+        &self.shared.settings.data_centre
+    }
+
+    async fn poll(&self) {
+        if self.polling.replace(true) {
+            return;
+        }
+        if let Ok(found) = proposal::read(self.clients.store.as_ref()).await {
+            self.failed_polls.set(0);
+            self.heard_store_ms.set(self.shared.clock.now_ms());
+            self.set_store_reachable(true);
+            if let Some((config, _)) = found {
+                self.apply(config);
+            }
+        } else {
+            self.failed_polls.set(self.failed_polls.get() + 1);
+            if self.failed_polls.get() >= Self::FAILED_POLLS {
+                self.set_store_reachable(false);
+            }
+        }
+        self.polling.set(false);
+    }
+
+    fn set_store_reachable(&self, reachable: bool) {
+        self.shared.metrics.store_reachable.set(reachable.into());
+        if self.shared.board.set_store_reachable(reachable) {
+            let kind = if reachable {
+                EventKind::StoreUp
+            } else {
+                EventKind::StoreDown
+            };
+            self.shared.journal.push(Event::new(kind));
+        }
+    }
+
+    fn apply(&self, config: Config) -> bool {
+        let before = self.view.borrow().effective.clone();
+        let version = config.version;
+        if !self.view.borrow_mut().apply(config, self.own()) {
+            return false;
+        }
+        self.shared.metrics.config_version.set(version.0 as i64);
+        let event = Event::new(EventKind::ConfigInForce).cause(format!("version {version}"));
+        self.shared.journal.push(event);
+        self.publish(before.as_deref());
+        true
+    }
+
+    /// Publishes the view and records which data centres went out or in.
+    pub(super) fn publish(&self, before: Option<&Config>) {
+        let view = self.view.borrow().clone();
+        if let Some(config) = &view.effective {
+            for dc in &config.data_centres {
+                let was = before.is_none_or(|before| before.is_in_service(&dc.id));
+                if was != dc.in_service {
+                    let kind = if dc.in_service {
+                        EventKind::DataCentreIn
+                    } else {
+                        EventKind::DataCentreOut
+                    };
+                    self.shared.journal.push(Event::new(kind).data_centre(dc.id.clone()));
+                }
+            }
+        }
+        self.shared.board.config.send_replace(Arc::new(view));
+    }
+
+    async fn put(&self, mut config: Config, based_on: model::ConfigVersion) -> Result<Arc<Config>, ApiError> {
+        config.validate().map_err(policy::PlanError::from)?;
+        let current = proposal::read(self.clients.store.as_ref()).await?;
+        let current_version = current
+            .as_ref()
+            .map_or_else(Default::default, |(config, _)| config.version);
+        if current_version != based_on {
+            return Err(conflict(based_on, current.map(|(config, _)| config)));
+        }
+        config.version = based_on.next();
+        let previous = current.as_ref().map(|(config, _)| config);
+        check_plan(&self.shared.board.listing(), previous, &config)?;
+        proposal::commit(
+            self.clients.store.as_ref(),
+            &config,
+            current.map(|(_, version)| version),
+        )
+        .await?;
+        Ok(self.accepted(config))
+    }
+
+    /// Puts an accepted configuration in force here and pushes it to the peers.
+    fn accepted(&self, config: Config) -> Arc<Config> {
+        let version = config.version;
+        let event = Event::new(EventKind::ConfigAccepted).cause(format!("version {version}"));
+        self.shared.journal.push(event);
+        self.apply(config.clone());
+        let Ok(config_json) = serde_json::to_vec(&config) else {
+            return Arc::new(config);
+        };
+        for peer in self.shared.links.addresses() {
+            let (links, instance) = (self.shared.links.clone(), peer.instance.clone());
+            let message = PushConfigRequest {
+                config_json: config_json.clone(),
+            };
+            actix_rt::spawn(async move {
+                // A peer that misses the push polls the row or hears the version in a heartbeat.
+                let push = |mut client: net::peer::peer_client::PeerClient<_>| async move {
+                    client.push_config(PeerLinks::request(message, PEER_LIMIT)).await
+                };
+                let _ = links.call(&instance, PEER_LIMIT, push).await;
+            });
+        }
+        Arc::new(config)
+    }
+
+    async fn set_service(&self, data_centre: &DataCentreId, in_service: bool) -> Result<ServiceChange, ApiError> {
+        if *data_centre == *self.own() && in_service {
+            self.lift_local_out()?;
+        }
+        match self.record_service(data_centre, in_service).await {
+            Err(ApiError::StoreUnavailable { .. } | ApiError::WriteUnknown) if *data_centre == *self.own() => {
+                self.set_service_locally(data_centre, in_service)
+            }
+            recorded => recorded,
+        }
+    }
+
+    pub(super) async fn record_service(
+        &self,
+        data_centre: &DataCentreId,
+        in_service: bool,
+    ) -> Result<ServiceChange, ApiError> {
+        let mut last = ApiError::Internal;
+        for _ in 0..SERVICE_TRIES {
+            let unknown = || ApiError::UnknownDataCentre {
+                data_centre: data_centre.clone(),
+            };
+            let (mut config, row_version) = proposal::read(self.clients.store.as_ref()).await?.ok_or_else(unknown)?;
+            let dc = config
+                .data_centres
+                .iter_mut()
+                .find(|dc| dc.id == *data_centre)
+                .ok_or_else(unknown)?;
+            let changed = dc.in_service != in_service;
+            dc.in_service = in_service;
+            let change = |version| ServiceChange {
+                data_centre: data_centre.clone(),
+                in_service,
+                version,
+                state: ServiceState::Recorded,
+            };
+            if !changed {
+                let version = config.version;
+                self.apply(config);
+                return Ok(change(version));
+            }
+            config.version = config.version.next();
+            match proposal::commit(self.clients.store.as_ref(), &config, Some(row_version)).await {
+                Ok(()) => return Ok(change(self.accepted(config).version)),
+                Err(error @ ApiError::ConfigConflict { .. }) => last = error,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(last)
+    }
+
+    async fn fetch_from(&self, instance: InstanceId) {
+        let message = FetchConfigRequest {
+            above_version: self.view.borrow().version().0,
+        };
+        let fetch = |mut client: net::peer::peer_client::PeerClient<_>| async move {
+            client.fetch_config(PeerLinks::request(message, PEER_LIMIT)).await
+        };
+        let Ok(reply) = self.shared.links.call(&instance, PEER_LIMIT, fetch).await else {
+            return;
+        };
+        if let Ok(listing) = serde_json::from_slice::<Listing>(&reply.listing_json)
+            && self.shared.board.listing().workers.is_empty()
+        {
+            self.shared.board.listing.send_replace(Arc::new(listing));
+        }
+        if let Ok(config) = serde_json::from_slice::<Config>(&reply.config_json) {
+            self.apply(config);
+        }
+    }
+}
+
+impl Actor for ConfigActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        let interval = Duration::from_millis(self.core.shared.settings.config_poll_interval_ms);
+        let recipient = ctx.address().recipient();
+        self.timer
+            .do_send(Subscribe::every(interval, recipient.clone()).topic(POLL));
+        self.timer
+            .do_send(Subscribe::every(OVERLAY_INTERVAL, recipient).topic(OVERLAY));
+        let core = self.core.clone();
+        ctx.spawn(async move { core.poll().await }.into_actor(self));
+    }
+}
+
+impl Handler<Tick> for ConfigActor {
+    type Result = ();
+
+    fn handle(&mut self, tick: Tick, ctx: &mut Self::Context) {
+        let core = self.core.clone();
+        if tick.topic == POLL {
+            ctx.spawn(async move { core.poll().await }.into_actor(self));
+        } else {
+            core.refresh_overlay();
+            ctx.spawn(async move { core.propose_local_out().await }.into_actor(self));
+        }
+    }
+}
+
+impl Handler<ReadConfig> for ConfigActor {
+    type Result = Result<Arc<Config>, ApiError>;
+
+    fn handle(&mut self, _: ReadConfig, _: &mut Self::Context) -> Self::Result {
+        let none = model::Refusal::NoConfiguration {
+            retry_after_ms: proposal::STORE_RETRY_MS,
+        };
+        self.core.view.borrow().recorded.clone().ok_or(ApiError::Refused(none))
+    }
+}
+
+impl Handler<PutConfig> for ConfigActor {
+    type Result = ResponseFuture<Result<Arc<Config>, ApiError>>;
+
+    fn handle(&mut self, message: PutConfig, _: &mut Self::Context) -> Self::Result {
+        let core = self.core.clone();
+        Box::pin(async move { core.put(message.config, message.based_on).await })
+    }
+}
+
+impl Handler<SetService> for ConfigActor {
+    type Result = ResponseFuture<Result<ServiceChange, ApiError>>;
+
+    fn handle(&mut self, message: SetService, _: &mut Self::Context) -> Self::Result {
+        let core = self.core.clone();
+        Box::pin(async move { core.set_service(&message.data_centre, message.in_service).await })
+    }
+}
+
+impl Handler<Pushed> for ConfigActor {
+    type Result = ();
+
+    fn handle(&mut self, Pushed(config): Pushed, _: &mut Self::Context) {
+        self.core.apply(config);
+    }
+}
+
+impl Handler<FetchFrom> for ConfigActor {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, FetchFrom(instance): FetchFrom, _: &mut Self::Context) -> Self::Result {
+        let core = self.core.clone();
+        Box::pin(async move { core.fetch_from(instance).await })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/config/service_change.rs
@@ -0,0 +1,25 @@
+use model::{ConfigVersion, DataCentreId};
+use serde::{Deserialize, Serialize};
+
+/// Reply to an operator who takes a data centre out or in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceChange {
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Whether work may start there after the change.
+    pub in_service: bool,
+    /// Version of the configuration that holds the change, or that the local out lies over.
+    pub version: ConfigVersion,
+    /// How far the change got.
+    pub state: ServiceState,
+}
+
+/// How far a change of a data centre's service got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceState {
+    /// Written to the table; `/v1/config/status` shows when it is in force.
+    Recorded,
+    /// The store is away; in force at this instance and, by heartbeat, at the others of its data centre.
+    InForceLocally,
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,62 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::Settings;
+use net::{WorkerClient, WorkerClientOptions};
+use store::{PlatformClient, PlatformClientOptions};
+
+use crate::board::Board;
+use crate::clock::Clock;
+use crate::journal::Journal;
+use crate::members::PeerLinks;
+use crate::metrics::Metrics;
+
+/// What every part of the process needs and any thread may use.
+#[derive(Debug, Clone)]
+pub(crate) struct Context {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) clock: Clock,
+    pub(crate) journal: Journal,
+    pub(crate) metrics: Metrics,
+    pub(crate) board: Arc<Board>,
+    pub(crate) links: PeerLinks,
+}
+
+/// Clients of outside systems; they stay on the thread of the actors.
+#[derive(Debug, Clone)]
+pub(crate) struct Clients {
+    pub(crate) store: Rc<PlatformClient>,
+    pub(crate) workers: Rc<WorkerClient>,
+}
+
+impl Clients {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let store = PlatformClientOptions::new(settings.platform_url.clone())
+            .timeout(Duration::from_millis(settings.store_timeout_ms))
+            .writes_per_s(settings.store_writes_per_s as f64)
+            .reads_per_s(settings.store_reads_per_s as f64);
+        let workers = WorkerClientOptions::new()
+            .call_timeout(Duration::from_millis(settings.worker_timeout_ms))
+            .idle_check_interval(Duration::from_millis(settings.worker_silent_ms / 2));
+        Self {
+            store: Rc::new(PlatformClient::new(store)),
+            workers: Rc::new(WorkerClient::new(workers)),
+        }
+    }
+}
+
+impl Context {
+    pub(crate) fn new(settings: Settings) -> Self {
+        let clock = Clock::new();
+        let capacity_events = settings.timeline_capacity_events as usize;
+        Self {
+            journal: Journal::new(settings.instance.clone(), capacity_events, clock),
+            metrics: Metrics::new(),
+            board: Arc::new(Board::new()),
+            links: PeerLinks::new(&settings),
+            clock,
+            settings: Arc::new(settings),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry_node.rs
@@ -0,0 +1,161 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use actix_rt::time::sleep;
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpServer};
+use conf::Settings;
+use net::peer::peer_server::PeerServer as PeerService;
+use timer::Timer;
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+use trace::{Event, EventKind};
+
+use crate::config::ConfigActor;
+use crate::context::{Clients, Context};
+use crate::http::{ApiState, OpenRequests, routes};
+use crate::jobs::Intake;
+use crate::members::{Members, PeerLinks, PeerServer};
+use crate::scheduling::{Drivers, Schedulers, StopScheduling};
+use crate::urgent::{Flush, UrgentDesk};
+use crate::{EntryError, Listeners};
+
+/// Idle connections of callers are closed after this time, which also bounds how long they delay a planned stop.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// Running entry instance. It lives on the thread that started it, which must run an actix system.
+#[derive(Debug)]
+pub struct Entry {
+    context: Context,
+    http: ServerHandle,
+    http_address: SocketAddr,
+    peer_stop: Option<oneshot::Sender<()>>,
+    schedulers: Addr<Schedulers>,
+    urgent: Addr<UrgentDesk>,
+}
+
+impl Entry {
+    /// Starts all actors and both servers. The store need not be reachable.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EntryError::Listen`] if a socket cannot be used.
+    pub fn start(settings: Settings, listeners: Listeners) -> Result<Self, EntryError> {
+        let context = Context::new(settings);
+        let clients = Clients::new(&context.settings);
+        let timer = Timer::default().start();
+        let drivers = Drivers::default();
+        let config = ConfigActor::new(context.clone(), clients.clone(), timer.clone()).start();
+        let members = Members::new(context.clone(), clients.clone(), timer.clone(), config.clone()).start();
+        let urgent = UrgentDesk::new(context.clone(), clients.clone(), timer.clone()).start();
+        let schedulers =
+            Schedulers::new(context.clone(), clients.clone(), timer, urgent.clone(), drivers.clone()).start();
+        let intake = Intake::new(context.clone(), clients, drivers.clone(), urgent.clone()).start();
+        let server = PeerServer {
+            context: context.clone(),
+            members,
+            config: config.clone(),
+            urgent: urgent.clone(),
+            drivers,
+        };
+        let peer_stop = serve_peers(server, &context.settings, listeners.peer)?;
+        let state = ApiState {
+            open: Arc::new(OpenRequests::new(context.settings.max_open_requests)),
+            context: context.clone(),
+            config,
+            intake,
+        };
+        let (http, http_address) = serve_http(&state, listeners.http)?;
+        let event = Event::new(EventKind::InstanceStarted).data_centre(context.settings.data_centre.clone());
+        context.journal.push(event.cause(context.settings.instance.as_str()));
+        Ok(Self {
+            context,
+            http,
+            http_address,
+            peer_stop: Some(peer_stop),
+            schedulers,
+            urgent,
+        })
+    }
+
+    /// Returns the address of the HTTP interface.
+    pub const fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Stops by plan: no request is interrupted, and scheduling leases and grants are given up.
+    pub async fn stop(mut self) {
+        let settings = self.context.settings.clone();
+        let instance = settings.instance.as_str();
+        let note = |kind| self.context.journal.push(Event::new(kind).cause(instance));
+        note(EventKind::InstanceStopping);
+        // From here on readiness fails and the balancer sends callers elsewhere; those who still come are served.
+        self.context.board.set_stopping();
+        sleep(Duration::from_millis(settings.balancer_drain_ms)).await;
+        // A successor can schedule while the last requests are answered here.
+        let _ = self.schedulers.send(StopScheduling).await;
+        self.http.stop(true).await;
+        let _ = self.urgent.send(Flush).await;
+        if let Some(stop) = self.peer_stop.take() {
+            let _ = stop.send(());
+        }
+        note(EventKind::InstanceStopped);
+    }
+}
+
+fn serve_peers(
+    server: PeerServer,
+    settings: &Settings,
+    listener: std::net::TcpListener,
+) -> Result<oneshot::Sender<()>, EntryError> {
+    let listen = |source| EntryError::Listen {
+        address: settings.peer_address,
+        source,
+    };
+    listener.set_nonblocking(true).map_err(listen)?;
+    let incoming = TcpListenerStream::new(tokio::net::TcpListener::from_std(listener).map_err(listen)?);
+    let (stop, stopped) = oneshot::channel();
+    let service = PeerService::new(server).max_decoding_message_size(PeerLinks::MAX_MESSAGE_BYTES);
+    let serving = tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(PeerLinks::KEEP_ALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(PeerLinks::KEEP_ALIVE_TIMEOUT))
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming_shutdown(incoming, async {
+            // A dropped sender stops the server as well.
+            let _ = stopped.await;
+        });
+    actix_rt::spawn(async move {
+        if let Err(error) = serving.await {
+            spdlog::error!("peer interface ended", kv: { cause = error.to_string() });
+        }
+    });
+    Ok(stop)
+}
+
+fn serve_http(state: &ApiState, listener: std::net::TcpListener) -> Result<(ServerHandle, SocketAddr), EntryError> {
+    let settings = state.context.settings.clone();
+    let listen = |source| EntryError::Listen {
+        address: settings.http_address,
+        source,
+    };
+    let address = listener.local_addr().map_err(listen)?;
+    let state = state.clone();
+    let server = HttpServer::new(move || App::new().configure(|app| routes(&state, app)))
+        .workers(1)
+        .disable_signals()
+        .keep_alive(KEEP_ALIVE)
+        .shutdown_timeout(settings.stop_timeout_ms.div_ceil(1_000))
+        .listen(listener)
+        .map_err(listen)?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            spdlog::error!("http interface ended", kv: { cause = error.to_string() });
+        }
+    });
+    Ok((handle, address))
+}
--- /dev/null
+++ b/crates/entry/src/http/config.rs
@@ -0,0 +1,40 @@
+use actix_web::http::header::{ETAG, IF_MATCH};
+use actix_web::{HttpRequest, HttpResponse, web};
+use model::{Config, ConfigVersion};
+
+use super::ApiState;
+use crate::config::{PutConfig, ReadConfig, config_status};
+use crate::{Answered, ApiError};
+
+pub(super) async fn read(state: web::Data<ApiState>) -> Answered {
+    let config = state.config.send(ReadConfig).await??;
+    Ok(respond(&config))
+}
+
+pub(super) async fn put(state: web::Data<ApiState>, request: HttpRequest, config: web::Json<Config>) -> Answered {
+    let put = PutConfig {
+        config: config.into_inner(),
+        based_on: if_match(&request)?,
+    };
+    let config = state.config.send(put).await??;
+    Ok(respond(&config))
+}
+
+pub(super) async fn status(state: web::Data<ApiState>) -> Answered {
+    Ok(HttpResponse::Ok().json(config_status(&state.context)))
+}
+
+fn respond(config: &Config) -> HttpResponse {
+    HttpResponse::Ok()
+        .insert_header((ETAG, format!("\"{}\"", config.version)))
+        .json(config)
+}
+
+fn if_match(request: &HttpRequest) -> Result<ConfigVersion, ApiError> {
+    let header = request.headers().get(IF_MATCH).ok_or(ApiError::IfMatchRequired)?;
+    let text = header.to_str().unwrap_or_default().trim().trim_matches('"');
+    let version = text.parse().map_err(|_| ApiError::InvalidParameter {
+        reason: format!("If-Match is {text:?}; expected a version such as 17").into(),
+    })?;
+    Ok(ConfigVersion(version))
+}
--- /dev/null
+++ b/crates/entry/src/http/jobs.rs
@@ -0,0 +1,114 @@
+use std::time::Duration;
+
+use actix_web::{HttpResponse, web};
+use model::{JobId, JobSpec, OrganisationId, Outcome, RequestId};
+use serde::Deserialize;
+use trace::{Event, EventKind};
+
+use super::ApiState;
+use crate::jobs::{AuditJob, CancelRequest, JobReply, ListJobs, ReadAnswer, ReadStatus, SubmitJob};
+use crate::{Answered, ApiError, JobPage};
+
+/// Jobs in a page of the listing, by default and at most.
+const DEFAULT_LIMIT: u32 = 100;
+const MAX_LIMIT: u32 = 1_000;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Wait {
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Page {
+    organisation: Option<String>,
+    #[serde(default)]
+    after: String,
+    limit: Option<u32>,
+}
+
+pub(super) async fn submit(
+    state: web::Data<ApiState>,
+    wait: web::Query<Wait>,
+    spec: web::Json<JobSpec>,
+) -> Result<HttpResponse, ApiError> {
+    let context = &state.context;
+    let job = spec.id();
+    let wait = Duration::from_millis(wait.wait_ms.min(context.settings.max_wait_ms));
+    let submit = SubmitJob {
+        spec: spec.into_inner(),
+        wait,
+    };
+    let reply = state.intake.send(submit).await?;
+    match &reply {
+        Ok(reply) => note(&state, &job, &reply.outcome),
+        Err(error) => {
+            context.metrics.refusals.with_label_values(&[error.code()]).inc();
+            let event = Event::new(EventKind::RequestRefused).job(job);
+            context.journal.push(event.cause(error.code()));
+        }
+    }
+    Ok(respond(&reply?))
+}
+
+fn note(state: &ApiState, job: &JobId, outcome: &Outcome) {
+    let kind = match outcome {
+        Outcome::Indeterminate => EventKind::RequestIndeterminate,
+        Outcome::InProgress => return,
+        _ => EventKind::RequestAnswered,
+    };
+    state.context.journal.push(Event::new(kind).job(job.clone()));
+}
+
+/// A final outcome is 200, one that is still open is 202.
+fn respond(reply: &JobReply) -> HttpResponse {
+    match reply.outcome {
+        Outcome::InProgress | Outcome::Indeterminate => HttpResponse::Accepted().json(reply),
+        _ => HttpResponse::Ok().json(reply),
+    }
+}
+
+pub(super) async fn status(state: web::Data<ApiState>, path: web::Path<(String, String)>) -> Answered {
+    let status = state.intake.send(ReadStatus(job_id(&path)?)).await??;
+    Ok(HttpResponse::Ok().json(status))
+}
+
+pub(super) async fn answer(state: web::Data<ApiState>, path: web::Path<(String, String)>) -> Answered {
+    let answer = state.intake.send(ReadAnswer(job_id(&path)?)).await??;
+    Ok(HttpResponse::Ok().json(answer))
+}
+
+pub(super) async fn cancel(state: web::Data<ApiState>, path: web::Path<(String, String)>) -> Answered {
+    let reply = state.intake.send(CancelRequest(job_id(&path)?)).await??;
+    Ok(respond(&reply))
+}
+
+pub(super) async fn audit(state: web::Data<ApiState>, path: web::Path<(String, String)>) -> Answered {
+    let audit = state.intake.send(AuditJob(job_id(&path)?)).await??;
+    Ok(HttpResponse::Ok().json(audit))
+}
+
+pub(super) async fn list(state: web::Data<ApiState>, page: web::Query<Page>) -> Answered {
+    let page = page.into_inner();
+    let limit = page.limit.unwrap_or(DEFAULT_LIMIT);
+    if limit == 0 || limit > MAX_LIMIT {
+        let reason = format!("limit is {limit}; allowed are 1 to {MAX_LIMIT}").into();
+        return Err(ApiError::InvalidParameter { reason });
+    }
+    if !page.after.is_empty() {
+        page.after.parse::<JobId>()?;
+    }
+    let list = ListJobs {
+        organisation: page.organisation.map(OrganisationId::new).transpose()?,
+        after: page.after,
+        limit,
+    };
+    let page: JobPage = state.intake.send(list).await??;
+    Ok(HttpResponse::Ok().json(page))
+}
+
+fn job_id(path: &(String, String)) -> Result<JobId, ApiError> {
+    Ok(JobId::new(OrganisationId::new(&path.0)?, RequestId::new(&path.1)?))
+}
--- /dev/null
+++ b/crates/entry/src/jobs/homes_cache.rs
@@ -0,0 +1,58 @@
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use model::{Config, DataCentreId, OrganisationId, Topology};
+use store::Listing;
+
+use crate::scheduling::{homes, topology_of};
+
+/// Topology and homes of the organisations' guarantees, computed once for each configuration and list.
+#[derive(Debug, Default)]
+pub(super) struct HomesCache {
+    entry: RefCell<Option<Entry>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    config: Arc<Config>,
+    listing: Arc<Listing>,
+    topology: Arc<Topology>,
+    homes: HashMap<OrganisationId, BTreeSet<DataCentreId>>,
+}
+
+impl HomesCache {
+    pub(super) fn topology(&self, config: &Arc<Config>, listing: &Arc<Listing>) -> Arc<Topology> {
+        let mut entry = self.entry.borrow_mut();
+        Self::current(&mut entry, config, listing).topology.clone()
+    }
+
+    /// Returns the data centres that provide the organisation's guaranteed shapes.
+    pub(super) fn homes(
+        &self,
+        config: &Arc<Config>,
+        listing: &Arc<Listing>,
+        organisation: &OrganisationId,
+    ) -> BTreeSet<DataCentreId> {
+        let mut entry = self.entry.borrow_mut();
+        let entry = Self::current(&mut entry, config, listing);
+        let topology = entry.topology.clone();
+        let known = entry.homes.entry(organisation.clone());
+        known.or_insert_with(|| homes(&topology, config, organisation)).clone()
+    }
+
+    fn current<'a>(entry: &'a mut Option<Entry>, config: &Arc<Config>, listing: &Arc<Listing>) -> &'a mut Entry {
+        let is_current = entry
+            .as_ref()
+            .is_some_and(|entry| Arc::ptr_eq(&entry.config, config) && Arc::ptr_eq(&entry.listing, listing));
+        if !is_current {
+            *entry = None;
+        }
+        entry.get_or_insert_with(|| Entry {
+            config: config.clone(),
+            listing: listing.clone(),
+            topology: Arc::new(topology_of(listing)),
+            homes: HashMap::new(),
+        })
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,54 @@
-//! Placeholder.
+//! Entry daemon of galenaspool: the actors of one instance and its HTTP interface.
+//!
+//! ```no_run
+//! use conf::Settings;
+//! use entry::{Entry, Listeners};
+//!
+//! # fn example(settings: Settings) -> Result<(), entry::EntryError> {
+//! actix::System::new().block_on(async {
+//!     let listeners = Listeners::bind(&settings)?;
+//!     let entry = Entry::start(settings, listeners)?;
+//!     entry.stop().await;
+//!     Ok(())
+//! })
+//! # }
+//! ```
+//!
+//! - [`Entry`], [`Listeners`]: start and planned stop of an instance
+//! - [`ApiError`], [`Problem`]: errors of the HTTP interface
+//! - [`JobReply`], [`JobStatus`], [`JobPage`], [`Audit`]: replies about jobs
+//! - [`ConfigStatus`], [`ServiceChange`], [`PeerView`], [`TimelinePage`]: replies to operators
+//!
+//! Inside, each state has one owner: the configuration actor, the membership actor, an elector and a driver for each data
+//! centre, and the urgent desk. They publish what others read on a board of watch channels.
+
+mod api_error;
+mod board;
+mod clock;
+mod config;
+mod context;
+mod entry_error;
+mod entry_node;
+mod http;
+mod jobs;
+mod journal;
+mod listeners;
+mod members;
+mod metrics;
+mod problem;
+mod scheduling;
+mod timeline_page;
+mod urgent;
+
+pub use api_error::ApiError;
+pub use config::{ConfigStatus, DataCentreConfig, InForce, InstanceConfig, ServiceChange, ServiceState};
+pub use entry_error::EntryError;
+pub use entry_node::Entry;
+pub use jobs::{Audit, JobPage, JobReply, JobStatus};
+pub use listeners::Listeners;
+pub use members::{PeerStatus, PeerView};
+pub use problem::Problem;
+pub use timeline_page::TimelinePage;
+
+/// Result of a handler of the HTTP interface.
+pub(crate) type Answered = Result<actix_web::HttpResponse, ApiError>;
--- /dev/null
+++ b/crates/entry/src/listeners.rs
@@ -0,0 +1,35 @@
+use std::net::{SocketAddr, TcpListener};
+
+use conf::Settings;
+
+use crate::EntryError;
+
+/// Sockets of an entry daemon, bound before it starts so that a busy address is an error at once.
+#[derive(Debug)]
+pub struct Listeners {
+    pub(crate) http: TcpListener,
+    pub(crate) peer: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EntryError::Listen`] with the address that cannot be bound.
+    pub fn bind(settings: &Settings) -> Result<Self, EntryError> {
+        Ok(Self {
+            http: listen(settings.http_address)?,
+            peer: listen(settings.peer_address)?,
+        })
+    }
+
+    /// Takes sockets that are bound already.
+    pub const fn new(http: TcpListener, peer: TcpListener) -> Self {
+        Self { http, peer }
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address).map_err(|source| EntryError::Listen { address, source })
+}
--- /dev/null
+++ b/crates/entry/src/members/mod.rs
@@ -0,0 +1,15 @@
+//! Membership: heartbeats between instances, the platform's list, and the gRPC interface.
+
+mod convert;
+mod member_view;
+mod members_actor;
+mod peer_links;
+mod peer_server;
+mod peer_view;
+
+pub(crate) use convert::{peer_state, peer_view};
+pub(crate) use member_view::MemberView;
+pub(crate) use members_actor::{Beat, Members};
+pub(crate) use peer_links::PeerLinks;
+pub(crate) use peer_server::PeerServer;
+pub use peer_view::{PeerStatus, PeerView};
--- /dev/null
+++ b/crates/entry/src/members/peer_view.rs
@@ -0,0 +1,56 @@
+use model::{ConfigVersion, DataCentreId, Epoch, InstanceId};
+use serde::{Deserialize, Serialize};
+
+/// State of an instance as this one sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerView {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Data centre of the instance.
+    pub data_centre: DataCentreId,
+    /// Whether it answers.
+    pub status: PeerStatus,
+    /// Age of this state in milliseconds.
+    pub age_ms: u64,
+    /// Version of the configuration in force there.
+    pub config_version: ConfigVersion,
+    /// Start of the process in milliseconds of Unix time.
+    pub started_unix_ms: u64,
+    /// Number of the heartbeat that carried the state.
+    pub heartbeat: u64,
+    /// Whether it stops by plan.
+    pub stopping: bool,
+    /// Whether it reaches the store.
+    pub store_reachable: bool,
+    /// Data centre that it schedules, with the epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scheduler_of: Option<(DataCentreId, Epoch)>,
+    /// Granted slots that it holds.
+    pub granted_slots: u32,
+    /// Granted slots in use.
+    pub busy_slots: u32,
+    /// Whether operators took its data centre out through it while the store was away.
+    pub local_out: bool,
+    /// Free accelerators of the data centre that it schedules.
+    pub free_accelerators: u32,
+}
+
+/// Whether an instance answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerStatus {
+    /// Heard from in time.
+    Live,
+    /// Silent; gets no forwarded requests.
+    Suspect,
+    /// Silent for long, not listed as live by the platform, or never heard from.
+    #[default]
+    Dead,
+}
+
+impl PeerView {
+    /// Returns whether requests may be passed to the instance.
+    pub fn takes_requests(&self) -> bool {
+        self.status == PeerStatus::Live && !self.stopping
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduling/driver_epoch.rs
@@ -0,0 +1,185 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use actix::prelude::*;
+use model::Epoch;
+use sched::{Input, Scheduler};
+use store::{ListedState, Listing};
+
+use super::active::Active;
+use super::grant_book::GrantBook;
+use super::{Driver, Release, new_policy, topology_of};
+
+/// An epoch must last this long before new workers end it, so that workers which appear one by one are taken together.
+const MIN_EPOCH_MS: u64 = 5_000;
+
+/// Begin, course and end of an epoch.
+impl Driver {
+    pub(super) fn retire(&mut self) {
+        self.active = None;
+        // Dropping the waiters makes callers ask the successor.
+        self.waiters.clear();
+        let dc = self.data_centre.as_str();
+        self.shared.metrics.scheduler_epoch.with_label_values(&[dc]).set(0);
+        self.shared.board.free_accelerators.send_modify(|free| {
+            free.remove(&self.data_centre);
+        });
+    }
+
+    pub(super) fn elected(&mut self, epoch: Epoch, ctx: &mut Context<Self>) {
+        self.retire();
+        let listing = self.shared.board.listing();
+        let inside = || {
+            listing
+                .workers
+                .iter()
+                .filter(|worker| worker.data_centre == self.data_centre)
+        };
+        let policy = new_policy(&topology_of(&listing), &self.data_centre);
+        let settings = self.scheduler_settings(&listing);
+        let workers = inside().map(|worker| worker.id.clone()).collect();
+        let instance = self.shared.settings.instance.clone();
+        let scheduler = Scheduler::new(settings, policy, instance, self.data_centre.clone(), workers);
+        self.active = Some(Active {
+            epoch,
+            elected_ms: self.shared.clock.now_ms(),
+            scheduler,
+            addresses: inside()
+                .map(|worker| (worker.id.clone(), worker.address.clone()))
+                .collect(),
+            leaving: BTreeSet::new(),
+            grants: GrantBook::default(),
+            delivering: BTreeSet::new(),
+            wanted: BTreeMap::new(),
+            config: None,
+            store_reachable: true,
+            stepping_aside: false,
+            stopping_for_good: false,
+        });
+        let dc = self.data_centre.as_str();
+        self.shared
+            .metrics
+            .scheduler_epoch
+            .with_label_values(&[dc])
+            .set(epoch.0 as i64);
+        self.configure(ctx);
+        self.feed(Input::Elected { epoch }, ctx);
+        self.follow_listing(ctx);
+    }
+
+    pub(super) fn scheduler_settings(&self, listing: &Listing) -> sched::Settings {
+        let settings = &self.shared.settings;
+        let mut scheduler = sched::Settings {
+            slot_lease_ttl_ms: settings.slot_lease_ttl_ms,
+            reserve_lease_ttl_ms: settings.reserve_lease_ttl_ms,
+            worker_renew_interval_ms: settings.worker_renew_interval_ms,
+            worker_timeout_ms: settings.worker_timeout_ms,
+            ..sched::Settings::default()
+        };
+        if let Some(resources) = crate::urgent::grant_resources(listing, &self.data_centre) {
+            scheduler.grant_resources = resources;
+        }
+        scheduler
+    }
+
+    /// Passes a changed configuration on; an out is in force here as soon as the scheduler has it.
+    pub(super) fn configure(&mut self, ctx: &mut Context<Self>) {
+        let effective = self.shared.board.config().effective.clone();
+        let Some(active) = &mut self.active else { return };
+        if let Some(config) = effective
+            && active.config.as_ref() != Some(&config)
+        {
+            active.config = Some(config.clone());
+            self.feed(Input::Configured { config }, ctx);
+        }
+    }
+
+    pub(super) fn tick(&mut self, ctx: &mut Context<Self>) {
+        if self.active.is_none() {
+            return;
+        }
+        self.configure(ctx);
+        let reachable = self.shared.board.is_store_reachable();
+        if let Some(active) = &mut self.active
+            && active.store_reachable != reachable
+        {
+            active.store_reachable = reachable;
+            self.feed(Input::StoreReachable(reachable), ctx);
+        }
+        self.feed(Input::Tick, ctx);
+    }
+
+    /// Passes leaving workers on, and starts a new epoch if the platform lists new workers.
+    pub(super) fn follow_listing(&mut self, ctx: &mut Context<Self>) {
+        let listing = self.shared.board.listing();
+        let now_ms = self.shared.clock.now_ms();
+        let Some(active) = &mut self.active else { return };
+        let mut left = Vec::new();
+        let mut is_new = false;
+        for worker in listing
+            .workers
+            .iter()
+            .filter(|worker| worker.data_centre == self.data_centre)
+        {
+            match active.addresses.get_mut(&worker.id) {
+                Some(address) => address.clone_from(&worker.address),
+                None => is_new |= worker.state == ListedState::Live,
+            }
+            if worker.state == ListedState::Live {
+                // The scheduler gives a worker up that left; one that stays after all is taken in like a new one.
+                is_new |= active.leaving.contains(&worker.id);
+            } else if active.leaving.insert(worker.id.clone()) {
+                left.push(worker.id.clone());
+            }
+        }
+        let is_due = now_ms.saturating_sub(active.elected_ms) >= MIN_EPOCH_MS;
+        for worker in left {
+            self.feed(Input::WorkerLeaving { worker }, ctx);
+        }
+        if is_new && is_due {
+            // The scheduler's workers are fixed for an epoch; the next one adopts all running work.
+            self.step_aside(false, ctx);
+        }
+    }
+
+    /// Hands the work over and then releases the lease.
+    pub(super) fn step_aside(&mut self, for_good: bool, ctx: &mut Context<Self>) {
+        match &mut self.active {
+            Some(active) => {
+                active.stopping_for_good |= for_good;
+                if !std::mem::replace(&mut active.stepping_aside, true) {
+                    self.feed(Input::Stopping, ctx);
+                }
+            }
+            None => {
+                if let Some(elector) = &self.elector {
+                    elector.do_send(Release { for_good });
+                }
+            }
+        }
+    }
+
+    pub(super) fn publish_figures(&self) {
+        let Some(active) = &self.active else { return };
+        let stats = active.scheduler.stats();
+        let dc = self.data_centre.as_str();
+        let figure = |name, value: i64| {
+            self.shared
+                .metrics
+                .scheduler_figures
+                .with_label_values(&[dc, name])
+                .set(value);
+        };
+        figure("queued_jobs", stats.queued_jobs.into());
+        figure("running_jobs", stats.running_jobs.into());
+        figure("total_accelerators", stats.total_accelerators.into());
+        figure("used_accelerators", stats.used_accelerators.into());
+        figure("fragmentation_permille", (stats.fragmentation_ratio * 1_000.0) as i64);
+        figure("largest_gang_accelerators", stats.largest_gang_accelerators.into());
+        figure("quarantined_workers", stats.quarantined_workers.into());
+        figure("lost_guarantees", stats.lost_guarantees.into());
+        let free = stats.total_accelerators.saturating_sub(stats.used_accelerators);
+        self.shared.board.free_accelerators.send_modify(|all| {
+            all.insert(self.data_centre.clone(), free);
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduling/driver_grants.rs
@@ -0,0 +1,136 @@
+use actix::prelude::*;
+use model::{Epoch, InstanceId, LeaseId, WorkerId};
+use net::peer::{GrantUpdate, UpdateGrantsReply, UpdateGrantsRequest};
+use sched::Input;
+
+use super::Driver;
+use super::driver::SYNC_INTERVAL;
+use crate::members::{PeerLinks, PeerStatus};
+use crate::urgent::UpdateGrants;
+
+/// Delivery of grants to the instances of the data centre.
+impl Driver {
+    /// Asks each live instance of the data centre what it wants and has given up, and forgets grants of gone ones.
+    pub(super) fn sync_grants(&mut self, ctx: &mut Context<Self>) {
+        self.deliver_grants(true, ctx);
+        let members = self.shared.board.members();
+        let own = self.shared.settings.instance.clone();
+        let gone = |instance: &InstanceId| {
+            *instance != own
+                && members
+                    .peer(instance)
+                    .is_none_or(|peer| peer.status == PeerStatus::Dead)
+        };
+        if let Some(active) = &mut self.active {
+            active.grants.forget(gone);
+        }
+    }
+
+    pub(super) fn grant_ended(&mut self, epoch: Epoch, worker: WorkerId, lease: LeaseId, ctx: &mut Context<Self>) {
+        let Some(active) = self.active.as_mut().filter(|active| active.epoch == epoch) else {
+            return;
+        };
+        if active.grants.remove(lease) {
+            self.feed(Input::GrantReleased { worker, lease }, ctx);
+        }
+    }
+
+    /// Sends grants that instances have not confirmed; with `all`, asks every instance for its state as well.
+    pub(super) fn deliver_grants(&mut self, all: bool, ctx: &mut Context<Self>) {
+        let Some(active) = &self.active else { return };
+        let epoch = active.epoch;
+        let own = &self.shared.settings;
+        let members = self.shared.board.members();
+        let peers = members
+            .in_data_centre(&self.data_centre)
+            .filter(|peer| peer.status == PeerStatus::Live)
+            .map(|peer| peer.instance.clone());
+        let local = (own.data_centre == self.data_centre).then(|| own.instance.clone());
+        let mut calls = Vec::new();
+        for instance in local.into_iter().chain(peers) {
+            let updates = active.grants.undelivered(&instance);
+            if all || (!updates.is_empty() && !active.delivering.contains(&instance)) {
+                calls.push((instance, updates));
+            }
+        }
+        for (instance, updates) in calls {
+            self.send_grants(epoch, instance, updates, ctx);
+        }
+    }
+
+    pub(super) fn send_grants(
+        &mut self,
+        epoch: Epoch,
+        instance: InstanceId,
+        updates: Vec<GrantUpdate>,
+        ctx: &mut Context<Self>,
+    ) {
+        if let Some(active) = &mut self.active {
+            active.delivering.insert(instance.clone());
+        }
+        let request = UpdateGrantsRequest {
+            data_centre: self.data_centre.to_string(),
+            epoch: epoch.0,
+            updates: updates.clone(),
+        };
+        let (links, urgent) = (self.shared.links.clone(), self.urgent.clone());
+        let local = instance == self.shared.settings.instance;
+        let target = instance.clone();
+        let call = async move {
+            if local {
+                return urgent.send(UpdateGrants(request)).await.ok();
+            }
+            let update = |mut client: net::peer::peer_client::PeerClient<_>| async move {
+                client.update_grants(PeerLinks::request(request, SYNC_INTERVAL)).await
+            };
+            links.call(&target, SYNC_INTERVAL, update).await.ok()
+        };
+        ctx.spawn(call.into_actor(self).map(move |reply, act, ctx| {
+            if let Some(active) = &mut act.active {
+                active.delivering.remove(&instance);
+            }
+            if let Some(reply) = reply {
+                act.grants_synced(epoch, instance, &updates, &reply, ctx);
+            }
+        }));
+    }
+
+    pub(super) fn grants_synced(
+        &mut self,
+        epoch: Epoch,
+        instance: InstanceId,
+        updates: &[GrantUpdate],
+        reply: &UpdateGrantsReply,
+        ctx: &mut Context<Self>,
+    ) {
+        let Some(active) = self.active.as_mut().filter(|active| active.epoch == epoch) else {
+            return;
+        };
+        active.grants.confirm(updates);
+        for released in &reply.released {
+            if let (Ok(worker), Ok(lease)) = (released.worker.parse(), released.lease.parse()) {
+                self.grant_ended(epoch, worker, lease, ctx);
+            }
+        }
+        let wanted = reply.wanted_slots.min(u16::MAX.into()) as u16;
+        self.want(epoch, instance, wanted, ctx);
+    }
+
+    /// Tells the scheduler how many granted slots each live instance wants.
+    pub(super) fn want(&mut self, epoch: Epoch, instance: InstanceId, wanted: u16, ctx: &mut Context<Self>) {
+        let members = self.shared.board.members();
+        let own = self.shared.settings.instance.clone();
+        let Some(active) = self.active.as_mut().filter(|active| active.epoch == epoch) else {
+            return;
+        };
+        let is_live =
+            |id: &InstanceId| *id == own || members.peer(id).is_some_and(|peer| peer.status == PeerStatus::Live);
+        let before = active.wanted.clone();
+        active.wanted.retain(|id, _| is_live(id));
+        active.wanted.insert(instance, wanted);
+        if active.wanted != before {
+            let wanted_slots = active.wanted.iter().map(|(id, slots)| (id.clone(), *slots)).collect();
+            self.feed(Input::Instances { wanted_slots }, ctx);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/urgent/recent_ids.rs
@@ -0,0 +1,31 @@
+use std::collections::{HashMap, VecDeque};
+
+use model::JobId;
+
+/// Request ids of urgent idempotent requests that this instance served lately, with the digest of their bodies.
+///
+/// That path writes nothing to the store, so a reused id is recognised only here.
+#[derive(Debug, Default)]
+pub(super) struct RecentIds {
+    digests: HashMap<JobId, String>,
+    order: VecDeque<JobId>,
+}
+
+impl RecentIds {
+    const MAX_IDS: usize = 10_000;
+
+    /// Remembers a request and returns whether its id was used with another body.
+    pub(super) fn is_reused(&mut self, job: &JobId, digest: String) -> bool {
+        if let Some(known) = self.digests.get(job) {
+            return *known != digest;
+        }
+        if self.order.len() == Self::MAX_IDS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.digests.remove(&oldest);
+        }
+        self.order.push_back(job.clone());
+        self.digests.insert(job.clone(), digest);
+        false
+    }
+}
--- /dev/null
+++ b/crates/entry/src/urgent/recorder.rs
@@ -0,0 +1,153 @@
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use model::{JobId, JobRow};
+use serde_json::json;
+use store::{Expected, Resolved, Row, StoreError, Txn, Urgency};
+use tokio::sync::oneshot;
+
+use super::urgent_key;
+use crate::context::{Clients, Context as Shared};
+
+/// Writes the attempt records of urgent non-idempotent requests in batches.
+#[derive(Debug)]
+pub(super) struct Recorder {
+    shared: Shared,
+    clients: Clients,
+    pending: RefCell<Vec<Pending>>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    row: JobRow,
+    reply: oneshot::Sender<Result<u64, RecordError>>,
+}
+
+/// Why an attempt record was not written.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum RecordError {
+    /// The job has a row already.
+    Exists(Box<JobRow>, u64),
+    /// The store does not answer; the record is not written.
+    Unavailable,
+    /// The store does not answer; the record may be written or not.
+    Unknown,
+}
+
+impl Recorder {
+    /// Most records in one transaction.
+    pub(super) const MAX_BATCH: usize = 64;
+    /// Bound of reading back a batch. A record is useful only while its caller waits.
+    const READ_BACK: Duration = Duration::from_secs(2);
+
+    pub(super) fn new(shared: Shared, clients: Clients) -> Self {
+        Self {
+            shared,
+            clients,
+            pending: RefCell::default(),
+        }
+    }
+
+    /// Queues a row for the next batch. Returns the place where the result arrives and whether the batch just began.
+    pub(super) fn queue(&self, row: JobRow) -> (oneshot::Receiver<Result<u64, RecordError>>, bool) {
+        let (reply, receiver) = oneshot::channel();
+        let mut pending = self.pending.borrow_mut();
+        pending.push(Pending { row, reply });
+        (receiver, pending.len() == 1)
+    }
+
+    /// Returns whether no row is queued.
+    pub(super) fn is_idle(&self) -> bool {
+        self.pending.borrow().is_empty()
+    }
+
+    /// Writes all queued rows.
+    pub(super) async fn flush(&self) {
+        let mut pending = std::mem::take(&mut *self.pending.borrow_mut());
+        let mut batches = Vec::new();
+        // A repeated request id goes into a later batch, where it finds the row of the first.
+        let mut seen = HashSet::new();
+        let repeated: Vec<Pending> = pending
+            .extract_if(.., |pending| !seen.insert(pending.row.id()))
+            .collect();
+        while !pending.is_empty() {
+            let rest = pending.split_off(pending.len().min(Self::MAX_BATCH));
+            batches.push(self.write(std::mem::replace(&mut pending, rest)));
+        }
+        futures_util::future::join_all(batches).await;
+        for pending in repeated {
+            self.write(vec![pending]).await;
+        }
+    }
+
+    /// Writes one batch. A row that exists fails the whole transaction, so it is taken out and the rest tried again.
+    async fn write(&self, mut batch: Vec<Pending>) {
+        // A caller that gave up gets no record, since nothing will be dispatched for it.
+        batch.retain(|pending| !pending.reply.is_closed());
+        while !batch.is_empty() {
+            let Some(txn) = self.txn(&batch) else { return };
+            let result = self
+                .clients
+                .store
+                .commit_resolved(&txn, Urgency::Attempt, Self::READ_BACK)
+                .await;
+            match result {
+                Ok(Resolved::Written { versions }) => {
+                    self.shared.metrics.recorded_attempts.inc_by(batch.len() as u64);
+                    for (pending, versions) in batch.drain(..).zip(versions.chunks(2)) {
+                        let _ = pending.reply.send(Ok(versions[0]));
+                    }
+                }
+                Err(StoreError::Conflict { key, current }) => {
+                    let conflicting = batch.iter().position(|pending| pending.row.key() == key);
+                    let Some(index) = conflicting else {
+                        return fail(batch, &RecordError::Unavailable);
+                    };
+                    let pending = batch.swap_remove(index);
+                    let result = existing(current.as_ref()).map_or(Err(RecordError::Unavailable), |found| {
+                        // A lost reply may hide that this very record was written.
+                        if found.0 == pending.row {
+                            Ok(found.1)
+                        } else {
+                            Err(RecordError::Exists(Box::new(found.0), found.1))
+                        }
+                    });
+                    let _ = pending.reply.send(result);
+                }
+                Err(StoreError::Unavailable | StoreError::Rejected { .. }) => {
+                    return fail(batch, &RecordError::Unavailable);
+                }
+                Err(StoreError::Unknown) | Ok(Resolved::Superseded { .. }) => {
+                    return fail(batch, &RecordError::Unknown);
+                }
+            }
+        }
+    }
+
+    fn txn(&self, batch: &[Pending]) -> Option<Txn> {
+        let owner = json!({
+            "instance": self.shared.settings.instance,
+            "started_unix_ms": self.shared.clock.started_unix_ms(),
+        });
+        let mut txn = Txn::new();
+        for Pending { row, .. } in batch {
+            let job: JobId = row.id();
+            txn = txn
+                .put(row.key(), Expected::Absent, serde_json::to_value(row).ok()?)
+                .put(urgent_key(&row.data_centre, &job), Expected::Any, owner.clone());
+        }
+        Some(txn)
+    }
+}
+
+fn existing(row: Option<&Row>) -> Option<(JobRow, u64)> {
+    let row = row?;
+    Some((serde_json::from_value(row.value.clone()).ok()?, row.version))
+}
+
+fn fail(batch: Vec<Pending>, error: &RecordError) {
+    for pending in batch {
+        let _ = pending.reply.send(Err(error.clone()));
+    }
+}
