--- a/crates/entry/src/config/config_actor.rs
+++ b/crates/entry/src/config/config_actor.rs
@@ -176,8 +176,18 @@
             return Err(conflict(based_on, current.map(|(config, _)| config)));
         }
         config.version = based_on.next();
+        let listing = self.shared.board.listing();
+        let has_guarantees = config
+            .organisations
+            .iter()
+            .any(|organisation| !organisation.guarantees.is_empty());
+        if has_guarantees && listing.workers.is_empty() {
+            return Err(ApiError::NotReady {
+                reason: "guarantees cannot be checked before the platform's list of workers is known",
+            });
+        }
         let previous = current.as_ref().map(|(config, _)| config);
-        check_plan(&self.shared.board.listing(), previous, &config)?;
+        check_plan(&listing, previous, &config)?;
         proposal::commit(
             self.clients.store.as_ref(),
             &config,
--- a/crates/entry/src/config/overlay.rs
+++ b/crates/entry/src/config/overlay.rs
@@ -9,6 +9,7 @@
 impl Core {
     /// Removes the overlay of this instance; that of a peer can only be removed there.
     pub(super) fn lift_local_out(&self) -> Result<(), ApiError> {
+        self.refresh_overlay();
         let before = self.view.borrow().effective.clone();
         let mut view = self.view.borrow_mut();
         if let Some(instance) = view.local_out_by.clone() {
--- a/crates/entry/src/entry_node.rs
+++ b/crates/entry/src/entry_node.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use actix_rt::time::sleep;
+use actix_rt::task::JoinHandle;
+use actix_rt::time::{sleep, timeout};
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer};
 use conf::Settings;
@@ -25,13 +26,23 @@
 /// Idle connections of callers are closed after this time, which also bounds how long they delay a planned stop.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
+/// How long a planned stop waits for the streams of other instances to end after they were told to go away.
+const PEER_STOP: Duration = Duration::from_secs(2);
+
+/// Running gRPC interface.
+#[derive(Debug)]
+struct PeerInterface {
+    stop: oneshot::Sender<()>,
+    ended: JoinHandle<()>,
+}
+
 /// Running entry instance. It lives on the thread that started it, which must run an actix system.
 #[derive(Debug)]
 pub struct Entry {
     context: Context,
     http: ServerHandle,
     http_address: SocketAddr,
-    peer_stop: Option<oneshot::Sender<()>>,
+    peer: PeerInterface,
     schedulers: Addr<Schedulers>,
     urgent: Addr<UrgentDesk>,
 }
@@ -60,7 +71,7 @@
             urgent: urgent.clone(),
             drivers,
         };
-        let peer_stop = serve_peers(server, &context.settings, listeners.peer)?;
+        let peer = serve_peers(server, &context.settings, listeners.peer)?;
         let state = ApiState {
             open: Arc::new(OpenRequests::new(context.settings.max_open_requests)),
             context: context.clone(),
@@ -74,7 +85,7 @@
             context,
             http,
             http_address,
-            peer_stop: Some(peer_stop),
+            peer,
             schedulers,
             urgent,
         })
@@ -86,7 +97,7 @@
     }
 
     /// Stops by plan: no request is interrupted, and scheduling leases and grants are given up.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
         let settings = self.context.settings.clone();
         let instance = settings.instance.as_str();
         let note = |kind| self.context.journal.push(Event::new(kind).cause(instance));
@@ -98,8 +109,11 @@
         let _ = self.schedulers.send(StopScheduling).await;
         self.http.stop(true).await;
         let _ = self.urgent.send(Flush).await;
-        if let Some(stop) = self.peer_stop.take() {
-            let _ = stop.send(());
+        // Calls of other instances have ended with the grants; only their connections are left.
+        let _ = self.peer.stop.send(());
+        let ended = self.peer.ended.abort_handle();
+        if timeout(PEER_STOP, self.peer.ended).await.is_err() {
+            ended.abort();
         }
         note(EventKind::InstanceStopped);
     }
@@ -109,7 +123,7 @@
     server: PeerServer,
     settings: &Settings,
     listener: std::net::TcpListener,
-) -> Result<oneshot::Sender<()>, EntryError> {
+) -> Result<PeerInterface, EntryError> {
     let listen = |source| EntryError::Listen {
         address: settings.peer_address,
         source,
@@ -127,12 +141,12 @@
             // A dropped sender stops the server as well.
             let _ = stopped.await;
         });
-    actix_rt::spawn(async move {
+    let ended = actix_rt::spawn(async move {
         if let Err(error) = serving.await {
             spdlog::error!("peer interface ended", kv: { cause = error.to_string() });
         }
     });
-    Ok(stop)
+    Ok(PeerInterface { stop, ended })
 }
 
 fn serve_http(state: &ApiState, listener: std::net::TcpListener) -> Result<(ServerHandle, SocketAddr), EntryError> {
--- a/crates/entry/src/urgent/desk.rs
+++ b/crates/entry/src/urgent/desk.rs
@@ -129,6 +129,9 @@
                     retry_after_ms: Self::RETRY_MS,
                 });
             }
+            if self.shared.board.is_stopping() && self.pool.borrow().is_empty() {
+                return Err(Refusal::Stopping);
+            }
             self.wait(job).await?;
         }
     }
