fix(entry): urgent requests go to another instance when the only local worker fails

Cause: tests of jobs and the urgent path. All grants of an instance may lie on one worker; when that worker refused or failed everything, an idempotent request counted the same worker three times and failed, and a non-idempotent one was refused. Requests that waited for a grant looked at other instances only on arrival. Ruled out: stale heartbeats alone; with them corrected the burst of ten requests still stayed in one data centre. Change: failures count distinct workers; another instance is tried before a worker that failed already; waiting requests look around every 200 ms; a non-idempotent attempt that proved not to have started is recorded as such and then passed on.

--- a/crates/entry/src/urgent/desk.rs
+++ b/crates/entry/src/urgent/desk.rs
@@ -1,11 +1,13 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use actix::Addr;
 use model::{JobSpec, Outcome, Refusal, Resources, WorkerId};
 use timer::{Subscribe, Timer};
 use tokio::sync::oneshot;
 
+use super::demand::Demand;
 use super::grant_pool::{GrantPool, Ticket};
 use super::recent_ids::RecentIds;
 use super::recorder::Recorder;
@@ -24,6 +26,7 @@
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) recent: RefCell<RecentIds>,
     pub(super) recorder: Recorder,
+    pub(super) demand: RefCell<Demand>,
     waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
     /// Rows of ended attempts that are still to be written.
     pub(super) closing: Cell<usize>,
@@ -55,6 +58,8 @@
     const MAX_WAITING: usize = 1_024;
     /// When a refused caller should come back.
     pub(super) const RETRY_MS: u64 = 500;
+    /// Longest wait for a grant before the request looks at other instances again.
+    const LOOK_AROUND: Duration = Duration::from_millis(200);
     /// Most instances that may pass a request on.
     pub(super) const MAX_HOPS: u32 = 2;
 
@@ -68,6 +73,7 @@
             address: OnceCell::new(),
             pool: RefCell::default(),
             recent: RefCell::default(),
+            demand: RefCell::default(),
             waiting: RefCell::default(),
             closing: Cell::new(0),
         }
@@ -106,7 +112,6 @@
     /// Returns the refusal if nothing can run the request in time; it was dispatched nowhere.
     pub(super) async fn place(&self, job: &UrgentJob) -> Result<Place, Refusal> {
         let need = job.spec.need_per_part();
-        let mut forwarded = false;
         loop {
             if self.left_ms(job) == 0 {
                 return Err(Refusal::DeadlinePassed);
@@ -119,11 +124,13 @@
             if in_service && let Some(ticket) = self.pick(need, &job.avoid) {
                 return Ok(Place::Here(ticket));
             }
-            if !std::mem::replace(&mut forwarded, true)
-                && let Some(outcome) = self.forward(job).await
-            {
+            if let Some(outcome) = self.forward(job).await {
                 return Ok(Place::Served(outcome));
             }
+            // With no other worker left, one that failed before is better than none.
+            if in_service && let Some(ticket) = self.pick(need, &[]) {
+                return Ok(Place::Here(ticket));
+            }
             if !in_service {
                 return Err(Refusal::NoDataCentre {
                     retry_after_ms: Self::RETRY_MS,
@@ -136,16 +143,12 @@
         }
     }
 
-    fn pick(&self, need: Resources, avoid: &[WorkerId]) -> Option<Ticket> {
+    /// Takes a free grant on a worker that is not in `avoid`.
+    pub(super) fn pick(&self, need: Resources, avoid: &[WorkerId]) -> Option<Ticket> {
         let now_ms = self.shared.clock.now_ms();
         // A worker that missed two renewals probably does not answer.
         let fresh_ms = self.shared.settings.worker_renew_interval_ms * 2 + 500;
-        let mut pool = self.pool.borrow_mut();
-        let ticket = pool
-            .pick(now_ms, fresh_ms, need, avoid)
-            // With no other worker left, one that failed before is better than none.
-            .or_else(|| pool.pick(now_ms, fresh_ms, need, &[]));
-        drop(pool);
+        let ticket = self.pool.borrow_mut().pick(now_ms, fresh_ms, need, avoid);
         self.publish_slots();
         ticket
     }
@@ -166,6 +169,12 @@
         }
     }
 
+    /// Returns the number of requests that wait for a grant.
+    pub(super) fn waiting_count(&self) -> usize {
+        let waiting = self.waiting.borrow();
+        waiting.iter().filter(|waiter| !waiter.is_closed()).count()
+    }
+
     async fn wait(&self, job: &UrgentJob) -> Result<(), Refusal> {
         let (sender, receiver) = oneshot::channel();
         {
@@ -181,13 +190,11 @@
             waiting.push_back(sender);
         }
         self.shared.metrics.urgent_waiting.inc();
-        let left = std::time::Duration::from_millis(self.left_ms(job));
-        let woken = actix_rt::time::timeout(left, receiver).await;
+        let left = Duration::from_millis(self.left_ms(job)).min(Self::LOOK_AROUND);
+        // Woken or not, the request looks here and at other instances again.
+        let _ = actix_rt::time::timeout(left, receiver).await;
         self.shared.metrics.urgent_waiting.dec();
-        match woken {
-            Ok(_) => Ok(()),
-            Err(_) => Err(Refusal::DeadlinePassed),
-        }
+        Ok(())
     }
 
     /// Returns how much of the deadline is left.
@@ -231,7 +238,7 @@
     /// Arms the tick that writes the batch which has just begun.
     pub(super) fn arm_recorder(&self) {
         if let Some(address) = self.address.get() {
-            let interval = std::time::Duration::from_millis(self.shared.settings.record_batch_interval_ms);
+            let interval = Duration::from_millis(self.shared.settings.record_batch_interval_ms);
             self.timer
                 .do_send(Subscribe::once(interval, address.clone().recipient()).topic(RECORD));
         }
--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -26,6 +26,7 @@
     /// Runs an idempotent request; it may run again elsewhere if its outcome is lost.
     pub(super) async fn serve_idempotent(&self, job: &mut UrgentJob) -> Outcome {
         let mut may_have_run = false;
+        let mut failures = 0;
         let mut tries = 0;
         loop {
             let ticket = match self.place(job).await {
@@ -42,15 +43,14 @@
             let task = TaskId::new(job.spec.id(), attempt, 0);
             let result = self.run(job, &ticket, task).await;
             self.give_back(&ticket);
+            let is_other_worker = !job.avoid.contains(&ticket.worker);
             job.avoid.push(ticket.worker.clone());
             match result {
                 Ok(Verdict::Ran { answer, .. }) => return Outcome::Ran { answer },
-                Ok(Verdict::Failed { message, .. }) if tries >= Self::MAX_FAILURES => {
-                    return Outcome::Failed { message };
-                }
                 Ok(Verdict::Failed { message, .. }) => {
                     may_have_run = true;
-                    if !self.may_retry(job, tries).await {
+                    failures += usize::from(is_other_worker);
+                    if failures >= Self::MAX_FAILURES || !self.may_retry(job, tries).await {
                         return Outcome::Failed { message };
                     }
                 }
@@ -69,8 +69,8 @@
         }
     }
 
-    /// Failures on distinct workers after which an idempotent request counts as failed.
-    const MAX_FAILURES: u32 = 2;
+    /// Distinct workers on which an idempotent request may fail before it counts as failed.
+    const MAX_FAILURES: usize = 3;
 
     /// Runs a non-idempotent request at most once: the attempt record is durable before anything is dispatched.
     pub(super) async fn serve_once(&self, job: &mut UrgentJob) -> Outcome {
@@ -120,6 +120,9 @@
                     (ticket, task) = next;
                     continue;
                 }
+                if let Some(outcome) = self.pass_on(job, &row, version).await {
+                    return outcome;
+                }
             }
             let outcome = outcome_of(&verdict);
             self.close_row(row, version, &verdict);
@@ -127,10 +130,22 @@
         }
     }
 
+    /// Records that the attempt did not start, and then passes the request to another instance.
+    ///
+    /// The receiver takes a job over only when its row proves that it did not run. Returns `None` if that was not written.
+    async fn pass_on(&self, job: &UrgentJob, row: &JobRow, version: u64) -> Option<Outcome> {
+        let mut closed = row.clone();
+        close(&mut closed, &Verdict::NotStarted, Self::RETRY_MS);
+        match self.job_write(closed, version).commit(&self.clients.store).await {
+            WriteOutcome::Done { .. } => Some(self.forward(job).await.unwrap_or_else(|| refused(not_started()))),
+            _ => None,
+        }
+    }
+
     /// Makes a recorded attempt that proved not to have started one on another worker.
     async fn next_attempt(&self, job: &UrgentJob, row: &mut JobRow, version: &mut u64) -> Option<(Ticket, TaskId)> {
         let need = job.spec.need_per_part();
-        let ticket = self.pick_only(need, &job.avoid)?;
+        let ticket = self.pick(need, &job.avoid)?;
         let mut next = row.clone();
         let task = open_attempt(&mut next, &ticket, self.shared.clock.now_unix_ms());
         let written = self.job_write(next.clone(), *version).commit(&self.clients.store).await;
@@ -143,12 +158,6 @@
         Some((ticket, task))
     }
 
-    fn pick_only(&self, need: model::Resources, avoid: &[model::WorkerId]) -> Option<Ticket> {
-        let now_ms = self.shared.clock.now_ms();
-        let fresh_ms = self.shared.settings.worker_renew_interval_ms * 2;
-        self.pool.borrow_mut().pick(now_ms, fresh_ms, need, avoid)
-    }
-
     /// Sends the task to the worker and reads its end.
     ///
     /// # Errors
--- a/crates/entry/src/urgent/mod.rs
+++ b/crates/entry/src/urgent/mod.rs
@@ -1,6 +1,7 @@
 //! Urgent path: grants, dispatch to workers, batched attempt records, retries and forwarding.
 
 mod attempt_record;
+mod demand;
 mod desk;
 mod desk_grants;
 mod dispatch;
