--- /dev/null
+++ b/crates/policy/examples/cost.rs
@@ -0,0 +1,159 @@
+//! Measures the cost of a decision at several numbers of running tasks on the largest topology.
+//!
+//! `cargo run --release -p policy --example cost`
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use model::{Adjacency, Class, Config, DataCentreStatus, Guarantee, JobSpec, Organisation, Resources, Shape, Topology};
+use policy::{Decision, Event, GuaranteedShare, JobKey, Policy};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const ORGANISATIONS: usize = 34;
+const EVENTS: usize = 20_000;
+/// Decisions are made after this many events, as a scheduler with a short tick does.
+const EVENTS_PER_DECISION: usize = 4;
+
+fn config(topology: &Topology) -> Config {
+    let organisations = (0..ORGANISATIONS).map(|n| {
+        let organisation = Organisation::new(format!("org{n}").parse().expect("valid name")).weight(1 + n as u32 % 3);
+        let guarantee = |shape, count| Guarantee {
+            shape,
+            count,
+            data_centre: None,
+        };
+        organisation
+            .guarantee(guarantee(Shape::new(8, 8, Adjacency::Rack), 2))
+            .guarantee(guarantee(Shape::new(1, 4, Adjacency::Worker), 20))
+    });
+    Config {
+        organisations: organisations.collect(),
+        data_centres: (topology.data_centres.iter())
+            .map(|dc| DataCentreStatus {
+                id: dc.id.clone(),
+                in_service: true,
+            })
+            .collect(),
+        ..Config::default()
+    }
+}
+
+fn spec(rng: &mut SmallRng, number: usize) -> JobSpec {
+    let organisation = format!("org{}", rng.random_range(0..ORGANISATIONS))
+        .parse()
+        .expect("valid name");
+    let shape = match rng.random_range(0..100) {
+        0 => Shape::new(8, 8, Adjacency::Rack),
+        1..4 => Shape::new(4, 2, Adjacency::Rack),
+        4..10 => Shape::new(1, 2, Adjacency::Worker),
+        _ => Shape::new(1, 1, Adjacency::Worker),
+    };
+    JobSpec::new(organisation, format!("job-{number}").parse().expect("valid name"))
+        .shape(shape)
+        .class(if rng.random_bool(0.1) && shape.parts == 1 {
+            Class::Urgent
+        } else {
+            Class::Deferred
+        })
+        .idempotent(rng.random_bool(0.8))
+        .declared_run_ms(rng.random_range(1_000..600_000))
+}
+
+fn main() {
+    println!(
+        "{:>8} {:>8} {:>12} {:>12} {:>12} {:>10}",
+        "tasks", "queued", "event us", "decide us", "p99 us", "RSS KiB"
+    );
+    for tasks in [1_000, 2_000, 5_000, 10_000, 20_000] {
+        for queued in [0, 2_000] {
+            run(tasks, queued);
+        }
+    }
+}
+
+fn run(tasks: usize, queued: usize) {
+    let topology = Topology::uniform(4, 960, 8, Resources::new(24, 24, 96_000, 196_608));
+    let mut policy = GuaranteedShare::new(&topology);
+    policy.configure(0, &config(&topology)).expect("the guarantees fit");
+    for worker in topology.workers() {
+        let worker = policy.worker_key(&worker.id).expect("known worker");
+        policy.observe(0, Event::WorkerUp { worker });
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (mut now_ms, mut number) = (0, 0);
+    let mut running: VecDeque<(JobKey, u16)> = VecDeque::new();
+    let mut parts_running = 0;
+    let mut parts = std::collections::BTreeMap::new();
+    let mut out = Vec::new();
+    let (mut event_ns, mut decide_ns) = (0_u128, Vec::new());
+    let mut events = 0;
+    while events < EVENTS {
+        let full = parts_running >= tasks && policy.stats().queued_jobs as usize >= queued;
+        now_ms += 1;
+        let warm = full || events > 0;
+        for _ in 0..EVENTS_PER_DECISION {
+            let started = Instant::now();
+            let fed = if !full || running.is_empty() || rng.random_bool(0.5) {
+                number += 1;
+                let spec = spec(&mut rng, number);
+                let started = Instant::now();
+                let key = policy.submit(now_ms, &spec).expect("admitted");
+                let spent = started.elapsed();
+                parts.insert(key, spec.shape.parts);
+                spent
+            } else {
+                let index = rng.random_range(0..running.len());
+                let (job, width) = running.swap_remove_back(index).expect("in range");
+                parts_running -= usize::from(width);
+                parts.remove(&job);
+                policy.observe(now_ms, Event::Finished { job, run_ms: 60_000 });
+                started.elapsed()
+            };
+            if warm {
+                event_ns += fed.as_nanos();
+                events += 1;
+            }
+        }
+        out.clear();
+        let started = Instant::now();
+        policy.decide(now_ms, &mut out);
+        if warm {
+            decide_ns.push(started.elapsed().as_nanos());
+        }
+        for decision in &out {
+            match *decision {
+                Decision::Start { job, .. } => {
+                    policy.observe(now_ms, Event::Started { job });
+                    running.push_back((job, parts[&job]));
+                    parts_running += usize::from(parts[&job]);
+                }
+                Decision::Preempt { job, .. } => {
+                    policy.observe(now_ms, Event::Stopped { job, preserved_ms: 0 });
+                    if let Some(index) = running.iter().position(|entry| entry.0 == job) {
+                        let (_, width) = running.swap_remove_back(index).expect("in range");
+                        parts_running -= usize::from(width);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    decide_ns.sort_unstable();
+    let mean = decide_ns.iter().sum::<u128>() as f64 / decide_ns.len() as f64 / 1e3;
+    let p99 = decide_ns[decide_ns.len() * 99 / 100] as f64 / 1e3;
+    println!(
+        "{parts_running:>8} {:>8} {:>12.2} {mean:>12.2} {p99:>12.2} {:>10}",
+        policy.stats().queued_jobs,
+        event_ns as f64 / events as f64 / 1e3,
+        resident_kib()
+    );
+}
+
+/// Returns the resident size of this process, 0 where the system does not tell.
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0)
+}
--- a/crates/policy/src/arrange.rs
+++ b/crates/policy/src/arrange.rs
@@ -95,10 +95,9 @@
     while rest > 0 {
         let largest = candidates[order[next]].count;
         if largest >= rest {
-            let last = order[next..]
-                .iter()
-                .rev()
-                .find(|&&i| candidates[i].count >= rest)
+            let fitting = order[next..].iter().filter(|&&i| candidates[i].count >= rest);
+            let last = fitting
+                .min_by_key(|&&i| (candidates[i].count, i))
                 .expect("the largest holds the rest");
             chosen.push((candidates[*last].key, rest));
             return chosen;
--- a/crates/policy/tests/suite/support/sim.rs
+++ b/crates/policy/tests/suite/support/sim.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    fn finish_due(&mut self) {
+    pub fn finish_due(&mut self) {
         while let Some(&(at, job, stopped)) = self.due.first()
             && at <= self.now_ms
         {
