perf(standin): index tasks by state and change, accept many connections at once

Cause: a trial with 384 slots and 50 ms tasks ended at its first burst: connections beyond the backlog of 128 timed out. Each command also looked at all finished tasks, which are kept for 10 minutes. Ruled out: a limit in the client; the same client ran without a failure once the backlog was larger. Change: servers and links listen with a backlog of 2,048; running, ended and changed tasks have indexes; the log is paged; `--keep-ms` shortens how long results are kept.

--- a/crates/standin/src/platform/platform_server.rs
+++ b/crates/standin/src/platform/platform_server.rs
@@ -2,15 +2,15 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
+use actix_web::HttpResponse;
 use actix_web::web::{Bytes, Data, Json, JsonConfig, Path, PayloadConfig, Query, ServiceConfig, get, post, put};
-use actix_web::{App, HttpResponse, HttpServer};
 use serde::Deserialize;
 use store::{Listing, Txn, TxnReply};
 
 use super::platform_state::PlatformState;
 use super::{PlatformFaults, PlatformOptions};
 use crate::failure::Failure;
-use crate::running::listen;
+use crate::running::serve;
 use crate::{Running, StandinError};
 
 /// Stand-in for the platform.
@@ -61,15 +61,9 @@
         let shared = Data::new(Shared {
             state: Mutex::new(PlatformState::new(options, first_list)),
         });
-        let (listener, address) = listen(options.address)?;
-        let server = HttpServer::new(move || App::new().app_data(Data::clone(&shared)).configure(routes))
-            .workers(THREADS)
-            .disable_signals()
-            .shutdown_timeout(1);
-        let server = server
-            .listen(listener)
-            .map_err(|source| StandinError::Listen { address, source })?;
-        Ok(Running::new(address, server.run()))
+        serve(options.address, THREADS, move |config| {
+            config.app_data(Data::clone(&shared)).configure(routes);
+        })
     }
 }
 
--- a/crates/standin/src/relay/link.rs
+++ b/crates/standin/src/relay/link.rs
@@ -6,10 +6,10 @@
 
 use actix_rt::time::sleep;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use crate::{LinkMode, LinkOptions, LinkStatus};
+use crate::{LinkMode, LinkOptions, LinkStatus, StandinError};
 
 /// One link: accepts connections and passes them on according to its mode.
 #[derive(Debug)]
@@ -22,14 +22,19 @@
 }
 
 impl Link {
-    pub fn new(options: LinkOptions, listen: SocketAddr) -> Self {
-        Self {
+    /// Listens for the connections of a link.
+    pub fn new(options: LinkOptions) -> Result<(Self, TcpListener), StandinError> {
+        let address = options.listen;
+        let wrap = |source| StandinError::Listen { address, source };
+        let listener = listen(address).map_err(wrap)?;
+        let link = Self {
+            listen: listener.local_addr().map_err(wrap)?,
             options,
-            listen,
             mode: watch::Sender::new(LinkMode::Open),
             connections: AtomicUsize::new(0),
             accepted: AtomicU64::new(0),
-        }
+        };
+        Ok((link, listener))
     }
 
     pub fn name(&self) -> &str {
@@ -53,8 +58,8 @@
     }
 
     /// Accepts connections; closes the listener while the link is cut, so that new connections are refused.
-    pub async fn serve(self: Arc<Self>, listener: std::net::TcpListener) {
-        let mut listener = TcpListener::from_std(listener).ok();
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let mut listener = Some(listener);
         let mut mode = self.mode.subscribe();
         loop {
             if *mode.borrow_and_update() == LinkMode::Cut {
@@ -65,7 +70,7 @@
                 continue;
             }
             let Some(open) = &listener else {
-                listener = TcpListener::bind(self.listen).await.ok();
+                listener = listen(self.listen).ok();
                 if listener.is_none() {
                     sleep(Duration::from_millis(20)).await;
                 }
@@ -124,6 +129,18 @@
     }
 }
 
+/// Listens with a backlog that lets many clients connect at once.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(2048)
+}
+
 /// Copies bytes until the sender closes; drops them once the connection is silent.
 async fn copy(
     from: &mut (impl AsyncReadExt + Unpin),
--- a/crates/standin/src/relay/relay_server.rs
+++ b/crates/standin/src/relay/relay_server.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
+use actix_web::HttpResponse;
 use actix_web::web::{Data, Json, get, post};
-use actix_web::{App, HttpResponse, HttpServer};
 
 use super::link::Link;
-use crate::running::listen;
+use crate::running::serve;
 use crate::{LinkModeRequest, RelayOptions, Running, StandinError};
 
 /// TCP relay between processes.
@@ -20,32 +20,21 @@
     ///
     /// Returns [`StandinError`] if an address cannot be listened on.
     pub fn start(options: &RelayOptions) -> Result<Running, StandinError> {
-        let (control, address) = listen(options.control)?;
         let mut links = Vec::new();
         let mut helpers = Vec::new();
         for link in &options.links {
-            let (listener, listen) = listen(link.listen)?;
-            let wrap = |source| StandinError::Listen {
-                address: listen,
-                source,
-            };
-            listener.set_nonblocking(true).map_err(wrap)?;
-            let link = Arc::new(Link::new(link.clone(), listen));
+            let (link, listener) = Link::new(link.clone())?;
+            let link = Arc::new(link);
             helpers.push(actix_rt::spawn(Arc::clone(&link).serve(listener)));
             links.push(link);
         }
-        let links = Data::new(links);
-        let server = HttpServer::new(move || {
-            App::new()
+        let links = Links::new(links);
+        let mut running = serve(options.control, 1, move |config| {
+            config
                 .app_data(Links::clone(&links))
                 .route("/v1/links", get().to(show))
-                .route("/v1/links", post().to(set_mode))
-        });
-        let server = server.workers(1).disable_signals().shutdown_timeout(1);
-        let server = server
-            .listen(control)
-            .map_err(|source| StandinError::Listen { address, source })?;
-        let mut running = Running::new(address, server.run());
+                .route("/v1/links", post().to(set_mode));
+        })?;
         for helper in helpers {
             running.keep(helper);
         }
--- a/crates/standin/src/running.rs
+++ b/crates/standin/src/running.rs
@@ -1,8 +1,10 @@
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use actix_rt::task::JoinHandle;
 use actix_web::dev::{Server, ServerHandle};
+use actix_web::web::ServiceConfig;
+use actix_web::{App, HttpServer};
 
 use crate::StandinError;
 
@@ -16,7 +18,7 @@
 }
 
 impl Running {
-    pub(crate) fn new(address: SocketAddr, server: Server) -> Self {
+    fn new(address: SocketAddr, server: Server) -> Self {
         Self {
             address,
             handle: server.handle(),
@@ -68,10 +70,19 @@
     }
 }
 
-/// Listens on an address and returns the listener with the port that was chosen.
-pub(crate) fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StandinError> {
-    let wrap = |source| StandinError::Listen { address, source };
-    let listener = TcpListener::bind(address).map_err(wrap)?;
-    let address = listener.local_addr().map_err(wrap)?;
-    Ok((listener, address))
+/// Starts a server on an address.
+pub(crate) fn serve<A>(address: SocketAddr, threads: usize, app: A) -> Result<Running, StandinError>
+where
+    A: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+{
+    let server = HttpServer::new(move || App::new().configure(&app))
+        .workers(threads)
+        .disable_signals()
+        .shutdown_timeout(1);
+    // `bind` asks for a backlog of 2,048 connections, so that many clients can connect at once.
+    let server = server
+        .bind(address)
+        .map_err(|source| StandinError::Listen { address, source })?;
+    let address = server.addrs().first().copied().unwrap_or(address);
+    Ok(Running::new(address, server.run()))
 }
--- a/crates/standin/src/testing/cluster.rs
+++ b/crates/standin/src/testing/cluster.rs
@@ -179,7 +179,15 @@
     ///
     /// Panics if the workers do not reply.
     pub async fn log(&self) -> Vec<LogEntry> {
-        get::<LogPage>(&format!("{}/v1/log", self.workers.url())).await.entries
+        let mut entries: Vec<LogEntry> = Vec::new();
+        loop {
+            let after = entries.last().map_or(0, |entry| entry.sequence);
+            let page: LogPage = get(&format!("{}/v1/log?after={after}", self.workers.url())).await;
+            if page.entries.is_empty() {
+                return entries;
+            }
+            entries.extend(page.entries);
+        }
     }
 
     /// Returns the id of a worker from its numbers, which start at 1.
--- a/crates/standin/src/workers/journal.rs
+++ b/crates/standin/src/workers/journal.rs
@@ -15,7 +15,9 @@
 
 impl Journal {
     /// Most entries that are kept.
-    const MAX_ENTRIES: usize = 500_000;
+    const MAX_ENTRIES: usize = 2_000_000;
+    /// Most entries in one page, so that a reply stays below about 32 MB.
+    const MAX_PAGE: usize = 100_000;
 
     /// Counts a start of a part of a job; returns how many there were, this one included.
     pub fn count_start(&mut self, task: &TaskId) -> u32 {
@@ -38,7 +40,7 @@
     pub fn page(&self, after: u64) -> LogPage {
         let first = self.entries.partition_point(|entry| entry.sequence <= after);
         LogPage {
-            entries: self.entries.range(first..).cloned().collect(),
+            entries: self.entries.range(first..).take(Self::MAX_PAGE).cloned().collect(),
             dropped: self.dropped,
         }
     }
--- a/crates/standin/src/workers/lease.rs
+++ b/crates/standin/src/workers/lease.rs
@@ -28,5 +28,4 @@
 pub(super) struct Tombstone {
     /// `None` if the lease was revoked before it was granted.
     pub kind: Option<LeaseKind>,
-    pub buried_ms: u64,
 }
--- a/crates/standin/src/workers/worker_commands.rs
+++ b/crates/standin/src/workers/worker_commands.rs
@@ -96,14 +96,15 @@
         let concerns = |task: &&Task| {
             is_scheduler && task.kind == LeaseKind::Attempt || request.leases.contains(&task.report.lease)
         };
-        let newer = self.tasks.values().filter(|task| task.changed > request.after_sequence);
-        let mut changes: Vec<&Task> = newer.filter(concerns).collect();
-        changes.sort_by_key(|task| task.changed);
         let report = WorkerReport {
             worker: self.id.clone(),
             leaving: self.faults.leaving,
             sequence: self.sequence(),
-            changes: changes.into_iter().map(|task| task.report_at(now_ms)).collect(),
+            changes: self
+                .changed_after(request.after_sequence)
+                .filter(concerns)
+                .map(|task| task.report_at(now_ms))
+                .collect(),
             lapsed,
         };
         self.touch();
--- a/crates/standin/src/workers/worker_state.rs
+++ b/crates/standin/src/workers/worker_state.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::ops::Bound;
 
 use model::{DataCentreId, Epoch, Inventory, LeaseId, LeaseKind, RackId, Resources, TaskId, TaskReport, WorkerId};
 use net::{UsageEntry, UsagePage};
@@ -22,7 +23,14 @@
     pub(super) leases: BTreeMap<LeaseId, Lease>,
     pub(super) tombstones: HashMap<LeaseId, Tombstone>,
     pub(super) tasks: HashMap<TaskId, Task>,
+    running: BTreeSet<TaskId>,
+    /// Tasks in order of their ends, to forget them in time.
+    ended: VecDeque<(u64, TaskId)>,
+    /// Tasks by the sequence number of their last change.
+    changes: BTreeMap<u64, TaskId>,
+    buried: VecDeque<(u64, LeaseId)>,
     sequence: u64,
+    keep_ms: u64,
     usage: VecDeque<(u64, UsageEntry)>,
     base_unix_ms: u64,
     /// Before this instant nothing ends or lapses.
@@ -30,12 +38,17 @@
 }
 
 impl WorkerState {
-    /// How long finished results and ids of leases that are not live any more are kept.
-    pub const KEEP_MS: u64 = 600_000;
     /// Most usage entries that wait to be acknowledged.
     const MAX_USAGE: usize = 100_000;
 
-    pub fn new(id: WorkerId, data_centre: DataCentreId, rack: RackId, capacity: Resources, base_unix_ms: u64) -> Self {
+    pub fn new(
+        id: WorkerId,
+        data_centre: DataCentreId,
+        rack: RackId,
+        capacity: Resources,
+        base_unix_ms: u64,
+        keep_ms: u64,
+    ) -> Self {
         Self {
             id,
             data_centre,
@@ -47,6 +60,11 @@
             leases: BTreeMap::new(),
             tombstones: HashMap::new(),
             tasks: HashMap::new(),
+            running: BTreeSet::new(),
+            ended: VecDeque::new(),
+            changes: BTreeMap::new(),
+            buried: VecDeque::new(),
+            keep_ms,
             // Sequence numbers rise over restarts as well, because each life starts at its time in microseconds.
             sequence: base_unix_ms * 1000,
             usage: VecDeque::new(),
@@ -58,7 +76,7 @@
     /// Forgets everything but the faults and stays away until `down_until_ms`.
     pub fn kill(&mut self, now_ms: u64, down_ms: u64, journal: &mut Journal) {
         self.advance(now_ms, journal);
-        let running: Vec<TaskId> = self.running().map(|task| task.report.task.clone()).collect();
+        let running: Vec<TaskId> = self.running.iter().cloned().collect();
         for id in running {
             self.end_task(&id, now_ms, journal, |task, at| task.stop(at, "worker was killed"));
         }
@@ -66,6 +84,9 @@
         self.leases.clear();
         self.tombstones.clear();
         self.tasks.clear();
+        self.ended.clear();
+        self.changes.clear();
+        self.buried.clear();
         self.usage.clear();
         self.sequence = self.sequence.max((self.base_unix_ms + now_ms) * 1000);
         self.down_until_ms = now_ms + down_ms;
@@ -109,9 +130,7 @@
         for id in lapsed {
             self.bury(id, now_ms);
         }
-        let is_kept = |at_ms: u64| at_ms + Self::KEEP_MS > now_ms;
-        self.tombstones.retain(|_, tombstone| is_kept(tombstone.buried_ms));
-        self.tasks.retain(|_, task| task.ended_ms.is_none_or(is_kept));
+        self.forget(now_ms);
         let lease_due = self.leases.values().map(|lease| lease.expires_ms);
         let task_due = self.running().map(|task| task.ends_ms);
         // Without anything due, kept results are looked at once a second.
@@ -119,6 +138,19 @@
         !due.is_empty()
     }
 
+    /// Forgets finished results and ids of leases that are kept no longer.
+    fn forget(&mut self, now_ms: u64) {
+        let keep_ms = self.keep_ms;
+        while let Some((_, id)) = self.ended.pop_front_if(|(at_ms, _)| *at_ms + keep_ms <= now_ms) {
+            if let Some(task) = self.tasks.remove(&id) {
+                self.changes.remove(&task.changed);
+            }
+        }
+        while let Some((_, id)) = self.buried.pop_front_if(|(at_ms, _)| *at_ms + keep_ms <= now_ms) {
+            self.tombstones.remove(&id);
+        }
+    }
+
     /// Has the next call of `advance` look at everything again.
     pub(super) const fn touch(&mut self) {
         self.next_due_ms = 0;
@@ -137,6 +169,10 @@
         };
         end(task, at_ms);
         self.sequence += 1;
+        self.changes.remove(&task.changed);
+        self.changes.insert(self.sequence, id.clone());
+        self.running.remove(id);
+        self.ended.push_back((at_ms, id.clone()));
         task.changed = self.sequence;
         self.usage.push_back((
             at_ms,
@@ -161,17 +197,20 @@
     pub(super) fn add_task(&mut self, mut task: Task, now_ms: u64, journal: &mut Journal) {
         self.sequence += 1;
         task.changed = self.sequence;
+        let id = task.report.task.clone();
+        self.changes.insert(self.sequence, id.clone());
+        self.running.insert(id.clone());
         self.log(&task, LogEvent::Start, now_ms, journal);
-        self.tasks.insert(task.report.task.clone(), task);
+        self.tasks.insert(id, task);
         self.touch();
     }
 
     /// Removes a live lease and remembers its id.
     pub(super) fn bury(&mut self, id: LeaseId, now_ms: u64) {
         let kind = self.leases.remove(&id).map(|lease| lease.kind);
-        let tombstone = self.tombstones.entry(id).or_insert(Tombstone {
-            kind,
-            buried_ms: now_ms,
+        let tombstone = self.tombstones.entry(id).or_insert_with(|| {
+            self.buried.push_back((now_ms, id));
+            Tombstone { kind }
         });
         tombstone.kind = tombstone.kind.or(kind);
     }
@@ -183,7 +222,13 @@
     }
 
     pub(super) fn running(&self) -> impl Iterator<Item = &Task> {
-        self.tasks.values().filter(|task| task.is_running())
+        self.running.iter().filter_map(|id| self.tasks.get(id))
+    }
+
+    /// Returns the tasks that changed after a sequence number, in order of their changes.
+    pub(super) fn changed_after(&self, sequence: u64) -> impl Iterator<Item = &Task> {
+        let newer = self.changes.range((Bound::Excluded(sequence), Bound::Unbounded));
+        newer.filter_map(|(_, id)| self.tasks.get(id))
     }
 
     pub const fn sequence(&self) -> u64 {
@@ -209,7 +254,7 @@
 
     /// Forgets usage up to `after` and returns what follows, once it is older than the lag.
     pub fn usage(&mut self, after: u64, now_ms: u64, lag_ms: u64) -> UsagePage {
-        self.usage.retain(|(_, entry)| entry.sequence > after);
+        while self.usage.pop_front_if(|(_, entry)| entry.sequence <= after).is_some() {}
         let visible = self.usage.iter().take_while(|(at_ms, _)| at_ms + lag_ms <= now_ms);
         UsagePage {
             worker: self.id.clone(),
--- a/crates/standin/src/workers/workers_options.rs
+++ b/crates/standin/src/workers/workers_options.rs
@@ -15,6 +15,7 @@
     pub(crate) workers_per_rack: usize,
     pub(crate) capacity: Resources,
     pub(crate) usage_lag_ms: u64,
+    pub(crate) keep_ms: u64,
     pub(crate) register_interval_ms: u64,
 }
 
@@ -32,6 +33,7 @@
             workers_per_rack: 8,
             capacity: Resources::new(8, 8, 32_000, 65_536),
             usage_lag_ms: 2_000,
+            keep_ms: 600_000,
             register_interval_ms: 1_000,
         }
     }
@@ -58,6 +60,7 @@
                 number("memory-mib") as u32,
             ),
             usage_lag_ms: number("usage-lag-ms"),
+            keep_ms: number("keep-ms"),
             register_interval_ms: number("register-interval-ms"),
         }
     }
@@ -120,6 +123,12 @@
             ))
             .arg(number("memory-mib", 0..=most, "65536", "Memory of a worker in MiB"))
             .arg(number("usage-lag-ms", 0..=most, "2000", "Lag of usage reports"))
+            .arg(number(
+                "keep-ms",
+                0..=most,
+                "600000",
+                "How long finished results are kept",
+            ))
             .arg(number(
                 "register-interval-ms",
                 1..=most,
@@ -191,6 +200,15 @@
         self
     }
 
+    /// Sets how long finished results and ids of ended leases are kept, in milliseconds.
+    ///
+    /// A load test with many short tasks keeps them for less time to bound the memory.
+    #[must_use]
+    pub const fn keep_ms(mut self, keep_ms: u64) -> Self {
+        self.keep_ms = keep_ms;
+        self
+    }
+
     /// Sets the interval of registrations in milliseconds.
     #[must_use]
     pub const fn register_interval_ms(mut self, register_interval_ms: u64) -> Self {
--- a/crates/standin/src/workers/workers_server.rs
+++ b/crates/standin/src/workers/workers_server.rs
@@ -2,13 +2,12 @@
 
 use actix_rt::time::{interval, sleep};
 use actix_web::web::Data;
-use actix_web::{App, HttpServer};
 use store::{PlatformClient, PlatformClientOptions};
 
 use super::WorkersOptions;
 use super::workers_routes::routes;
 use super::workers_shared::Shared;
-use crate::running::listen;
+use crate::running::serve;
 use crate::{Running, StandinError};
 
 /// Stand-in for many workers.
@@ -24,16 +23,10 @@
     pub fn start(options: &WorkersOptions) -> Result<Running, StandinError> {
         const THREADS: usize = 2;
         let shared = Data::new(Shared::new(options));
-        let (listener, address) = listen(options.address)?;
         let for_app = Data::clone(&shared);
-        let server = HttpServer::new(move || App::new().app_data(Data::clone(&for_app)).configure(routes))
-            .workers(THREADS)
-            .disable_signals()
-            .shutdown_timeout(1);
-        let server = server
-            .listen(listener)
-            .map_err(|source| StandinError::Listen { address, source })?;
-        let mut running = Running::new(address, server.run());
+        let mut running = serve(options.address, THREADS, move |config| {
+            config.app_data(Data::clone(&for_app)).configure(routes);
+        })?;
         running.keep(actix_rt::spawn(tick(Data::clone(&shared))));
         if let Some(platform) = &options.platform {
             let base_url = options.advertise.clone().unwrap_or_else(|| running.url());
--- a/crates/standin/src/workers/workers_shared.rs
+++ b/crates/standin/src/workers/workers_shared.rs
@@ -45,7 +45,7 @@
             for rack in &dc.racks {
                 workers.extend(rack.workers.iter().map(|worker| {
                     let (id, dc, rack) = (worker.id.clone(), dc.id.clone(), rack.id.clone());
-                    WorkerState::new(id, dc, rack, worker.capacity, unix.as_millis() as u64)
+                    WorkerState::new(id, dc, rack, worker.capacity, unix.as_millis() as u64, options.keep_ms)
                 }));
             }
         }
