test(standin): link modes, list time to live, forgotten results

Cause: cut and silenced links, `lose_every`, `--list-ttl-ms` and `--keep-ms` had no test. The new test showed that results were forgotten up to 1 s after their time. Ruled out: a slow tick; the next due instant left out what is kept. Change: tests; the due instant covers kept results. Clients use an idle connection again for 4 s at most, since servers commonly close theirs after 5 s and a request that meets the close counts as lost.

--- a/crates/net/src/worker/target.rs
+++ b/crates/net/src/worker/target.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use awc::{Client, Connector};
 use model::WorkerId;
@@ -19,9 +19,16 @@
 }
 
 impl Target {
+    /// An idle connection is used again for 4 s at most: servers commonly close theirs after 5 s, and a request that
+    /// meets the close counts as lost.
+    const KEEP_IDLE: Duration = Duration::from_secs(4);
+
     pub fn new(options: &WorkerClientOptions, generation: u64, worker: WorkerId) -> Self {
         // No limit on connections: `run` occupies one for each task, and waiting for a free one would look like silence.
-        let connector = Connector::new().timeout(options.connect_timeout).limit(0);
+        let connector = Connector::new()
+            .timeout(options.connect_timeout)
+            .conn_keep_alive(Self::KEEP_IDLE)
+            .limit(0);
         Self {
             client: Client::builder()
                 .connector(connector)
--- a/crates/standin/src/workers/worker_state.rs
+++ b/crates/standin/src/workers/worker_state.rs
@@ -33,7 +33,7 @@
     keep_ms: u64,
     usage: VecDeque<(u64, UsageEntry)>,
     base_unix_ms: u64,
-    /// Before this instant nothing ends or lapses.
+    /// Before this instant nothing ends, lapses or is forgotten.
     next_due_ms: u64,
 }
 
@@ -133,8 +133,10 @@
         self.forget(now_ms);
         let lease_due = self.leases.values().map(|lease| lease.expires_ms);
         let task_due = self.running().map(|task| task.ends_ms);
-        // Without anything due, kept results are looked at once a second.
-        self.next_due_ms = lease_due.chain(task_due).min().unwrap_or(u64::MAX).min(now_ms + 1000);
+        let ended_due = self.ended.front().map(|(at_ms, _)| at_ms + self.keep_ms);
+        let buried_due = self.buried.front().map(|(at_ms, _)| at_ms + self.keep_ms);
+        let forget_due = ended_due.into_iter().chain(buried_due);
+        self.next_due_ms = lease_due.chain(task_due).chain(forget_due).min().unwrap_or(u64::MAX);
         !due.is_empty()
     }
 
@@ -191,6 +193,7 @@
         }
         let task = task.clone();
         self.log(&task, LogEvent::End, at_ms, journal);
+        self.touch();
     }
 
     /// Adds a task that starts now.
@@ -213,6 +216,7 @@
             Tombstone { kind }
         });
         tombstone.kind = tombstone.kind.or(kind);
+        self.touch();
     }
 
     /// Returns the kind of a lease that is or was live.
--- /dev/null
+++ b/crates/standin/tests/faults.rs
@@ -0,0 +1,119 @@
+//! Tests of faults and options that no other test uses.
+
+mod bench;
+
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use bench::{Bench, id, refused, task};
+use model::{Epoch, LeaseKind, WorkerError};
+use net::WorkerCallError;
+use rstest::rstest;
+use serde_json::json;
+use standin::testing::Cluster;
+use standin::{LinkMode, PlatformFaults, PlatformOptions, WorkersOptions};
+use store::{
+    Directory, Expected, ListedEntry, ListedState, Listing, PlatformClient, PlatformClientOptions, StoreError, Table,
+    Txn, Urgency,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Guards against a link that only looks cut or silent, and against one that delivers a stream with a gap once it is
+/// restored.
+#[rstest]
+#[case::cut(LinkMode::Cut, false, false)]
+#[case::existing_silent(LinkMode::SilenceExisting, true, true)]
+#[case::all_silent(LinkMode::SilenceAll, true, false)]
+#[actix_rt::test]
+async fn link_modes(#[case] mode: LinkMode, #[case] stays_open: bool, #[case] new_work: bool) {
+    const REQUEST: &[u8] = b"GET /v1/stats HTTP/1.1\r\nhost: a\r\n\r\n";
+    /// Whether the link delivers a reply (`Ok(true)`), closes (`Ok(false)`) or stays silent (`Err`).
+    async fn ask(stream: &mut TcpStream) -> Result<bool, ()> {
+        let mut buffer = [0; 4096];
+        stream.write_all(REQUEST).await.map_err(drop)?;
+        let reply = timeout(Duration::from_millis(150), stream.read(&mut buffer))
+            .await
+            .map_err(drop)?;
+        Ok(reply.is_ok_and(|length| length > 0))
+    }
+    let cluster = Cluster::start().await.unwrap();
+    let address = cluster.platform_link_url().replace("http://", "");
+    let mut open = TcpStream::connect(&address).await.unwrap();
+    assert_eq!(ask(&mut open).await, Ok(true));
+
+    cluster.set_link("platform", mode).await;
+    assert_eq!(ask(&mut open).await, if stays_open { Err(()) } else { Ok(false) });
+    let works = match TcpStream::connect(&address).await {
+        Ok(mut new) => ask(&mut new).await == Ok(true),
+        Err(_) => false,
+    };
+    assert_eq!(works, new_work);
+
+    cluster.set_link("platform", LinkMode::Open).await;
+    assert_ne!(ask(&mut open).await, Ok(true), "the old connection stays as it is");
+    let mut new = TcpStream::connect(&address).await.unwrap();
+    assert_eq!(ask(&mut new).await, Ok(true));
+}
+
+/// Guards against lost replies that come only once, and against an entry that stays in the list after its death.
+#[actix_rt::test]
+async fn platform_loses_every_nth_reply_and_forgets_silent_instances() {
+    let platform = PlatformOptions::new().list_lag_ms(10).list_ttl_ms(150);
+    let cluster = Cluster::start_with(&platform, WorkersOptions::new().workers(2).register_interval_ms(50))
+        .await
+        .unwrap();
+    let client = PlatformClient::new(PlatformClientOptions::new(cluster.platform().url()));
+    let entry = ListedEntry {
+        id: "entry1".parse().unwrap(),
+        data_centre: "dc1".parse().unwrap(),
+        state: ListedState::Live,
+    };
+    let entries = vec![entry];
+    client
+        .register(&Listing {
+            workers: vec![],
+            entries,
+        })
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(60)).await;
+    client.list().await.unwrap();
+    assert_eq!(client.list().await.unwrap().entries.len(), 1);
+    sleep(Duration::from_millis(200)).await;
+    let listing = client.list().await.unwrap();
+    assert_eq!((listing.entries.len(), listing.workers.len()), (0, 2));
+
+    let faults = PlatformFaults {
+        lose_every: 2,
+        ..PlatformFaults::default()
+    };
+    cluster.set_platform_faults(faults).await;
+    let mut lost = 0;
+    for row in 0..6 {
+        let txn = Txn::new().put(format!("job/a/{row}"), Expected::Absent, json!(row));
+        lost += u32::from(client.commit(&txn, Urgency::Job).await == Err(StoreError::Unknown));
+    }
+    assert_eq!(lost, 3);
+}
+
+/// Guards against a worker whose memory grows without bound, and against a forgotten result taken for a live one.
+#[actix_rt::test]
+async fn finished_results_are_forgotten_after_a_while() {
+    let mut bench = Bench::new().await;
+    let workers = WorkersOptions::new().workers(6).keep_ms(100);
+    bench.cluster = Cluster::start_with(&PlatformOptions::new(), workers).await.unwrap();
+    bench.url = bench.cluster.workers().url();
+    bench.lease(id(1, 1), LeaseKind::Grant, 50).await.unwrap();
+    let request = task(id(1, 1), "a", 0);
+    let report = bench.run(&request).await.unwrap();
+    sleep(Duration::from_millis(20)).await;
+    assert_eq!(bench.start(&request).await, Ok(report));
+    sleep(Duration::from_millis(250)).await;
+    assert_eq!(bench.start(&request).await, refused(WorkerError::LeaseNotLive));
+    let stopped = bench
+        .client
+        .stop(&bench.url, &bench.worker, Epoch(1), &request.task)
+        .await;
+    assert_eq!(stopped, Err(WorkerCallError::Refused(WorkerError::UnknownTask)));
+}
--- a/crates/store/src/platform/transport.rs
+++ b/crates/store/src/platform/transport.rs
@@ -94,8 +94,14 @@
 }
 
 fn connect(connect_timeout: Duration) -> Client {
+    // Servers commonly close idle connections after 5 s, and a request that meets the close counts as lost.
+    const KEEP_IDLE: Duration = Duration::from_secs(4);
+    let connector = Connector::new()
+        .timeout(connect_timeout)
+        .conn_keep_alive(KEEP_IDLE)
+        .limit(0);
     Client::builder()
-        .connector(Connector::new().timeout(connect_timeout).limit(0))
+        .connector(connector)
         .disable_timeout()
         .disable_redirects()
         .finish()
