feat(conf): check the operators' sheet as a whole and name every settings fault

Cause: sheet and settings are the two inputs that people write by hand; a wrong line must be found before anything is applied. Ruled out: serde-derived CSV rows, because they stop at the first fault and do not give the column.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -17,10 +17,21 @@
 //! # Ok::<(), conf::SettingsError>(())
 //! ```
 
+mod change;
+mod column;
 mod peer_address;
 mod settings;
 mod settings_error;
+mod sheet;
+mod sheet_cells;
+mod sheet_error;
+mod sheet_fault;
 
+pub use change::{Change, ChangeKind};
+pub use column::Column;
 pub use peer_address::PeerAddress;
 pub use settings::Settings;
 pub use settings_error::SettingsError;
+pub use sheet::Sheet;
+pub use sheet_error::{SheetError, SheetErrors};
+pub use sheet_fault::SheetFault;
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -2,6 +2,7 @@
 
 use model::{DataCentreId, InstanceId};
 use serde::Deserialize;
+use serde_json::{Map, Value};
 
 use crate::{PeerAddress, SettingsError};
 
@@ -106,19 +107,19 @@
     ///
     /// Returns [`SettingsError`] for the first key that is unknown, missing or out of range.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = json5::from_str(text).map_err(|error| SettingsError::Parse {
-            message: error.to_string(),
-        })?;
+        let parse_error = |message: String| SettingsError::Parse { message };
+        let document: Map<String, Value> = json5::from_str(text).map_err(|error| parse_error(error.to_string()))?;
+        for range in RANGES {
+            range.check(&document)?;
+        }
+        let settings: Self =
+            serde_json::from_value(Value::Object(document)).map_err(|error| parse_error(error.to_string()))?;
         settings.validate()?;
         Ok(settings)
     }
 
-    /// Checks ranges, URLs and peers.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`SettingsError`] for the first value that is not allowed.
-    pub fn validate(&self) -> Result<(), SettingsError> {
+    /// Checks the URL and the peers.
+    fn validate(&self) -> Result<(), SettingsError> {
         if !self.platform_url.starts_with("http://") {
             return Err(SettingsError::InvalidUrl {
                 key: "platform_url",
@@ -133,129 +134,61 @@
                 });
             }
         }
-        for Range {
-            key,
-            value,
-            min,
-            max,
-            unit,
-        } in self.ranges()
-        {
-            if value < min || value > max {
-                return Err(SettingsError::OutOfRange {
-                    key,
-                    value,
-                    min,
-                    max,
-                    unit,
-                });
-            }
-        }
         Ok(())
     }
-
-    fn ranges(&self) -> impl Iterator<Item = Range> {
-        [
-            Range::new("heartbeat_interval_ms", self.heartbeat_interval_ms, 50, 10_000, "ms"),
-            Range::new("peer_suspect_ms", self.peer_suspect_ms, 100, 60_000, "ms"),
-            Range::new("peer_dead_ms", self.peer_dead_ms, 500, 600_000, "ms"),
-            Range::new("config_poll_interval_ms", self.config_poll_interval_ms, 50, 5_000, "ms"),
-            Range::new(
-                "listing_poll_interval_ms",
-                self.listing_poll_interval_ms,
-                50,
-                10_000,
-                "ms",
-            ),
-            Range::new(
-                "scheduling_lease_ttl_ms",
-                self.scheduling_lease_ttl_ms,
-                200,
-                30_000,
-                "ms",
-            ),
-            Range::new(
-                "scheduling_lease_renew_ms",
-                self.scheduling_lease_renew_ms,
-                50,
-                10_000,
-                "ms",
-            ),
-            Range::new("slot_lease_ttl_ms", self.slot_lease_ttl_ms, 500, 60_000, "ms"),
-            Range::new("reserve_lease_ttl_ms", self.reserve_lease_ttl_ms, 200, 30_000, "ms"),
-            Range::new(
-                "worker_renew_interval_ms",
-                self.worker_renew_interval_ms,
-                50,
-                10_000,
-                "ms",
-            ),
-            Range::new("worker_timeout_ms", self.worker_timeout_ms, 100, 30_000, "ms"),
-            Range::new("worker_silent_ms", self.worker_silent_ms, 200, 60_000, "ms"),
-            Range::new("store_timeout_ms", self.store_timeout_ms, 100, 30_000, "ms"),
-            Range::new("store_writes_per_s", self.store_writes_per_s, 1, 1_000, "1/s"),
-            Range::new("store_reads_per_s", self.store_reads_per_s, 1, 5_000, "1/s"),
-            Range::new(
-                "record_batch_interval_ms",
-                self.record_batch_interval_ms,
-                1,
-                1_000,
-                "ms",
-            ),
-            Range::new(
-                "urgent_slots_per_instance",
-                self.urgent_slots_per_instance,
-                0,
-                4_096,
-                "slots",
-            ),
-            Range::new("urgent_deadline_ms", self.urgent_deadline_ms, 10, 600_000, "ms"),
-            Range::new("max_wait_ms", self.max_wait_ms, 100, 600_000, "ms"),
-            Range::new("max_body_bytes", self.max_body_bytes, 1_024, 67_108_864, "bytes"),
-            Range::new("max_open_requests", self.max_open_requests, 1, 1_000_000, "requests"),
-            Range::new("balancer_drain_ms", self.balancer_drain_ms, 0, 60_000, "ms"),
-            Range::new("stop_timeout_ms", self.stop_timeout_ms, 100, 3_600_000, "ms"),
-            Range::new(
-                "cut_off_start_limit_ms",
-                self.cut_off_start_limit_ms,
-                0,
-                86_400_000,
-                "ms",
-            ),
-            Range::new(
-                "timeline_capacity_events",
-                self.timeline_capacity_events,
-                100,
-                1_000_000,
-                "events",
-            ),
-        ]
-        .into_iter()
-    }
 }
 
-/// Value of a key with its allowed range.
+/// Allowed range of a numeric key.
 #[derive(Debug, Clone, Copy)]
 struct Range {
     key: &'static str,
-    value: u64,
     min: u64,
     max: u64,
     unit: &'static str,
 }
 
 impl Range {
-    const fn new(key: &'static str, value: u64, min: u64, max: u64, unit: &'static str) -> Self {
-        Self {
-            key,
-            value,
-            min,
-            max,
-            unit,
+    const fn new(key: &'static str, min: u64, max: u64, unit: &'static str) -> Self {
+        Self { key, min, max, unit }
+    }
+
+    /// Checks the value of the key if it is present; defaults are always in range.
+    fn check(self, document: &Map<String, Value>) -> Result<(), SettingsError> {
+        let Self { key, min, max, unit } = self;
+        let Some(value) = document.get(key) else { return Ok(()) };
+        match value.as_u64() {
+            Some(number) if (min..=max).contains(&number) => Ok(()),
+            _ => Err(SettingsError::OutOfRange {
+                key,
+                value: value.to_string(),
+                min,
+                max,
+                unit,
+            }),
         }
     }
 }
 
+const RANGES: &[Range] = &[
+    Range::new("heartbeat_interval_ms", 50, 10_000, "ms"),
+    Range::new("peer_suspect_ms", 100, 60_000, "ms"),
+    Range::new("peer_dead_ms", 500, 600_000, "ms"),
+    Range::new("config_poll_interval_ms", 50, 5_000, "ms"),
+    Range::new("slot_lease_ttl_ms", 500, 60_000, "ms"),
+    Range::new("reserve_lease_ttl_ms", 200, 30_000, "ms"),
+    Range::new("worker_timeout_ms", 100, 30_000, "ms"),
+    Range::new("worker_silent_ms", 200, 60_000, "ms"),
+    Range::new("store_timeout_ms", 100, 30_000, "ms"),
+    Range::new("store_writes_per_s", 1, 1_000, "1/s"),
+    Range::new("store_reads_per_s", 1, 5_000, "1/s"),
+    Range::new("urgent_deadline_ms", 10, 600_000, "ms"),
+    Range::new("max_wait_ms", 100, 600_000, "ms"),
+    Range::new("max_body_bytes", 1_024, 67_108_864, "bytes"),
+    Range::new("max_open_requests", 1, 1_000_000, "requests"),
+    Range::new("balancer_drain_ms", 0, 60_000, "ms"),
+    Range::new("stop_timeout_ms", 100, 3_600_000, "ms"),
+];
+
 mod defaults {
     pub(super) const fn heartbeat_interval_ms() -> u64 {
         1_000
--- a/crates/conf/src/settings_error.rs
+++ b/crates/conf/src/settings_error.rs
@@ -9,13 +9,13 @@
         /// What the parser found, with line, column and key where known.
         message: String,
     },
-    /// A value is out of range.
-    #[error("{key} is {value} {unit}; allowed are {min} to {max} {unit}")]
+    /// A value is out of range or not a whole number.
+    #[error("{key} is {value}; allowed are whole numbers from {min} to {max} ({unit})")]
     OutOfRange {
         /// Key.
         key: &'static str,
         /// Rejected value.
-        value: u64,
+        value: String,
         /// Least allowed value.
         min: u64,
         /// Largest allowed value.
--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Settings: an unknown key or a value out of range must stop the start and name the key.
+
+use conf::{Settings, SettingsError};
+use rstest::rstest;
+
+fn text(extra: &str) -> String {
+    format!(
+        r#"{{ instance: "entry-1", data_centre: "dc1", http_address: "127.0.0.1:1", peer_address: "127.0.0.1:2",
+            platform_url: "http://127.0.0.1:3", // comment
+            {extra} }}"#
+    )
+}
+
+#[test]
+fn example_file_is_valid() {
+    Settings::parse(include_str!("../../../examples/settings/entry.json5")).unwrap();
+}
+
+#[rstest]
+#[case::unknown_key("colour: 1", "colour")]
+#[case::out_of_range(
+    "heartbeat_interval_ms: 1",
+    "heartbeat_interval_ms is 1; allowed are whole numbers from 50 to 10000 (ms)"
+)]
+#[case::wrong_type("store_writes_per_s: \"many\"", "store_writes_per_s is \"many\"; allowed")]
+#[case::negative("store_writes_per_s: -1", "store_writes_per_s is -1; allowed")]
+#[case::bad_peer(
+    "peers: [{instance: \"a b\", data_centre: \"dc1\", peer_address: \"127.0.0.1:9\"}]",
+    "instance id"
+)]
+fn faults_name_the_key(#[case] extra: &str, #[case] expected: &str) {
+    let message = Settings::parse(&text(extra)).unwrap_err().to_string();
+    assert!(message.contains(expected), "{message}");
+}
+
+#[test]
+fn own_name_among_peers_is_refused() {
+    let peer = r#"peers: [{instance: "entry-1", data_centre: "dc1", peer_address: "127.0.0.1:9"}]"#;
+    assert!(matches!(
+        Settings::parse(&text(peer)),
+        Err(SettingsError::DuplicatePeer { .. })
+    ));
+}
+
+#[test]
+fn url_without_scheme_is_refused() {
+    let settings = text("").replace("http://", "");
+    assert!(matches!(
+        Settings::parse(&settings),
+        Err(SettingsError::InvalidUrl {
+            key: "platform_url",
+            ..
+        })
+    ));
+}
