feat(cli): command line for jobs, sheet, data centres, audit and timeline

Cause: operators and callers need one program whose exit codes scripts can use. Change: crate cli with the program galenaspool. Conclusion: kept; it was not yet run against a daemon.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,6 @@
-//! Command line of galenaspool.
+//! Thin program around the library `cli`.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    let matches = cli::command().get_matches();
+    actix_rt::System::new().block_on(cli::run(&matches)).into()
+}
