--- /dev/null
+++ b/crates/load/src/caller.rs
@@ -0,0 +1,125 @@
+use std::time::{Duration, Instant};
+
+use model::{JobSpec, Outcome};
+use serde_json::Value;
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ending {
+    /// Whole answer, checked.
+    Ran,
+    /// The work ran and failed.
+    Failed,
+    /// Refused; it did not run.
+    DidNotRun {
+        /// Code of the refusal.
+        code: String,
+    },
+    /// Cancelled.
+    Cancelled,
+    /// Answer that is partial or belongs to another request.
+    WrongAnswer {
+        /// What does not match.
+        message: String,
+    },
+    /// No final outcome within the bound.
+    Missing {
+        /// Last state that was reported.
+        last: String,
+    },
+}
+
+/// Submits one job and asks until its outcome is final.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    servers: Vec<String>,
+    give_up: Duration,
+}
+
+impl Caller {
+    /// Longest wait in one request.
+    const WAIT_MS: u64 = 4_000;
+    /// Time after which a request counts as lost and goes to another instance under the same id.
+    const TIMEOUT: Duration = Duration::from_millis(Self::WAIT_MS + 3_000);
+    /// Pause between two tries.
+    const PAUSE: Duration = Duration::from_millis(200);
+    /// Tries of a request that was refused with a retry hint.
+    const REFUSAL_RETRIES: u32 = 3;
+
+    /// Creates a caller that gives up after `give_up`.
+    pub const fn new(servers: Vec<String>, give_up: Duration) -> Self {
+        Self { servers, give_up }
+    }
+
+    /// Submits the job, starting at the server with index `first`, and returns how it ended and how long that took.
+    pub async fn call(&self, client: &awc::Client, job: &JobSpec, first: usize) -> (Ending, Duration) {
+        let start = Instant::now();
+        let mut last = String::from("no reply");
+        let mut refusals = 0;
+        for attempt in first.. {
+            if start.elapsed() > self.give_up {
+                break;
+            }
+            let server = &self.servers[attempt % self.servers.len()];
+            let url = format!("{server}/v1/jobs?wait_ms={}", Self::WAIT_MS);
+            match Self::post(client, &url, job).await {
+                Some((status, body)) => match Self::ending(job, status, &body) {
+                    Some(Ending::DidNotRun { code }) if refusals < Self::REFUSAL_RETRIES && Self::may_retry(&body) => {
+                        refusals += 1;
+                        last = code;
+                    }
+                    Some(ending) => return (ending, start.elapsed()),
+                    None => last = Self::state_of(&body),
+                },
+                None => last = String::from("no reply"),
+            }
+            actix_rt::time::sleep(Self::PAUSE).await;
+        }
+        (Ending::Missing { last }, start.elapsed())
+    }
+
+    async fn post(client: &awc::Client, url: &str, job: &JobSpec) -> Option<(u16, Value)> {
+        let mut response = client.post(url).timeout(Self::TIMEOUT).send_json(job).await.ok()?;
+        let body = response.body().limit(4 << 20).await.ok()?;
+        Some((response.status().as_u16(), serde_json::from_slice(&body).ok()?))
+    }
+
+    fn state_of(body: &Value) -> String {
+        body["outcome"]
+            .as_str()
+            .or(body["code"].as_str())
+            .unwrap_or("unknown")
+            .to_owned()
+    }
+
+    fn may_retry(body: &Value) -> bool {
+        body["retry_after_ms"].is_u64() || body["refusal"]["retry_after_ms"].is_u64()
+    }
+
+    /// Returns the ending if the reply is final.
+    fn ending(job: &JobSpec, status: u16, body: &Value) -> Option<Ending> {
+        if status >= 400 {
+            let refused = body["did_not_run"].as_bool() == Some(true);
+            return refused.then(|| Ending::DidNotRun {
+                code: body["code"].as_str().unwrap_or("unknown").to_owned(),
+            });
+        }
+        match serde_json::from_value::<Outcome>(body.clone()) {
+            Ok(Outcome::Ran { answer }) => Some(match answer.verify(&job.request_id) {
+                Ok(()) => Ending::Ran,
+                Err(error) => Ending::WrongAnswer {
+                    message: error.to_string(),
+                },
+            }),
+            Ok(Outcome::Failed { .. }) => Some(Ending::Failed),
+            Ok(Outcome::DidNotRun { refusal }) => Some(Ending::DidNotRun {
+                code: refusal.code().to_owned(),
+            }),
+            Ok(Outcome::Cancelled { .. }) => Some(Ending::Cancelled),
+            Ok(Outcome::InProgress | Outcome::Indeterminate) => None,
+            Err(error) => Some(Ending::WrongAnswer {
+                message: error.to_string(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/tally.rs
@@ -0,0 +1,59 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::{Ending, Kind};
+
+/// Figures of one kind of job.
+#[derive(Debug)]
+pub struct Tally {
+    /// Jobs submitted.
+    pub submitted: u64,
+    /// Jobs with a whole answer.
+    pub ran: u64,
+    /// Jobs that ran and failed or were cancelled.
+    pub failed: u64,
+    /// Refusals by code.
+    pub refused: BTreeMap<String, u64>,
+    /// Completion time of jobs with a whole answer, in milliseconds.
+    pub completion_ms: Histogram<u64>,
+}
+
+impl Tally {
+    /// Longest completion time that is recorded, in milliseconds.
+    const MAX_MS: u64 = 3_600_000;
+
+    /// Records how a job ended.
+    pub fn record(&mut self, ending: &Ending, took: Duration) {
+        self.submitted += 1;
+        match ending {
+            Ending::Ran => {
+                self.ran += 1;
+                self.completion_ms
+                    .saturating_record((took.as_millis() as u64).clamp(1, Self::MAX_MS));
+            }
+            Ending::Failed | Ending::Cancelled => self.failed += 1,
+            Ending::DidNotRun { code } => *self.refused.entry(code.clone()).or_default() += 1,
+            Ending::WrongAnswer { .. } | Ending::Missing { .. } => {}
+        }
+    }
+
+    /// Creates an empty tally for each kind.
+    pub fn for_each_kind() -> BTreeMap<Kind, Self> {
+        Kind::ALL.into_iter().map(|kind| (kind, Self::default())).collect()
+    }
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let completion_ms = Histogram::new_with_bounds(1, Self::MAX_MS, 3).expect("the bounds are valid");
+        Self {
+            submitted: 0,
+            ran: 0,
+            failed: 0,
+            refused: BTreeMap::new(),
+            completion_ms,
+        }
+    }
+}
