feat(fleet): whole deployments as processes for the demo and for proofs

Cause: kills, pauses, cuts and outages can only be proved on real processes. Ruled out: a cluster simulator; the users want none. Change: crate fleet starts stand-ins, relay and entry instances on free loopback ports, injects faults and ends what it started; scripts/demo; the load tool asks instances for readiness as the platform's balancer does and counts requests that got no reply.

--- /dev/null
+++ b/crates/fleet/src/fleet_process.rs
@@ -0,0 +1,109 @@
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use crate::FleetError;
+use crate::binary::binary;
+
+/// Process of the deployment; killed when dropped.
+#[derive(Debug)]
+pub struct FleetProcess {
+    name: String,
+    child: Child,
+    log_path: PathBuf,
+}
+
+impl FleetProcess {
+    /// Starts a program with its output in a file of `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] if the program is not built or cannot be started.
+    pub fn start(program: &str, name: &str, args: &[String], folder: &Path) -> Result<Self, FleetError> {
+        let log_path = folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(&log_path);
+        let log = log.map_err(|source| FleetError::io(log_path.display().to_string(), source))?;
+        let errors = log.try_clone().map_err(|source| FleetError::io(name, source))?;
+        let child = Command::new(binary(program)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .map_err(|source| FleetError::io(program, source))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log_path,
+        })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what the process printed.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+
+    /// Kills the process with `SIGKILL` and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Pauses the process with `SIGSTOP`.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Resumes the process with `SIGCONT`.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks for a planned stop with `SIGTERM`.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits for the end of the process without blocking the other tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError::NotReady`] if the process still runs after `limit`.
+    pub async fn ended(&mut self, limit: Duration) -> Result<ExitStatus, FleetError> {
+        let start = Instant::now();
+        loop {
+            match self.child.try_wait() {
+                Ok(Some(status)) => return Ok(status),
+                Ok(None) if start.elapsed() < limit => actix_rt::time::sleep(Duration::from_millis(20)).await,
+                Ok(None) => {
+                    let what = format!("end of {}", self.name);
+                    return Err(FleetError::NotReady {
+                        what,
+                        waited_ms: start.elapsed().as_millis(),
+                    });
+                }
+                Err(source) => return Err(FleetError::io(self.name.clone(), source)),
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        // The child is waited for only in `kill` and `ended`, so its id cannot belong to another process.
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+}
+
+impl Drop for FleetProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/instance.rs
@@ -0,0 +1,28 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use crate::FleetProcess;
+
+/// Entry instance of a deployment.
+#[derive(Debug)]
+pub struct Instance {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for callers.
+    pub http_address: SocketAddr,
+    /// Address for other instances, before any relay.
+    pub peer_address: SocketAddr,
+    /// Settings file.
+    pub settings_path: PathBuf,
+    /// Process, while it runs.
+    pub process: Option<FleetProcess>,
+}
+
+impl Instance {
+    /// Returns the base URL for callers.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.http_address)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! A whole deployment as processes on loopback: stand-ins, relay and entry instances.
+//!
+//! [`Fleet`] starts the processes, writes their settings, injects faults (kill, pause, cut links, faults of the
+//! stand-ins) and ends everything that it started when it is dropped. The binaries must have been built before with
+//! `cargo build --workspace --bins`.
+
+mod binary;
+mod demo;
+mod faults;
+mod fleet_error;
+mod fleet_process;
+mod instance;
+mod layout;
+mod observe;
+mod ports;
+mod settings_file;
+mod start;
+
+pub use demo::demo;
+pub use fleet_error::FleetError;
+pub use fleet_process::FleetProcess;
+pub use instance::Instance;
+pub use layout::Layout;
+pub use start::Fleet;
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -3,6 +3,8 @@
 use model::{JobSpec, Outcome};
 use serde_json::Value;
 
+use crate::Balancer;
+
 /// How a request ended for its caller.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Ending {
@@ -29,10 +31,21 @@
     },
 }
 
+/// One call with its ending.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// How the call ended.
+    pub ending: Ending,
+    /// Time from the first request to the ending.
+    pub took: Duration,
+    /// Requests that got no reply and were sent again.
+    pub interrupted: u32,
+}
+
 /// Submits one job and asks until its outcome is final.
 #[derive(Debug, Clone)]
 pub struct Caller {
-    servers: Vec<String>,
+    balancer: Balancer,
     give_up: Duration,
 }
 
@@ -47,20 +60,21 @@
     const REFUSAL_RETRIES: u32 = 3;
 
     /// Creates a caller that gives up after `give_up`.
-    pub const fn new(servers: Vec<String>, give_up: Duration) -> Self {
-        Self { servers, give_up }
+    pub const fn new(balancer: Balancer, give_up: Duration) -> Self {
+        Self { balancer, give_up }
     }
 
-    /// Submits the job, starting at the server with index `first`, and returns how it ended and how long that took.
-    pub async fn call(&self, client: &awc::Client, job: &JobSpec, first: usize) -> (Ending, Duration) {
+    /// Submits the job, starting at the server with index `first`, and returns how it ended.
+    pub async fn call(&self, client: &awc::Client, job: &JobSpec, first: usize) -> Call {
         let start = Instant::now();
         let mut last = String::from("no reply");
         let mut refusals = 0;
+        let mut interrupted = 0;
         for attempt in first.. {
             if start.elapsed() > self.give_up {
                 break;
             }
-            let server = &self.servers[attempt % self.servers.len()];
+            let server = self.balancer.pick(attempt).to_owned();
             let url = format!("{server}/v1/jobs?wait_ms={}", Self::WAIT_MS);
             match Self::post(client, &url, job).await {
                 Some((status, body)) => match Self::ending(job, status, &body) {
@@ -68,14 +82,27 @@
                         refusals += 1;
                         last = code;
                     }
-                    Some(ending) => return (ending, start.elapsed()),
+                    Some(ending) => {
+                        return Call {
+                            ending,
+                            took: start.elapsed(),
+                            interrupted,
+                        };
+                    }
                     None => last = Self::state_of(&body),
                 },
-                None => last = String::from("no reply"),
+                None => {
+                    interrupted += 1;
+                    last = String::from("no reply");
+                }
             }
             actix_rt::time::sleep(Self::PAUSE).await;
         }
-        (Ending::Missing { last }, start.elapsed())
+        Call {
+            ending: Ending::Missing { last },
+            took: start.elapsed(),
+            interrupted,
+        }
     }
 
     async fn post(client: &awc::Client, url: &str, job: &JobSpec) -> Option<(u16, Value)> {
--- a/crates/load/src/executions.rs
+++ b/crates/load/src/executions.rs
@@ -19,10 +19,18 @@
 pub struct LogEntry {
     /// Task.
     pub task: TaskId,
-    /// `started` for a start; other values are ends.
+    /// `start` or `end`.
     pub event: String,
 }
 
+/// Log of a worker process.
+#[derive(Debug, Deserialize)]
+struct LogPage {
+    entries: Vec<LogEntry>,
+    /// Entries that the process no longer has; a log with gaps proves nothing.
+    dropped: u64,
+}
+
 impl Executions {
     /// Reads the logs of all worker processes.
     ///
@@ -32,18 +40,21 @@
     pub async fn read(client: &awc::Client, workers: &[String]) -> Result<Self, LoadError> {
         let mut executions = Self::default();
         for worker in workers {
-            let url = format!("{worker}/v1/log");
+            let url = format!("{worker}/v1/log?after=0");
             let unreadable = || LoadError::WorkerLog { url: url.clone() };
             let mut response = client.get(&url).send().await.map_err(|_| unreadable())?;
-            let entries: Vec<LogEntry> = response.json().limit(256 << 20).await.map_err(|_| unreadable())?;
-            executions.extend(entries);
+            let page: LogPage = response.json().limit(256 << 20).await.map_err(|_| unreadable())?;
+            if page.dropped > 0 {
+                return Err(unreadable());
+            }
+            executions.extend(page.entries);
         }
         Ok(executions)
     }
 
     /// Adds log entries.
     pub fn extend(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
-        for entry in entries.into_iter().filter(|entry| entry.event == "started") {
+        for entry in entries.into_iter().filter(|entry| entry.event == "start") {
             self.attempts
                 .entry(entry.task.job.clone())
                 .or_default()
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 mod args;
+mod balancer;
 mod caller;
 mod executions;
 mod kind;
@@ -21,7 +22,8 @@
 mod tally;
 
 pub use args::command;
-pub use caller::{Caller, Ending};
+pub use balancer::Balancer;
+pub use caller::{Call, Caller, Ending};
 pub use executions::{Executions, LogEntry};
 pub use kind::Kind;
 pub use load_error::LoadError;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -20,6 +20,8 @@
     pub doubled: Vec<String>,
     /// Jobs that were reported as `did_not_run` although a worker had started them.
     pub false_refusals: Vec<JobId>,
+    /// Requests that got no reply; the caller sent them again under the same id.
+    pub interrupted: u64,
     /// Jobs that ran per second before, during and after the absence of a data centre.
     pub ran_per_s: Vec<(&'static str, f64)>,
 }
@@ -61,6 +63,7 @@
         for (phase, rate) in &self.ran_per_s {
             writeln!(f, "work done {phase}: {rate:.1} jobs/s")?;
         }
+        writeln!(f, "requests without a reply: {}", self.interrupted)?;
         for (job, last) in &self.missing {
             writeln!(f, "MISSING {job}: {last}")?;
         }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 
-use crate::{Caller, Ending, Executions, LoadError, Mix, Operator, Planned, Report, Tally};
+use crate::{Balancer, Call, Caller, Ending, Executions, LoadError, Mix, Operator, Planned, Report, Tally};
 
 /// Options of a load run.
 #[derive(Debug, Clone)]
@@ -53,8 +53,8 @@
     }
 }
 
-/// Job with its ending, completion time, and when it ended after the start of the run.
-type Completed = (Planned, Ending, Duration, Duration);
+/// Job with its call, and when the call ended after the start of the run.
+type Completed = (Planned, Call, Duration);
 
 /// Carries out a load run.
 ///
@@ -110,7 +110,10 @@
 ) {
     let mut random = StdRng::seed_from_u64(options.seed ^ 0x5eed);
     let gap_s = Exp::new(options.rate_per_s as f64).expect("the rate is positive");
-    let caller = Caller::new(options.servers.clone(), Duration::from_secs(options.give_up_s));
+    let balancer = Balancer::new(&options.servers);
+    let caller = Caller::new(balancer.clone(), Duration::from_secs(options.give_up_s));
+    let watched = client.clone();
+    let watch = actix_rt::spawn(async move { balancer.watch(&watched).await });
     let mut due = Duration::ZERO;
     let mut calls = Vec::new();
     while due < Duration::from_secs(options.duration_s) {
@@ -120,11 +123,12 @@
         let first = random.random_range(0..options.servers.len());
         let (client, caller, results) = (client.clone(), caller.clone(), Rc::clone(results));
         calls.push(actix_rt::spawn(async move {
-            let (ending, took) = caller.call(&client, &planned.spec, first).await;
-            results.borrow_mut().push((planned, ending, took, start.elapsed()));
+            let call = caller.call(&client, &planned.spec, first).await;
+            results.borrow_mut().push((planned, call, start.elapsed()));
         }));
     }
     join_all(calls).await;
+    watch.abort();
 }
 
 fn summarise(options: &Options, results: &[Completed], executions: &Executions) -> Report {
@@ -133,7 +137,13 @@
         tallies: Tally::for_each_kind(),
         ..Report::default()
     };
-    for (planned, ending, took, _) in results {
+    for (planned, call, _) in results {
+        let Call {
+            ending,
+            took,
+            interrupted,
+        } = call;
+        report.interrupted += u64::from(*interrupted);
         let job = planned.spec.id();
         if let Some(tally) = report.tallies.get_mut(&planned.kind) {
             tally.record(ending, *took);
@@ -170,7 +180,7 @@
         let window = Duration::from_secs(from_s)..Duration::from_secs(to_s);
         results
             .iter()
-            .filter(|(_, ending, _, at)| *ending == Ending::Ran && window.contains(at))
+            .filter(|(_, call, at)| call.ending == Ending::Ran && window.contains(at))
             .count()
     };
     let rate = |(name, from_s, to_s): (&'static str, u64, u64)| {
--- a/crates/load/tests/executions.rs
+++ b/crates/load/tests/executions.rs
@@ -9,11 +9,11 @@
     };
     let mut executions = Executions::default();
     executions.extend([
-        entry("a/r/1/0", "started"),
-        entry("a/r/1/1", "started"),
-        entry("a/r/2/0", "started"),
-        entry("a/r/2/0", "started"),
-        entry("a/r/2/0", "finished"),
+        entry("a/r/1/0", "start"),
+        entry("a/r/1/1", "start"),
+        entry("a/r/2/0", "start"),
+        entry("a/r/2/0", "start"),
+        entry("a/r/2/0", "end"),
     ]);
     assert_eq!(executions.attempts_of(&"a/r".parse().unwrap()), 2);
     assert_eq!(
