--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,124 @@
+//! What the proofs on real processes share.
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "each test file uses a part, so an expectation fails in some"
+)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fleet::{Fleet, Layout};
+use load::{Options, Report};
+use model::{Class, JobId, JobSpec, TaskState};
+use serde_json::json;
+use standin::LogEntry;
+
+/// Sheet of the Lochside deployment.
+pub const SHEET: &str = include_str!("../../../../examples/sheets/lochside.csv");
+
+/// Starts a small deployment with the default bounds and waits until grants are given.
+pub async fn start() -> Fleet {
+    start_with(Layout::new().workers(24)).await
+}
+
+/// Starts a deployment and waits until every data centre has a scheduler and grants are given.
+pub async fn start_with(layout: Layout) -> Fleet {
+    let data_centres = layout.data_centres;
+    let fleet = Fleet::start(layout.sheet(SHEET)).await.expect("the deployment starts");
+    let all_elected = async || fleet.schedulers().await.len() == data_centres;
+    fleet
+        .until("schedulers", Duration::from_secs(10), all_elected)
+        .await
+        .expect("schedulers are elected");
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    fleet
+}
+
+/// Options of a load run against all instances.
+pub fn options(fleet: &Fleet, duration_s: u64, rate_per_s: u64, seed: u64) -> Options {
+    Options {
+        servers: fleet.servers(),
+        workers: fleet.worker_urls(),
+        duration_s,
+        rate_per_s,
+        seed,
+        give_up_s: 60,
+        absence: None,
+    }
+}
+
+/// Fails if an answer was missing, wrong or doubled, or a refusal was false.
+pub fn assert_passed(report: &Report) {
+    assert!(report.passed(), "{report}");
+    let ran: u64 = report.tallies.values().map(|tally| tally.ran).sum();
+    assert!(ran > 0, "nothing ran: {report}");
+}
+
+/// Deferred, non-idempotent job of one part.
+pub fn revaluation(id: &str, run_ms: u64) -> JobSpec {
+    JobSpec::new("clyde-koi".parse().unwrap(), id.parse().unwrap())
+        .declared_run_ms(run_ms)
+        .payload(json!({ "run_ms": run_ms, "answer_bytes": 32 }))
+}
+
+/// Urgent, idempotent job of one part.
+pub fn quote(id: &str, run_ms: u64) -> JobSpec {
+    revaluation(id, run_ms)
+        .class(Class::Urgent)
+        .idempotent(true)
+        .deadline_ms(3_000)
+}
+
+/// Submits a job and returns status and body; status 0 means no reply.
+pub async fn submit(fleet: &Fleet, server: &str, job: &JobSpec, wait_ms: u64) -> (u16, serde_json::Value) {
+    let url = format!("{server}/v1/jobs?wait_ms={wait_ms}");
+    let sent = fleet
+        .client()
+        .post(url)
+        .timeout(Duration::from_millis(wait_ms + 8_000))
+        .send_json(job)
+        .await;
+    let Ok(mut response) = sent else {
+        return (0, serde_json::Value::Null);
+    };
+    let status = response.status().as_u16();
+    (status, response.json().await.unwrap_or_default())
+}
+
+/// Fails if a gang ran without one of its parts for longer than `bound_ms`: the lease that a lost part leaves behind
+/// and the bound for stopping the others.
+pub fn assert_no_partial_gang(executions: &[LogEntry], parts: &BTreeMap<JobId, u16>, bound_ms: u64) {
+    let mut attempts: BTreeMap<(JobId, u32), Vec<&LogEntry>> = BTreeMap::new();
+    for entry in executions {
+        let key = (entry.task.job.clone(), entry.task.attempt);
+        attempts.entry(key).or_default().push(entry);
+    }
+    for ((job, attempt), entries) in attempts {
+        let Some(parts) = parts.get(&job) else { continue };
+        let mut running: BTreeSet<u16> = BTreeSet::new();
+        let mut ended: BTreeSet<u16> = BTreeSet::new();
+        let mut partial_since = None;
+        for entry in entries {
+            if let Some(since) = partial_since {
+                let partial_ms = entry.unix_ms.saturating_sub(since);
+                assert!(
+                    partial_ms <= bound_ms,
+                    "{job} attempt {attempt} ran in part for {partial_ms} ms"
+                );
+            }
+            match entry.state {
+                TaskState::Running => running.insert(entry.task.part),
+                // A part that finished is no loss for the others.
+                TaskState::Finished => running.remove(&entry.task.part) && ended.insert(entry.task.part),
+                _ => running.remove(&entry.task.part),
+            };
+            let whole = running.len() + ended.len() == usize::from(*parts) || running.is_empty();
+            partial_since = if whole {
+                None
+            } else {
+                partial_since.or(Some(entry.unix_ms))
+            };
+        }
+    }
+}
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -76,8 +76,8 @@
             }
             let server = self.balancer.pick(attempt).to_owned();
             let url = format!("{server}/v1/jobs?wait_ms={}", Self::WAIT_MS);
-            match Self::post(client, &url, job).await {
-                Some((status, body)) => match Self::ending(job, status, &body) {
+            if let Some((status, body)) = Self::post(client, &url, job).await {
+                match Self::ending(job, status, &body) {
                     Some(Ending::DidNotRun { code }) if refusals < Self::REFUSAL_RETRIES && Self::may_retry(&body) => {
                         refusals += 1;
                         last = code;
@@ -90,11 +90,10 @@
                         };
                     }
                     None => last = Self::state_of(&body),
-                },
-                None => {
-                    interrupted += 1;
-                    last = String::from("no reply");
                 }
+            } else {
+                interrupted += 1;
+                last = String::from("no reply");
             }
             actix_rt::time::sleep(Self::PAUSE).await;
         }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -12,6 +12,8 @@
     pub seed: u64,
     /// Figures by kind.
     pub tallies: BTreeMap<Kind, Tally>,
+    /// Parts of each gang that was submitted.
+    pub parts: BTreeMap<JobId, u16>,
     /// Jobs without a final outcome, with the last state that was reported.
     pub missing: Vec<(JobId, String)>,
     /// Answers that were partial or foreign.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -148,6 +148,9 @@
         if let Some(tally) = report.tallies.get_mut(&planned.kind) {
             tally.record(ending, *took);
         }
+        if planned.spec.shape.parts > 1 {
+            report.parts.insert(job.clone(), planned.spec.shape.parts);
+        }
         let attempts = executions.attempts_of(&job);
         match ending {
             Ending::Missing { last } => report.missing.push((job.clone(), last.clone())),
