fix(conf): ask for 8 granted slots an instance instead of 32; timeline pages

The timeline shows 64 grants in each data centre, which hold 8 of 16 or 17 workers, so that no rack of dc3 is ever free as a whole. Ruled out: a lost job or a lost start; the job has no attempt record, and the scheduler reports fragmentation 1 for dc3. Change: default of urgent_slots_per_instance; the command line and the harness read timeline pages with their count of dropped events.

--- a/crates/cli/src/timeline_command.rs
+++ b/crates/cli/src/timeline_command.rs
@@ -1,6 +1,6 @@
 use clap::ArgMatches;
 use model::JobId;
-use trace::Record;
+use trace::Page;
 
 use crate::{Client, CommandError, ExitStatus, Format, output};
 
@@ -9,10 +9,16 @@
     let mut records = Vec::new();
     let mut answered = false;
     for server in client.servers() {
-        match client.only(server).get::<Vec<Record>>("/v1/timeline?after=0").await {
-            Ok(more) => {
+        match client.only(server).get::<Page>("/v1/timeline?after=0").await {
+            Ok(page) => {
                 answered = true;
-                records.extend(more);
+                if page.dropped > 0 {
+                    eprintln!(
+                        "galenaspool: {server}: {} older events are no longer kept",
+                        page.dropped
+                    );
+                }
+                records.extend(page.records);
             }
             Err(error) => eprintln!("galenaspool: {server}: {error}"),
         }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -71,7 +71,7 @@
     /// Interval of writing batched attempt records. Default 25 ms.
     #[serde(default = "defaults::record_batch_interval_ms")]
     pub record_batch_interval_ms: u64,
-    /// Granted slots that the instance asks for. Default 32 slots.
+    /// Granted slots that the instance asks for. Default 8 slots.
     #[serde(default = "defaults::urgent_slots_per_instance")]
     pub urgent_slots_per_instance: u64,
     /// Deadline of urgent requests that state none. Default 2,000 ms.
@@ -239,7 +239,7 @@
         25
     }
     pub(super) const fn urgent_slots_per_instance() -> u64 {
-        32
+        8
     }
     pub(super) const fn urgent_deadline_ms() -> u64 {
         2_000
--- a/crates/fleet/src/observe.rs
+++ b/crates/fleet/src/observe.rs
@@ -3,7 +3,7 @@
 use model::Config;
 use serde_json::Value;
 use standin::LogEntry;
-use trace::Record;
+use trace::{Page, Record};
 
 use crate::{Fleet, FleetError};
 
@@ -113,9 +113,9 @@
         let mut records = Vec::new();
         for server in self.servers() {
             if let Ok(value) = self.get(&format!("{server}/v1/timeline?after=0")).await
-                && let Ok(more) = serde_json::from_value::<Vec<Record>>(value)
+                && let Ok(page) = serde_json::from_value::<Page>(value)
             {
-                records.extend(more);
+                records.extend(page.records);
             }
         }
         trace::merge(records)
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod event_kind;
 mod merge;
+mod page;
 mod record;
 mod ring;
 mod svg;
@@ -20,6 +21,7 @@
 pub use event::Event;
 pub use event_kind::EventKind;
 pub use merge::merge;
+pub use page::Page;
 pub use record::Record;
 pub use ring::Ring;
 pub use svg::to_svg;
