fix(entry): delegates are found after a start in any order, and a stopped instance falls silent

Cause: a test with six instances. An instance that asked another than the delegate first kept to it and never heard of the real one; and the actors of a stopped instance went on sending heartbeats within a process that hosts several. Ruled out: lost heartbeats; the counters showed all of them replied to.

--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -26,6 +26,7 @@
     pub(crate) granted_slots: watch::Sender<(u32, u32)>,
     store_reachable: AtomicBool,
     stopping: AtomicBool,
+    stopped: AtomicBool,
 }
 
 /// Holder of a scheduling lease, as the table or the election showed it last.
@@ -46,6 +47,7 @@
             granted_slots: watch::Sender::default(),
             store_reachable: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
         }
     }
 
@@ -78,6 +80,15 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the stop is complete; each actor ends with its next tick then.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_stopped(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
--- a/crates/entry/src/config/config_actor.rs
+++ b/crates/entry/src/config/config_actor.rs
@@ -313,6 +313,10 @@
     type Result = ();
 
     fn handle(&mut self, tick: Tick, ctx: &mut Self::Context) {
+        if self.core.shared.board.is_stopped() {
+            ctx.stop();
+            return;
+        }
         let core = self.core.clone();
         if tick.topic == POLL {
             ctx.spawn(async move { core.poll().await }.into_actor(self));
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -44,6 +44,30 @@
             workers: Rc::new(WorkerClient::new(workers)),
         }
     }
+
+    /// Brings the clients' counters into the metrics.
+    pub(crate) fn report(&self, metrics: &Metrics) {
+        let (store, workers) = (self.store.stats(), self.workers.stats());
+        let figures = [
+            ("store", "writes", store.writes),
+            ("store", "reads", store.reads),
+            ("store", "conflicts", store.conflicts),
+            ("store", "unknown", store.unknown),
+            ("store", "unavailable", store.unavailable),
+            ("store", "held_back", store.held_back),
+            ("store", "breaker_opened", store.breaker_opened),
+            ("store", "connections_replaced", store.connections_replaced),
+            ("workers", "requests", workers.requests),
+            ("workers", "refused", workers.refused),
+            ("workers", "not_sent", workers.not_sent),
+            ("workers", "lost", workers.lost),
+            ("workers", "connections_replaced", workers.connections_replaced),
+        ];
+        for (client, event, count) in figures {
+            let counter = metrics.client_events.with_label_values(&[client, event]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
 }
 
 impl Context {
--- a/crates/entry/src/entry_node.rs
+++ b/crates/entry/src/entry_node.rs
@@ -116,6 +116,7 @@
             ended.abort();
         }
         note(EventKind::InstanceStopped);
+        self.context.board.set_stopped();
     }
 }
 
--- a/crates/entry/src/http/operations.rs
+++ b/crates/entry/src/http/operations.rs
@@ -2,7 +2,6 @@
 use serde::Deserialize;
 
 use super::ApiState;
-use crate::timeline_page::TimelinePage;
 use crate::{Answered, ApiError};
 
 #[derive(Debug, Deserialize)]
@@ -14,7 +13,7 @@
 
 pub(super) async fn timeline(state: web::Data<ApiState>, after: web::Query<After>) -> Answered {
     let journal = &state.context.journal;
-    Ok(HttpResponse::Ok().json(TimelinePage {
+    Ok(HttpResponse::Ok().json(trace::Page {
         records: journal.after(after.after),
         dropped: journal.dropped(),
     }))
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,7 +17,7 @@
 //! - [`Entry`], [`Listeners`]: start and planned stop of an instance
 //! - [`ApiError`], [`Problem`]: errors of the HTTP interface
 //! - [`JobReply`], [`JobStatus`], [`JobPage`], [`Audit`]: replies about jobs
-//! - [`ConfigStatus`], [`ServiceChange`], [`PeerView`], [`TimelinePage`]: replies to operators
+//! - [`ConfigStatus`], [`ServiceChange`], [`PeerView`]: replies to operators
 //!
 //! Inside, each state has one owner: the configuration actor, the membership actor, an elector and a driver for each data
 //! centre, and the urgent desk. They publish what others read on a board of watch channels.
@@ -37,7 +37,6 @@
 mod metrics;
 mod problem;
 mod scheduling;
-mod timeline_page;
 mod urgent;
 
 pub use api_error::ApiError;
@@ -48,7 +47,6 @@
 pub use listeners::Listeners;
 pub use members::{PeerStatus, PeerView};
 pub use problem::Problem;
-pub use timeline_page::TimelinePage;
 
 /// Result of a handler of the HTTP interface.
 pub(crate) type Answered = Result<actix_web::HttpResponse, ApiError>;
--- a/crates/entry/src/members/members_actor.rs
+++ b/crates/entry/src/members/members_actor.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use model::{DataCentreId, InstanceId, WorkerId};
+use model::{DataCentreId, InstanceId};
 use net::peer::{HeartbeatReply, HeartbeatRequest};
-use store::{Directory, ListedState, Listing};
+use store::{Directory, Listing};
 use timer::{Subscribe, Tick, Timer};
 use trace::{Event, EventKind};
 
+use super::judgement::{leaving, record_change, status};
 use super::{MemberView, PeerLinks, PeerStatus, PeerView, peer_state, peer_view};
 use crate::config::{ConfigActor, FetchFrom};
 use crate::context::{Clients, Context as Shared};
@@ -129,13 +130,14 @@
 
     /// Returns what this instance relays to a peer in `data_centre`.
     ///
-    /// The delegate tells its own data centre of the others, and the others of its own.
-    fn relayed_to(&self, data_centre: &DataCentreId) -> Vec<PeerView> {
-        if !self.is_delegate() {
-            return Vec::new();
-        }
+    /// The delegate tells its own data centre of the others, and the others of its own. A reply to another data centre
+    /// always tells of this one, so that a sender which took this instance for the delegate learns who is.
+    fn relayed_to(&self, data_centre: &DataCentreId, is_reply: bool) -> Vec<PeerView> {
         let own = &self.shared.settings.data_centre;
         let inside = data_centre == own;
+        if !self.is_delegate() && (inside || !is_reply) {
+            return Vec::new();
+        }
         let now_ms = self.shared.clock.now_ms();
         let fresh_ms = self.shared.settings.peer_dead_ms;
         self.known
@@ -185,7 +187,7 @@
         for (instance, data_centre) in self.targets() {
             let message = HeartbeatRequest {
                 sender: Some(sender.clone()),
-                relayed: self.relayed_to(&data_centre).iter().map(peer_state).collect(),
+                relayed: self.relayed_to(&data_centre, false).iter().map(peer_state).collect(),
             };
             let links = self.shared.links.clone();
             let call = async move {
@@ -290,6 +292,16 @@
         }));
     }
 
+    /// Closes connections to platform and workers that do not answer any more.
+    fn check_idle(&self, ctx: &mut Context<Self>) {
+        let clients = self.clients.clone();
+        clients.report(&self.shared.metrics);
+        let check = async move {
+            futures_util::future::join(clients.store.check_idle(), clients.workers.check_idle()).await;
+        };
+        ctx.spawn(check.into_actor(self));
+    }
+
     fn listed(&mut self, listing: Listing) {
         let before = self.shared.board.listing();
         if *before == listing {
@@ -304,45 +316,6 @@
     }
 }
 
-fn leaving(listing: &Listing) -> BTreeSet<&WorkerId> {
-    let leaving = listing
-        .workers
-        .iter()
-        .filter(|worker| worker.state == ListedState::Leaving);
-    leaving.map(|worker| &worker.id).collect()
-}
-
-/// Neither silence alone nor the platform's list alone makes a peer dead.
-fn status(instance: &InstanceId, age_ms: Option<u64>, listing: &Listing, shared: &Shared) -> PeerStatus {
-    let settings = &shared.settings;
-    let Some(age_ms) = age_ms else {
-        return PeerStatus::Dead;
-    };
-    if age_ms < settings.peer_suspect_ms {
-        return PeerStatus::Live;
-    }
-    let listed = listing
-        .entries
-        .iter()
-        .any(|entry| entry.id == *instance && entry.state == ListedState::Live);
-    if age_ms < settings.peer_dead_ms || listed {
-        PeerStatus::Suspect
-    } else {
-        PeerStatus::Dead
-    }
-}
-
-fn record_change(shared: &Shared, peer: &PeerView, status: PeerStatus) {
-    let kind = match (peer.status, status) {
-        (PeerStatus::Live, PeerStatus::Live) => return,
-        (_, PeerStatus::Live) => EventKind::PeerUp,
-        (PeerStatus::Live, _) => EventKind::PeerDown,
-        _ => return,
-    };
-    let event = Event::new(kind).data_centre(peer.data_centre.clone());
-    shared.journal.push(event.cause(peer.instance.as_str()));
-}
-
 impl Actor for Members {
     type Context = Context<Self>;
 
@@ -362,10 +335,15 @@
     type Result = ();
 
     fn handle(&mut self, tick: Tick, ctx: &mut Self::Context) {
+        if self.shared.board.is_stopped() {
+            ctx.stop();
+            return;
+        }
         if tick.topic == BEAT {
             self.beat(ctx);
         } else {
             self.list(ctx);
+            self.check_idle(ctx);
         }
     }
 }
@@ -383,7 +361,7 @@
         self.fetch_if_newer(ctx);
         Ok(Beat {
             sender: self.own(),
-            relayed: self.relayed_to(&data_centre),
+            relayed: self.relayed_to(&data_centre, true),
         })
     }
 }
--- a/crates/entry/src/members/mod.rs
+++ b/crates/entry/src/members/mod.rs
@@ -1,6 +1,7 @@
 //! Membership: heartbeats between instances, the platform's list, and the gRPC interface.
 
 mod convert;
+mod judgement;
 mod member_view;
 mod members_actor;
 mod peer_links;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) granted_slots: IntGaugeVec,
     /// Commands to workers, by command and result.
     pub(crate) worker_commands: IntCounterVec,
+    /// Events of the clients of store and workers, by client and event.
+    pub(crate) client_events: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
     /// Live peers.
@@ -87,6 +89,11 @@
                 "Commands to workers.",
                 &["command", "result"],
             ),
+            client_events: counters(
+                "galenaspool_client_events_total",
+                "Requests of the clients of store and workers, and what became of them.",
+                &["client", "event"],
+            ),
             config_version: gauge("galenaspool_config_version", "Version of the configuration in force."),
             live_peers: gauge("galenaspool_live_peers", "Peers that answer."),
             heartbeats: counters("galenaspool_heartbeats_total", "Heartbeats sent.", &["result"]),
@@ -132,6 +139,7 @@
             Box::new(self.urgent_forwards.clone()),
             Box::new(self.granted_slots.clone()),
             Box::new(self.worker_commands.clone()),
+            Box::new(self.client_events.clone()),
             Box::new(self.config_version.clone()),
             Box::new(self.live_peers.clone()),
             Box::new(self.heartbeats.clone()),
--- a/crates/entry/src/scheduling/driver.rs
+++ b/crates/entry/src/scheduling/driver.rs
@@ -277,6 +277,10 @@
     type Result = ();
 
     fn handle(&mut self, tick: Tick, ctx: &mut Self::Context) {
+        if self.shared.board.is_stopped() {
+            ctx.stop();
+            return;
+        }
         if self.active.is_none() {
             return;
         }
--- a/crates/entry/src/scheduling/elector.rs
+++ b/crates/entry/src/scheduling/elector.rs
@@ -299,6 +299,10 @@
     type Result = ();
 
     fn handle(&mut self, _: Tick, ctx: &mut Self::Context) {
+        if self.shared.board.is_stopped() {
+            ctx.stop();
+            return;
+        }
         if self.busy {
             return;
         }
--- a/crates/entry/src/scheduling/schedulers.rs
+++ b/crates/entry/src/scheduling/schedulers.rs
@@ -87,7 +87,11 @@
 impl Handler<Tick> for Schedulers {
     type Result = ();
 
-    fn handle(&mut self, _: Tick, _: &mut Self::Context) {
+    fn handle(&mut self, _: Tick, ctx: &mut Self::Context) {
+        if self.shared.board.is_stopped() {
+            ctx.stop();
+            return;
+        }
         let listing = self.shared.board.listing();
         for worker in &listing.workers {
             if !self.electors.contains_key(&worker.data_centre) && !self.shared.board.is_stopping() {
--- a/crates/entry/src/urgent/desk_grants.rs
+++ b/crates/entry/src/urgent/desk_grants.rs
@@ -52,8 +52,8 @@
         let (_, busy) = self.pool.borrow().slots();
         let now_ms = self.shared.clock.now_ms();
         let demand = busy + self.waiting_count() as u32;
-        let limit = self.shared.settings.urgent_slots_per_instance as u32;
-        self.demand.borrow_mut().wanted(now_ms, demand, limit)
+        let idle = self.shared.settings.urgent_slots_per_instance as u32;
+        self.demand.borrow_mut().wanted(now_ms, demand, idle)
     }
 
     /// Renews all grants, one request for each worker, and gives up those that ended or were recalled.
--- a/crates/entry/src/urgent/urgent_desk.rs
+++ b/crates/entry/src/urgent/urgent_desk.rs
@@ -87,7 +87,11 @@
 impl Handler<Tick> for UrgentDesk {
     type Result = ();
 
-    fn handle(&mut self, tick: Tick, _: &mut Self::Context) {
+    fn handle(&mut self, tick: Tick, ctx: &mut Self::Context) {
+        if self.desk.shared.board.is_stopped() {
+            ctx.stop();
+            return;
+        }
         let desk = self.desk.clone();
         if tick.topic == RECORD {
             actix_rt::spawn(async move { desk.recorder.flush().await });
