--- a/crates/entry/src/jobs/intake.rs
+++ b/crates/entry/src/jobs/intake.rs
@@ -88,6 +88,11 @@
         let outcome = if self.is_granted_work(&spec) {
             self.run_urgent(spec).await?
         } else {
+            // An urgent caller waits for the answer, whichever way the job takes.
+            let wait = match class {
+                Class::Urgent => wait.max(Duration::from_millis(self.deadline_ms(&spec))),
+                Class::Deferred => wait,
+            };
             self.submit_deferred(spec, wait).await?
         };
         self.count(class, &outcome);
@@ -127,11 +132,7 @@
     }
 
     async fn run_urgent(&self, spec: JobSpec) -> Result<Outcome, ApiError> {
-        let settings = &self.shared.settings;
-        let deadline_ms = spec
-            .deadline_ms
-            .unwrap_or(settings.urgent_deadline_ms)
-            .min(settings.max_wait_ms);
+        let deadline_ms = self.deadline_ms(&spec);
         let request = RunUrgent {
             spec,
             deadline_ms,
@@ -140,6 +141,12 @@
         Ok(self.urgent.send(request).await?)
     }
 
+    fn deadline_ms(&self, spec: &JobSpec) -> u64 {
+        let settings = &self.shared.settings;
+        let deadline_ms = spec.deadline_ms.unwrap_or(settings.urgent_deadline_ms);
+        deadline_ms.min(settings.max_wait_ms)
+    }
+
     fn count(&self, class: Class, outcome: &Outcome) {
         let class = match class {
             Class::Urgent => "urgent",
--- a/crates/entry/tests/membership.rs
+++ b/crates/entry/tests/membership.rs
@@ -66,14 +66,8 @@
 /// Guards against a data centre that starts work although it reached nothing outside for longer than allowed.
 #[actix_web::test]
 async fn cut_off_data_centre_stops_starting_after_the_limit() {
-    let mut site = Site::start(1).await;
-    site.stop(0).await;
-    site.settings[0].cut_off_start_limit_ms = 600;
-    site.restart(0);
-    site.until("the store is reached", async || {
-        site.get(0, "/readyz").await.status == 200
-    })
-    .await;
+    let site = Site::bare_with(1, |settings| settings.cut_off_start_limit_ms = 600).await;
+    site.put_config(0, 0, &support::config()).await;
     site.until_scheduled().await;
     site.cluster.set_link("platform", standin::LinkMode::Cut).await;
     let served = site.submit(0, &job("before", "urgent", true, 10)).await;
