feat(policy): cost example at low and at full load

Cause: the first example mixed the number of tasks with the load, so that its rows could not be compared. Ruled out: nothing.

--- a/crates/policy/examples/cost.rs
+++ b/crates/policy/examples/cost.rs
@@ -12,6 +12,7 @@
 
 const ORGANISATIONS: usize = 34;
 const EVENTS: usize = 20_000;
+const QUEUED: usize = 2_000;
 /// Decisions are made after this many events, as a scheduler with a short tick does.
 const EVENTS_PER_DECISION: usize = 4;
 
@@ -39,15 +40,15 @@
     }
 }
 
-fn spec(rng: &mut SmallRng, number: usize) -> JobSpec {
+/// Mostly jobs of one part; with `accelerators` the whole topology holds about the wanted number of tasks.
+fn spec(rng: &mut SmallRng, number: usize, accelerators: u16) -> JobSpec {
     let organisation = format!("org{}", rng.random_range(0..ORGANISATIONS))
         .parse()
         .expect("valid name");
-    let shape = match rng.random_range(0..100) {
-        0 => Shape::new(8, 8, Adjacency::Rack),
-        1..4 => Shape::new(4, 2, Adjacency::Rack),
-        4..10 => Shape::new(1, 2, Adjacency::Worker),
-        _ => Shape::new(1, 1, Adjacency::Worker),
+    let shape = match rng.random_range(0..1_000) {
+        0 => Shape::new(8, 8.max(accelerators), Adjacency::Rack),
+        1..10 => Shape::new(4, accelerators, Adjacency::Rack),
+        _ => Shape::new(1, accelerators, Adjacency::Worker),
     };
     JobSpec::new(organisation, format!("job-{number}").parse().expect("valid name"))
         .shape(shape)
@@ -61,18 +62,20 @@
 }
 
 fn main() {
+    println!("light: free capacity, no queue; full: all accelerators in use, {QUEUED} jobs queued");
     println!(
-        "{:>8} {:>8} {:>12} {:>12} {:>12} {:>10}",
-        "tasks", "queued", "event us", "decide us", "p99 us", "RSS KiB"
+        "{:>6} {:>8} {:>8} {:>12} {:>12} {:>12} {:>12} {:>10}",
+        "load", "tasks", "queued", "event us", "decide us", "p99 us", "per start us", "RSS KiB"
     );
     for tasks in [1_000, 2_000, 5_000, 10_000, 20_000] {
-        for queued in [0, 2_000] {
-            run(tasks, queued);
-        }
+        run("light", tasks, 0, 1);
+    }
+    for tasks in [1_000, 2_000, 5_000, 10_000, 20_000] {
+        run("full", tasks, QUEUED, (23_040 / tasks) as u16);
     }
 }
 
-fn run(tasks: usize, queued: usize) {
+fn run(load: &str, tasks: usize, queued: usize, accelerators: u16) {
     let topology = Topology::uniform(4, 960, 8, Resources::new(24, 24, 96_000, 196_608));
     let mut policy = GuaranteedShare::new(&topology);
     policy.configure(0, &config(&topology)).expect("the guarantees fit");
@@ -87,16 +90,21 @@
     let mut parts = std::collections::BTreeMap::new();
     let mut out = Vec::new();
     let (mut event_ns, mut decide_ns) = (0_u128, Vec::new());
-    let mut events = 0;
+    let (mut events, mut starts) = (0, 0_u32);
     while events < EVENTS {
-        let full = parts_running >= tasks && policy.stats().queued_jobs as usize >= queued;
+        let waiting = policy.stats().queued_jobs as usize;
+        let full = if queued > 0 {
+            waiting >= queued
+        } else {
+            parts_running >= tasks
+        };
         now_ms += 1;
         let warm = full || events > 0;
         for _ in 0..EVENTS_PER_DECISION {
             let started = Instant::now();
             let fed = if !full || running.is_empty() || rng.random_bool(0.5) {
                 number += 1;
-                let spec = spec(&mut rng, number);
+                let spec = spec(&mut rng, number, accelerators);
                 let started = Instant::now();
                 let key = policy.submit(now_ms, &spec).expect("admitted");
                 let spent = started.elapsed();
@@ -124,6 +132,7 @@
         for decision in &out {
             match *decision {
                 Decision::Start { job, .. } => {
+                    starts += u32::from(warm);
                     policy.observe(now_ms, Event::Started { job });
                     running.push_back((job, parts[&job]));
                     parts_running += usize::from(parts[&job]);
@@ -143,9 +152,10 @@
     let mean = decide_ns.iter().sum::<u128>() as f64 / decide_ns.len() as f64 / 1e3;
     let p99 = decide_ns[decide_ns.len() * 99 / 100] as f64 / 1e3;
     println!(
-        "{parts_running:>8} {:>8} {:>12.2} {mean:>12.2} {p99:>12.2} {:>10}",
+        "{load:>6} {parts_running:>8} {:>8} {:>12.2} {mean:>12.2} {p99:>12.2} {:>12.2} {:>10}",
         policy.stats().queued_jobs,
         event_ns as f64 / events as f64 / 1e3,
+        mean * decide_ns.len() as f64 / f64::from(starts.max(1)),
         resident_kib()
     );
 }
