feat(bench): driver in virtual time and baselines with count quotas

Change: deployments, seeded scenarios, the driver with its checks, both baselines, and `bench policy`. Before / after: none before.

--- /dev/null
+++ b/crates/bench/src/baseline/mod.rs
@@ -0,0 +1,21 @@
+//! Baselines: first-fit and best-fit with guarantees and quotas by count.
+//!
+//! They honour gangs, adjacency, data centres out of service, quotas, quarantine and the bound on failures, so that
+//! a comparison shows the effect of placement and of guarantees in shape alone.
+
+mod account;
+mod best_fit;
+mod count_quota;
+mod first_fit;
+mod fit;
+mod health;
+mod job;
+mod node;
+mod nodes;
+mod pass;
+mod queue;
+
+pub use best_fit::BestFit;
+pub use count_quota::CountQuota;
+pub use first_fit::FirstFit;
+pub use fit::Fit;
--- /dev/null
+++ b/crates/bench/src/driver/grants.rs
@@ -0,0 +1,177 @@
+use model::Resources;
+use policy::Policy;
+
+use super::{Driver, Due, End, State};
+use crate::Metrics;
+
+/// Slot that an entry instance holds for urgent work.
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    worker: u32,
+    busy: bool,
+    /// Given back once the current task has ended.
+    closing: bool,
+    released: bool,
+}
+
+/// Grants of all entry instances together.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Grants {
+    slots: Vec<Slot>,
+    idle: Vec<usize>,
+    live: u32,
+}
+
+impl Grants {
+    /// What one grant reserves.
+    pub(crate) const NEED: Resources = Resources::new(1, 1, 2_000, 4 * 1024);
+
+    pub(crate) fn close(&mut self, slot: usize) {
+        self.slots[slot].closing = true;
+    }
+
+    pub(crate) const fn live(&self) -> u32 {
+        self.live
+    }
+}
+
+impl<P: Policy> Driver<'_, P> {
+    /// Most new grants in one tick.
+    const GRANTS_A_TICK: u32 = 8;
+    /// Time from the choice of a grant to the start on the worker.
+    const RUN_LATENCY_MS: u64 = 2;
+    const MAX_URGENT_ATTEMPTS: u32 = 10;
+
+    /// Asks for grants until the instances hold as many as they want.
+    pub(super) fn fill_grants(&mut self) {
+        for _ in 0..Self::GRANTS_A_TICK {
+            if self.grants.live >= self.scenario.workload.grant_slots {
+                break;
+            }
+            let Some(slot) = self.new_grant() else { break };
+            self.grants.idle.push(slot);
+        }
+    }
+
+    fn new_grant(&mut self) -> Option<usize> {
+        let now_ms = self.now_ms;
+        let key = self.timed(|policy| policy.grant(now_ms, Grants::NEED));
+        let Some(key) = key else {
+            self.metrics.grant_misses += 1;
+            return None;
+        };
+        let worker = self.worker_index[key];
+        let out = !self.fleet.in_service[self.fleet.data_centre_of[worker as usize]];
+        self.metrics.violations.started_while_out += u64::from(out);
+        if !self.fleet.hold(&[worker], Grants::NEED) {
+            self.metrics.violations.overcommitted += 1;
+            self.timed(|policy| policy.release_grant(key, Grants::NEED));
+            return None;
+        }
+        self.grants.live += 1;
+        self.grants.slots.push(Slot {
+            worker,
+            busy: false,
+            closing: false,
+            released: false,
+        });
+        Some(self.grants.slots.len() - 1)
+    }
+
+    fn release_grant(&mut self, slot: usize) {
+        let entry = &mut self.grants.slots[slot];
+        if entry.released {
+            return;
+        }
+        entry.released = true;
+        self.grants.live -= 1;
+        let worker = entry.worker;
+        self.fleet.release(&[worker], Grants::NEED);
+        let key = self.worker_keys[worker as usize];
+        self.timed(|policy| policy.release_grant(key, Grants::NEED));
+    }
+
+    /// Takes the slot back from a request that has ended on it.
+    pub(super) fn return_grant(&mut self, slot: usize) {
+        let wanted = self.scenario.workload.grant_slots;
+        let entry = &mut self.grants.slots[slot];
+        entry.busy = false;
+        if entry.closing || self.grants.live > wanted {
+            self.release_grant(slot);
+        } else {
+            self.grants.idle.push(slot);
+        }
+    }
+
+    fn drop_grants(&mut self, dropped: impl Fn(&Self, u32) -> bool) {
+        for slot in 0..self.grants.slots.len() {
+            let entry = self.grants.slots[slot];
+            if entry.released || !dropped(self, entry.worker) {
+                continue;
+            }
+            if entry.busy {
+                self.grants.close(slot);
+            } else {
+                self.grants.idle.retain(|idle| *idle != slot);
+                self.release_grant(slot);
+            }
+        }
+    }
+
+    pub(super) fn drop_grants_on(&mut self, worker: u32) {
+        self.drop_grants(|_, of| of == worker);
+    }
+
+    pub(super) fn drop_idle_grants_out_of_service(&mut self) {
+        self.drop_grants(|driver, worker| !driver.fleet.in_service[driver.fleet.data_centre_of[worker as usize]]);
+    }
+
+    /// Runs an urgent request on a grant, or queues it if no grant is to be had.
+    pub(super) fn run_urgent(&mut self, job: u32) {
+        let slot = match self.grants.idle.pop() {
+            Some(slot) => Some(slot),
+            None => self.new_grant(),
+        };
+        let Some(slot) = slot else {
+            self.submit(job);
+            return;
+        };
+        self.grants.slots[slot].busy = true;
+        let worker = self.grants.slots[slot].worker;
+        let arrival = self.arrival(job);
+        let record = &mut self.records[job as usize];
+        record.state = State::Running;
+        record.attempt += 1;
+        record.grant = Some(slot);
+        record.workers = [worker].into_iter().collect();
+        record.running_parts = 1;
+        record.started_ms = self.now_ms + Self::RUN_LATENCY_MS;
+        record.doomed = self.fleet.broken[worker as usize];
+        let (attempt, started_ms, doomed) = (record.attempt, record.started_ms, record.doomed);
+        if record.first_start_ms.is_none() {
+            record.first_start_ms = Some(started_ms);
+            Metrics::record(&mut self.metrics.urgent_start_ms, started_ms - arrival.at_ms);
+        }
+        self.count_useful(job, true);
+        if !self.fleet.alive[worker as usize] {
+            self.grants.close(slot);
+            self.push(self.now_ms + Self::NOTICE_MS, Due::Fail(job, attempt, worker));
+        } else if doomed {
+            let after_ms = 50 + self.chance(job, 6) % 250;
+            self.push(started_ms + after_ms, Due::Fail(job, attempt, worker));
+        } else {
+            self.push(started_ms + arrival.run_ms, Due::Finish(job, attempt));
+        }
+    }
+
+    /// Tries an idempotent urgent request again; ends another one.
+    pub(super) fn retry_urgent(&mut self, job: u32, after_ms: u64, otherwise: End) {
+        let record = &mut self.records[job as usize];
+        if self.scenario.arrivals[job as usize].spec.idempotent && record.attempt < 2 * Self::MAX_URGENT_ATTEMPTS {
+            record.state = State::Retrying;
+            self.push(self.now_ms + after_ms, Due::Retry(job));
+        } else {
+            self.end(job, otherwise);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/incident.rs
@@ -0,0 +1,28 @@
+/// Change of the surroundings at a fixed instant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Incident {
+    /// Operators take the data centre with this index out of service or bring it back.
+    DataCentre {
+        /// Index in the topology.
+        index: usize,
+        /// Whether it is in service from now on.
+        in_service: bool,
+    },
+    /// The worker with this index dies.
+    WorkerDies {
+        /// Index in topology order.
+        worker: u32,
+    },
+    /// The worker with this index is back, empty.
+    WorkerReturns {
+        /// Index in topology order.
+        worker: u32,
+    },
+    /// The worker with this index fails every task from now on, or works again.
+    WorkerBroken {
+        /// Index in topology order.
+        worker: u32,
+        /// Whether it fails every task.
+        broken: bool,
+    },
+}
