fix: move stranded jobs, and claim nothing about a job that the store cannot show

Cause: the proofs on processes found two faults. (1) Jobs stayed queued for good in a data centre that could never run them: in a layout of one rack a data centre, the rack of dc1 is guaranteed to one organisation and granted slots hold two workers of the others (rows: state queued, no attempt; a leaving rack left a job with five attempts not_started). (2) After an outage a gang was reported as did_not_run/store_unavailable although it ran: the first request was accepted, and its repetition met the outage at another instance. Ruled out: (1) lost rows, the scheduler holds them; (2) a lost write, the row was durable before the refusal.

--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -143,10 +143,17 @@
     }
 
     /// Returns whether the error proves that nothing ran and nothing was changed.
+    ///
+    /// Without the store an instance cannot know whether an earlier request with the same id was accepted elsewhere, so
+    /// that refusal claims nothing about the job.
     pub const fn did_not_run(&self) -> bool {
         !matches!(
             self,
-            Self::WriteUnknown | Self::Internal | Self::NoAnswer { .. } | Self::DamagedAnswer { .. }
+            Self::WriteUnknown
+                | Self::Internal
+                | Self::NoAnswer { .. }
+                | Self::DamagedAnswer { .. }
+                | Self::Refused(Refusal::StoreUnavailable { .. })
         )
     }
 
--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -77,7 +77,7 @@
         let mut ticket = match self.place(job).await {
             Ok(Place::Here(ticket)) => ticket,
             Ok(Place::Served(outcome)) => return outcome,
-            Err(refusal) => return refused(refusal),
+            Err(refusal) => return self.refuse_once(job, refusal).await,
         };
         let data_centre = self.shared.settings.data_centre.clone();
         let now_unix_ms = self.shared.clock.now_unix_ms();
@@ -130,6 +130,17 @@
         }
     }
 
+    /// Refuses a non-idempotent request that found no place, unless an earlier one with the same id was recorded.
+    async fn refuse_once(&self, job: &UrgentJob, refusal: Refusal) -> Outcome {
+        match self.clients.store.read(&JobRow::key_of(&job.spec.id())).await {
+            Ok(None) => refused(refusal),
+            Ok(Some(_)) => self.follow(job).await,
+            Err(_) => refused(Refusal::StoreUnavailable {
+                retry_after_ms: Self::RETRY_MS,
+            }),
+        }
+    }
+
     /// Records that the attempt did not start, and then passes the request to another instance.
     ///
     /// The receiver takes a job over only when its row proves that it did not run. Returns `None` if that was not written.
--- a/crates/fleet/src/observe.rs
+++ b/crates/fleet/src/observe.rs
@@ -143,6 +143,12 @@
         self.instances.iter().position(|instance| instance.name == holder)
     }
 
+    /// Returns a row of the platform's table, or null.
+    pub async fn row(&self, key: &str) -> Value {
+        let url = format!("http://{}/v1/table/rows/{key}", self.platform_address);
+        self.get(&url).await.unwrap_or_default()
+    }
+
     /// Returns the counters of the platform.
     ///
     /// # Errors
--- a/crates/model/src/job_row.rs
+++ b/crates/model/src/job_row.rs
@@ -32,6 +32,9 @@
     /// Reason, if the job did not run.
     #[serde(default)]
     pub refusal: Option<Refusal>,
+    /// How often the job was moved to another data centre because it could not run where it was.
+    #[serde(default)]
+    pub moves: u32,
     /// Whether the caller asked for cancellation.
     #[serde(default)]
     pub cancel_requested: bool,
@@ -51,6 +54,7 @@
             answer_sha256: None,
             failure: None,
             refusal: None,
+            moves: 0,
             cancel_requested: false,
         }
     }
--- a/crates/policy/src/guaranteed_share.rs
+++ b/crates/policy/src/guaranteed_share.rs
@@ -175,6 +175,10 @@
         &self.cluster.workers[key].id
     }
 
+    fn could_run(&self, job: JobKey) -> bool {
+        self.has_room_when_idle(job)
+    }
+
     fn workers_of(&self, job: JobKey) -> SmallVec<[WorkerKey; 4]> {
         let parts = self.jobs.get(job).into_iter().flat_map(|job| &job.parts);
         parts.map(|part| part.worker).collect()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod arrange;
 mod cluster;
 mod correction;
+mod could_run;
 mod decision;
 mod event;
 mod events;
--- a/crates/policy/src/policy_trait.rs
+++ b/crates/policy/src/policy_trait.rs
@@ -54,6 +54,14 @@
     /// Returns the workers of a job that holds resources; empty while it is queued.
     fn workers_of(&self, job: JobKey) -> SmallVec<[WorkerKey; 4]>;
 
+    /// Returns whether a queued job could start here once all other deferred work has ended.
+    ///
+    /// A scheduler moves a job that waits and could not to another data centre.
+    fn could_run(&self, job: JobKey) -> bool {
+        let _ = job;
+        true
+    }
+
     /// Returns the current figures.
     fn stats(&self) -> Stats;
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -15,6 +15,7 @@
 mod scheduler;
 mod service;
 mod settings;
+mod stranded;
 mod worker_state;
 mod workers;
 mod write_id;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -8,6 +8,7 @@
 
 use crate::grants::Grants;
 use crate::job::{Job, Key, Phase};
+use crate::stranded::StrandedSearch;
 use crate::worker_state::WorkerState;
 use crate::writes::Writes;
 use crate::{Action, Input, Settings};
@@ -66,6 +67,7 @@
     pub(crate) by_policy: SecondaryMap<JobKey, Key>,
     pub(crate) queued: BTreeSet<Key>,
     pub(crate) parked: BTreeSet<Key>,
+    pub(crate) stranded: StrandedSearch,
     /// Jobs in a transient phase.
     pub(crate) transient: BTreeSet<Key>,
     pub(crate) timers: BTreeSet<(u64, Timer)>,
@@ -116,6 +118,7 @@
             by_policy: SecondaryMap::new(),
             queued: BTreeSet::new(),
             parked: BTreeSet::new(),
+            stranded: StrandedSearch::default(),
             transient: BTreeSet::new(),
             timers: BTreeSet::new(),
             writes: Writes::default(),
@@ -267,6 +270,7 @@
         if self.mode == Mode::Active {
             self.unpark(actions);
             self.move_elsewhere(actions);
+            self.move_stranded(actions);
         }
     }
 
