fix(entry): idle grants give way to a wide job that waits

Cause: proofs on real processes leave gangs of 8 parts of 8 accelerators in progress for 60 s. With 24 workers a data centre has exactly the 8 workers that such a gang needs, and idle grants lie on two or more of them for good. Change: a driver whose scheduler reports a waiting job that no free accelerator can serve, for one time to live of slot leases, tells it that no instance wants grants, for at most twice as long, and only while another data centre has free grants. The policy would be the better place, but its decisions cannot recall grants.

--- a/crates/entry/src/scheduling/active.rs
+++ b/crates/entry/src/scheduling/active.rs
@@ -6,6 +6,7 @@
 
 use super::ActivePolicy;
 use super::grant_book::GrantBook;
+use super::grant_yield::GrantYield;
 
 /// What a driver keeps while its instance holds the lease; it is dropped with the epoch.
 #[derive(Debug)]
@@ -18,6 +19,8 @@
     pub(super) grants: GrantBook,
     /// Instances to which a delivery of grants is under way.
     pub(super) delivering: BTreeSet<InstanceId>,
+    /// Whether the grants give way to a wide job.
+    pub(super) grant_yield: GrantYield,
     /// Granted slots that each live instance wants.
     pub(super) wanted: BTreeMap<InstanceId, u16>,
     pub(super) config: Option<Arc<Config>>,
--- a/crates/entry/src/scheduling/driver.rs
+++ b/crates/entry/src/scheduling/driver.rs
@@ -288,6 +288,7 @@
             SCHEDULE => self.tick(ctx),
             SYNC => {
                 self.follow_listing(ctx);
+                self.yield_grants(ctx);
                 self.sync_grants(ctx);
                 self.publish_figures();
                 self.resolve_orphans(ctx);
--- a/crates/entry/src/scheduling/driver_epoch.rs
+++ b/crates/entry/src/scheduling/driver_epoch.rs
@@ -7,6 +7,7 @@
 
 use super::active::Active;
 use super::grant_book::GrantBook;
+use super::grant_yield::GrantYield;
 use super::{Driver, Release, new_policy, topology_of};
 
 /// An epoch must last this long before new workers end it, so that workers which appear one by one are taken together.
@@ -49,6 +50,7 @@
             leaving: BTreeSet::new(),
             grants: GrantBook::default(),
             delivering: BTreeSet::new(),
+            grant_yield: GrantYield::new(self.shared.settings.slot_lease_ttl_ms),
             wanted: BTreeMap::new(),
             config: None,
             store_reachable: true,
--- a/crates/entry/src/scheduling/driver_grants.rs
+++ b/crates/entry/src/scheduling/driver_grants.rs
@@ -129,8 +129,38 @@
         active.wanted.retain(|id, _| is_live(id));
         active.wanted.insert(instance, wanted);
         if active.wanted != before {
-            let wanted_slots = active.wanted.iter().map(|(id, slots)| (id.clone(), *slots)).collect();
-            self.feed(Input::Instances { wanted_slots }, ctx);
+            self.pass_wanted(ctx);
+        }
+    }
+
+    /// Passes on how many granted slots each instance wants: none while the grants give way to a wide job.
+    fn pass_wanted(&mut self, ctx: &mut Context<Self>) {
+        let Some(active) = &self.active else { return };
+        let is_yielding = active.grant_yield.is_yielding();
+        let wanted = active.wanted.iter();
+        let wanted_slots = wanted
+            .map(|(id, slots)| (id.clone(), if is_yielding { 0 } else { *slots }))
+            .collect();
+        self.feed(Input::Instances { wanted_slots }, ctx);
+    }
+
+    /// Lets the grants give way to a wide job that they block, as long as other data centres have grants.
+    pub(super) fn yield_grants(&mut self, ctx: &mut Context<Self>) {
+        let now_ms = self.shared.clock.now_ms();
+        let members = self.shared.board.members();
+        let config = self.shared.board.config();
+        let has_refuge = members.peers.iter().any(|peer| {
+            peer.data_centre != self.data_centre
+                && peer.takes_requests()
+                && peer.granted_slots > peer.busy_slots
+                && config.is_in_service(&peer.data_centre)
+        });
+        let Some(active) = &mut self.active else { return };
+        let was_yielding = active.grant_yield.is_yielding();
+        let stats = active.scheduler.stats();
+        active.grant_yield.update(now_ms, &stats, has_refuge);
+        if active.grant_yield.is_yielding() != was_yielding {
+            self.pass_wanted(ctx);
         }
     }
 }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -10,6 +10,7 @@
 mod elector;
 mod finals;
 mod grant_book;
+mod grant_yield;
 mod orphans;
 mod outbox;
 mod plan_check;
--- a/crates/entry/tests/jobs.rs
+++ b/crates/entry/tests/jobs.rs
@@ -170,3 +170,30 @@
     })
     .await;
 }
+
+/// Guards against a job that needs whole workers and waits forever, because idle grants lie on all of them.
+#[actix_web::test]
+async fn idle_grants_give_way_to_a_wide_job() {
+    let site = Site::bare_with(3, |settings| settings.slot_lease_ttl_ms = 800).await;
+    site.put_config(0, 0, &support::config()).await;
+    site.until_scheduled().await;
+    let wide = json!({
+        "organisation": "clyde-koi", "request_id": "wide", "payload": {"run_ms": 50},
+        "shape": {"parts": 2, "accelerators_per_part": 8, "adjacency": "rack"},
+    });
+    site.post(0, "/v1/jobs", &wide).await;
+    let begin = std::time::Instant::now();
+    while site.get(1, "/v1/jobs/clyde-koi/wide").await.text("outcome") != "ran" {
+        assert!(
+            begin.elapsed() < std::time::Duration::from_secs(8),
+            "the wide job still waits"
+        );
+        let urgent = site
+            .submit(
+                0,
+                &job(&format!("u{}", begin.elapsed().as_millis()), "urgent", true, 10),
+            )
+            .await;
+        assert_eq!(urgent.text("outcome"), "ran", "{urgent:?}");
+    }
+}
