fix(entry): jobs go where guarantees admit them, and a worker that takes no request gets none

Cause: (1) the proof that replaces all instances left one-part jobs queued in dc1, whose accelerators were all free: the jobs can neither be stopped nor checkpointed and dc1 is guaranteed to others, so the scheduler may never start them there. (2) After the policy gathered grants on fewer workers, a refusing worker used up the retry budget, since its grants stayed in use. (3) All data centres could do without grants at the same moment. Ruled out: (1) a lost row or a wedged scheduler; rows, index and queue were complete, and the borrowing rule explains the wait. Change: intake prefers data centres whose unguaranteed accelerators or whose guarantees for the owner admit the job; grants on a worker that did not take or answer a request rest until it confirms its leases; data centres wait in turn before they do without grants.

--- a/crates/entry/src/jobs/deferred.rs
+++ b/crates/entry/src/jobs/deferred.rs
@@ -70,7 +70,7 @@
         };
         let listing = board.listing();
         let topology = self.homes.topology(&config, &listing);
-        let homes = self.homes.homes(&config, &listing, &spec.organisation);
+        let homes = self.homes.homes(&config, &listing);
         let need = spec.shape.accelerators();
         topology
             .data_centres
@@ -80,9 +80,11 @@
                 let free = self.free_accelerators(&dc.id);
                 let is_scheduled = board.holder(&dc.id).is_some();
                 let is_local = dc.id == self.shared.settings.data_centre;
+                let is_admitted = homes.admits(spec, &dc.id);
+                let is_home = homes.is_home(&spec.organisation, &dc.id);
                 // With room for the job anywhere, the most free data centre is best. Without, only the one that provides
                 // the owner's guaranteed shape can make room.
-                (is_scheduled, free >= need, homes.contains(&dc.id), free, is_local)
+                (is_scheduled, is_admitted, free >= need, is_home, free, is_local)
             })
             .map(|dc| dc.id.clone())
             .ok_or(none)
--- a/crates/entry/src/jobs/homes_cache.rs
+++ b/crates/entry/src/jobs/homes_cache.rs
@@ -1,11 +1,10 @@
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use model::{Config, DataCentreId, OrganisationId, Topology};
+use model::{Config, Topology};
 use store::Listing;
 
-use crate::scheduling::{homes, topology_of};
+use crate::scheduling::{PlanHomes, topology_of};
 
 /// Topology and homes of the organisations' guarantees, computed once for each configuration and list.
 #[derive(Debug, Default)]
@@ -18,7 +17,7 @@
     config: Arc<Config>,
     listing: Arc<Listing>,
     topology: Arc<Topology>,
-    homes: HashMap<OrganisationId, BTreeSet<DataCentreId>>,
+    homes: Option<Arc<PlanHomes>>,
 }
 
 impl HomesCache {
@@ -27,18 +26,13 @@
         Self::current(&mut entry, config, listing).topology.clone()
     }
 
-    /// Returns the data centres that provide the organisation's guaranteed shapes.
-    pub(super) fn homes(
-        &self,
-        config: &Arc<Config>,
-        listing: &Arc<Listing>,
-        organisation: &OrganisationId,
-    ) -> BTreeSet<DataCentreId> {
+    /// Returns where the guaranteed shapes are.
+    pub(super) fn homes(&self, config: &Arc<Config>, listing: &Arc<Listing>) -> Arc<PlanHomes> {
         let mut entry = self.entry.borrow_mut();
         let entry = Self::current(&mut entry, config, listing);
         let topology = entry.topology.clone();
-        let known = entry.homes.entry(organisation.clone());
-        known.or_insert_with(|| homes(&topology, config, organisation)).clone()
+        let compute = || Arc::new(PlanHomes::compute(&topology, config));
+        entry.homes.get_or_insert_with(compute).clone()
     }
 
     fn current<'a>(entry: &'a mut Option<Entry>, config: &Arc<Config>, listing: &Arc<Listing>) -> &'a mut Entry {
@@ -52,7 +46,7 @@
             config: config.clone(),
             listing: listing.clone(),
             topology: Arc::new(topology_of(listing)),
-            homes: HashMap::new(),
+            homes: None,
         })
     }
 }
--- a/crates/entry/src/scheduling/driver_grants.rs
+++ b/crates/entry/src/scheduling/driver_grants.rs
@@ -156,9 +156,11 @@
                 && config.is_in_service(&peer.data_centre)
         });
         let Some(active) = &mut self.active else { return };
+        let dcs = config.recorded.as_ref().map_or(&[][..], |config| &config.data_centres);
+        let position = dcs.iter().position(|dc| dc.id == self.data_centre).unwrap_or(0) as u64;
         let was_yielding = active.grant_yield.is_yielding();
         let stats = active.scheduler.stats();
-        active.grant_yield.update(now_ms, &stats, has_refuge);
+        active.grant_yield.update(now_ms, &stats, has_refuge, position);
         if active.grant_yield.is_yielding() != was_yielding {
             self.pass_wanted(ctx);
         }
--- a/crates/entry/src/scheduling/grant_yield.rs
+++ b/crates/entry/src/scheduling/grant_yield.rs
@@ -37,8 +37,9 @@
 
     /// Takes note of the scheduler's figures.
     ///
-    /// `has_refuge` is whether urgent requests can go to another data centre.
-    pub(super) fn update(&mut self, now_ms: u64, stats: &Stats, has_refuge: bool) {
+    /// `has_refuge` is whether urgent requests can go to another data centre. `position` is that of the data centre among
+    /// all: they begin one after another, since without any grants urgent requests would find no refuge.
+    pub(super) fn update(&mut self, now_ms: u64, stats: &Stats, has_refuge: bool, position: u64) {
         let is_blocked = stats.queued_jobs > 0 && stats.fragmentation_ratio >= 1.0;
         if !is_blocked {
             self.blocked_since_ms = None;
@@ -50,7 +51,8 @@
             }
         } else if is_blocked {
             let since_ms = *self.blocked_since_ms.get_or_insert(now_ms);
-            if has_refuge && now_ms >= self.rested_ms && now_ms.saturating_sub(since_ms) >= self.patience_ms {
+            let patience_ms = self.patience_ms + self.patience_ms * position / 2;
+            if has_refuge && now_ms >= self.rested_ms && now_ms.saturating_sub(since_ms) >= patience_ms {
                 self.yielding_since_ms = Some(now_ms);
             }
         }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -26,6 +26,6 @@
 pub(crate) use elector::{Elector, Release};
 pub(crate) use outbox::{JobWrite, open_key};
 pub(crate) use plan_check::{ActivePolicy, check_plan, new_policy};
-pub(crate) use plan_homes::homes;
+pub(crate) use plan_homes::PlanHomes;
 pub(crate) use schedulers::{Schedulers, StopScheduling};
 pub(crate) use topology::{fits_empty, topology_of};
--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -206,8 +206,10 @@
             .worker_commands
             .with_label_values(&["run", label])
             .inc();
-        if let Err(WorkerCallError::Refused(error)) = &result {
-            self.note_refusal(ticket, *error);
+        match &result {
+            Ok(_) => {}
+            Err(WorkerCallError::Refused(error)) => self.note_refusal(ticket, *error),
+            Err(_) => self.pool.borrow_mut().doubt(&ticket.worker),
         }
         result.map(Verdict::of)
     }
--- a/crates/entry/src/urgent/grant_pool.rs
+++ b/crates/entry/src/urgent/grant_pool.rs
@@ -17,6 +17,8 @@
     resources: Resources,
     free: Resources,
     recalled: bool,
+    /// Whether the worker did not take or answer a request since it last confirmed the lease.
+    doubtful: bool,
     /// When the worker last confirmed the lease.
     confirmed_ms: u64,
     /// Turn of the last use; the grant that rested longest is used next, which spreads work over workers.
@@ -51,6 +53,7 @@
             resources,
             free: resources,
             recalled: false,
+            doubtful: false,
             confirmed_ms: now_ms,
             used_turn: 0,
         });
@@ -60,6 +63,7 @@
     pub(super) fn pick(&mut self, now_ms: u64, fresh_ms: u64, need: Resources, avoid: &[WorkerId]) -> Option<Ticket> {
         let usable = |grant: &&mut Grant| {
             !grant.recalled
+                && !grant.doubtful
                 && grant.free.fits(need)
                 && now_ms.saturating_sub(grant.confirmed_ms) <= fresh_ms
                 && !avoid.contains(&grant.worker)
@@ -133,6 +137,14 @@
     pub(super) fn confirm(&mut self, now_ms: u64, lease: LeaseId) {
         if let Some(grant) = self.grants.get_mut(&lease) {
             grant.confirmed_ms = now_ms;
+            grant.doubtful = false;
+        }
+    }
+
+    /// Keeps requests from a worker that did not take or answer one, until it confirms its leases again.
+    pub(super) fn doubt(&mut self, worker: &WorkerId) {
+        for grant in self.grants.values_mut().filter(|grant| grant.worker == *worker) {
+            grant.doubtful = true;
         }
     }
 
