test(sched): exhaustive exploration of the attempt and lease protocol

Cause: the matrix tries one order of messages for each fault. The explorer found that an adopted attempt stayed unsettled for ever if the reply to the fence that should settle it was lost while the worker answered renewals. Ruled out: a fault of the explorer's end phase, by the state it printed (adopted seat, worker up, no fence in flight). Change: a worker of which an inventory is wanted is fenced until one arrives; explore.rs tries every order of delivery, one loss, one election and two steps of time. Two deliberate defects show that it can fail.

--- a/crates/sched/src/replies.rs
+++ b/crates/sched/src/replies.rs
@@ -237,6 +237,7 @@
             self.probe(ix, actions);
             return;
         }
+        worker.wants_inventory = false;
         let has_restarted = std::mem::take(&mut worker.has_regressed);
         worker.sequence = inventory.sequence;
         if has_restarted {
--- a/crates/sched/src/worker_state.rs
+++ b/crates/sched/src/worker_state.rs
@@ -36,6 +36,8 @@
     pub(crate) leaving: Leaving,
     /// When the timer of the worker is due.
     pub(crate) due_ms: u64,
+    /// Whether an inventory is needed, so that a fence whose reply was lost is sent again.
+    pub(crate) wants_inventory: bool,
     /// Number of the fence in flight.
     pub(crate) fence_op: Option<u64>,
     pub(crate) is_renewing: bool,
@@ -63,6 +65,7 @@
             health: Health::Unknown,
             leaving: Leaving::No,
             due_ms: 0,
+            wants_inventory: false,
             fence_op: None,
             is_renewing: false,
             sent_ms: 0,
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -23,6 +23,7 @@
         }
         let was_busy = worker.is_renewing || worker.fence_op.is_some();
         match worker.health {
+            Health::Up if worker.wants_inventory => self.probe(ix, actions),
             Health::Up if !worker.is_renewing && worker.fence_op.is_none() => self.renew(ix, actions),
             Health::Up => {}
             Health::Unknown | Health::Down => {
@@ -75,6 +76,7 @@
 
     /// Reads the inventory of a worker by a fence, which extends no lease. One is in flight at a time.
     pub(crate) fn probe(&mut self, ix: usize, actions: &mut Vec<Action>) {
+        self.workers[ix].wants_inventory = true;
         if self.workers[ix].fence_op.is_some() {
             return;
         }
--- a/crates/sched/tests/scheduler/main.rs
+++ b/crates/sched/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod defects;
+mod explore;
 mod faults;
 mod grants;
 mod path;
