fix(sched): settle attempts that are adopted while a worker comes up; judge waiting jobs last

Change: an adopted attempt always asks for an inventory of its workers; waiting jobs are submitted after the inventories were read; while the data centre is out they wait or are moved and are not refused; idempotent jobs in a recovery with silent workers are never said not to have run.

--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -53,11 +53,11 @@
         self.parked.insert(key);
         self.by_id.insert(id.clone(), key);
         if self.early_cancels.remove(&id) {
-            self.jobs[key].is_cancelled = true;
+            self.jobs[key].row.cancel_requested = true;
         }
         if is_adopted && self.jobs[key].last_attempt() > 0 {
             self.adopt(key, actions);
-        } else {
+        } else if self.mode != Mode::Recovering {
             self.submit(key, actions);
         }
     }
@@ -65,7 +65,7 @@
     /// Hands a job that is not running to the policy's queue.
     pub(crate) fn submit(&mut self, key: Key, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(key) else { return };
-        if job.is_cancelled {
+        if job.row.cancel_requested {
             self.end_cancelled(key, actions);
             return;
         }
@@ -74,6 +74,11 @@
             self.finalize(key, JobState::Failed, Outcome::Failed { message }, actions);
             return;
         }
+        if !self.is_in_service {
+            // It is moved, or waits for the return.
+            self.set_phase(key, Phase::Parked);
+            return;
+        }
         let mut spec = job.row.spec.clone();
         if let Some(deadline_ms) = &mut spec.deadline_ms {
             let waited_ms = self.now_unix_ms.saturating_sub(job.row.accepted_unix_ms);
@@ -112,7 +117,6 @@
         self.detach(key, |job| Observed::Removed { job });
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.row.state = state;
-        job.row.cancel_requested = job.is_cancelled;
         match &outcome {
             Outcome::Ran { answer } => {
                 job.row.answer_length_bytes = Some(answer.length_bytes);
@@ -177,10 +181,10 @@
     /// Cancels a job in any phase. What has been dispatched is ended first.
     pub(crate) fn cancel(&mut self, key: Key, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(key) else { return };
-        if job.is_cancelled || job.phase == Phase::Final {
+        if job.row.cancel_requested || job.phase == Phase::Final {
             return;
         }
-        job.is_cancelled = true;
+        job.row.cancel_requested = true;
         match job.phase {
             Phase::Queued | Phase::Parked => self.end_cancelled(key, actions),
             // An adopted attempt is settled first, and an unknown one stays unknown until a worker proves what ran.
@@ -225,7 +229,7 @@
         if row.cancel_requested && !is_recording {
             self.cancel(key, actions);
         } else if row.cancel_requested {
-            self.jobs[key].is_cancelled = true;
+            self.jobs[key].row.cancel_requested = true;
             self.end_run(key, Cause::Cancelled, actions);
         }
     }
--- a/crates/sched/src/attempts.rs
+++ b/crates/sched/src/attempts.rs
@@ -202,7 +202,7 @@
         let takes_checkpoint = mode == Preemption::Checkpoint && job.row.spec.checkpointable;
         if let Some(run) = job.run.as_mut().filter(|run| run.cause.is_none())
             && takes_checkpoint
-            && job.phase == Phase::Running
+            && matches!(job.phase, Phase::Starting | Phase::Running | Phase::Adopting)
         {
             run.grace_until_ms = Some(grace_until_ms);
             self.request_checkpoints(key, actions);
--- a/crates/sched/src/ending.rs
+++ b/crates/sched/src/ending.rs
@@ -63,7 +63,7 @@
         }
         if run.is_finished() {
             self.conclude_finished(key, &run, actions);
-        } else if job.is_cancelled {
+        } else if job.row.cancel_requested {
             self.conclude_cancelled(key, &run, actions);
         } else if !run.has_started() {
             let worker = match run.cause {
@@ -172,7 +172,7 @@
         let requeued = Event::new(EventKind::JobRequeued)
             .job(job.id.clone())
             .attempt(job.last_attempt());
-        let (policy_key, is_cancelled) = (job.policy_key, job.is_cancelled);
+        let (policy_key, is_cancelled) = (job.policy_key, job.row.cancel_requested);
         self.event(requeued, actions);
         if is_cancelled {
             self.end_cancelled(key, actions);
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -81,9 +81,10 @@
     pub(crate) outcome: Option<Box<Outcome>>,
     /// Checkpoint of each part to resume from; empty means from the start.
     pub(crate) checkpoints: Vec<String>,
-    pub(crate) is_cancelled: bool,
     /// Row of another holder that takes the place of this one once the own attempt has ended.
     pub(crate) replacement: Option<(Box<JobRow>, u64)>,
+    /// Whether a silent worker may run it without a record, as work does that was started during a store outage.
+    pub(crate) is_unproven: bool,
     /// Highest attempt that a worker knows. Task ids name the attempt, so a later one needs a higher number.
     pub(crate) seen_attempt: u32,
 }
@@ -93,7 +94,6 @@
     pub(crate) fn new(row: JobRow, version: u64) -> Self {
         Self {
             id: row.id(),
-            is_cancelled: row.cancel_requested,
             row,
             version,
             phase: Phase::Parked,
@@ -108,6 +108,7 @@
             checkpoints: Vec::new(),
             replacement: None,
             seen_attempt: 0,
+            is_unproven: false,
         }
     }
 
@@ -118,7 +119,7 @@
 
     /// Returns whether any attempt may have started work.
     pub(crate) fn has_run(&self) -> bool {
-        self.row.attempts.iter().any(has_run)
+        self.is_unproven || self.row.attempts.iter().any(has_run)
     }
 
     /// Returns whether a further attempt keeps the promise that a non-idempotent job runs at most once.
--- a/crates/sched/src/recovery.rs
+++ b/crates/sched/src/recovery.rs
@@ -72,7 +72,6 @@
     }
 
     fn recovered(&mut self, actions: &mut Vec<Action>) {
-        self.mode = Mode::Active;
         let inventories: BTreeMap<usize, Box<Inventory>> = (self.workers.iter_mut().enumerate())
             .filter_map(|(ix, worker)| Some((ix, worker.inventory.take()?)))
             .collect();
@@ -88,11 +87,14 @@
         }
         self.early_cancels.clear();
         self.found_checkpoints.clear();
+        self.mode = Mode::Active;
+        let waiting: Vec<Key> = self.parked.iter().copied().collect();
         self.adopt_unrecorded(&inventories, actions);
         let op = self.next_op();
         let count = self.workers.len() as u64;
         for ix in 0..self.workers.len() {
             if let Some(inventory) = inventories.get(&ix) {
+                self.workers[ix].wants_inventory = false;
                 self.reconcile(ix, inventory, op, actions);
                 self.up(ix, inventory.leaving, actions);
             } else {
@@ -102,6 +104,14 @@
             let offset_ms = ix as u64 * self.settings.worker_renew_interval_ms / count;
             self.arm_worker(ix, self.now_ms + offset_ms);
         }
+        // What waits is judged last: an inventory may prove that a job runs of which the row knows nothing.
+        let is_silent = inventories.len() < self.workers.len();
+        for key in waiting {
+            if let Some(job) = self.jobs.get_mut(key).filter(|job| job.phase == Phase::Parked) {
+                job.is_unproven = is_silent && job.row.spec.idempotent;
+                self.submit(key, actions);
+            }
+        }
         let adopting: Vec<Key> = self.transient.iter().copied().collect();
         for key in adopting {
             self.hold(key);
@@ -128,7 +138,7 @@
         run.started_ms = self.now_ms.saturating_sub(age_ms);
         if was_ended {
             run.cause = Some(Cause::Preempted);
-        } else if self.jobs[key].is_cancelled {
+        } else if self.jobs[key].row.cancel_requested {
             run.cause = Some(Cause::Cancelled);
         }
         let mut workers = Vec::new();
@@ -140,6 +150,8 @@
         self.jobs[key].run = Some(run);
         self.set_phase(key, Phase::Adopting);
         for ix in workers {
+            // A worker that comes up just now was read before the attempt was known.
+            self.workers[ix].wants_inventory = true;
             if self.workers[ix].health == Health::Up {
                 self.probe(ix, actions);
             }
