fix(sched): tell known attempts from foreign ones; end adopted gangs with a silent part sooner

A row whose last attempt was settled and dropped counted as foreign, so that work which ran without a record was stopped and its attempt number used twice. A gang with a part at a silent worker ran 12 ms beyond the bound if the holder changed too.

--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -215,7 +215,9 @@
         let is_foreign = row.state.is_final()
             || row.attempts.last().is_some_and(|theirs| {
                 let ours = job.row.attempts.iter().find(|ours| ours.number == theirs.number);
-                ours.is_none_or(|ours| ours.placement != theirs.placement)
+                let is_other = ours.is_some_and(|ours| ours.placement != theirs.placement);
+                // Attempts that were read or written here before are settled, whether the row still lists them or not.
+                is_other || (ours.is_none() && theirs.number > job.known_attempt)
             });
         if is_foreign {
             self.drop_foreign(key, Some((row, version)), actions);
@@ -249,11 +251,17 @@
 
     /// Forgets a job and takes up the row that replaces it.
     pub(crate) fn replace(&mut self, key: Key, actions: &mut Vec<Action>) {
-        let replacement = self.jobs.get_mut(key).and_then(|job| job.replacement.take());
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let (id, replacement) = (job.id.clone(), job.replacement.take());
+        let seen_attempt = job.last_attempt().max(job.seen_attempt);
         self.forget(key);
         if let Some((row, version)) = replacement {
             self.take_row(*row, version, actions);
         }
+        if let Some(key) = self.by_id.get(&id) {
+            // Workers know the numbers of the dropped attempts.
+            self.jobs[*key].seen_attempt = seen_attempt;
+        }
     }
 
     /// Takes a job whose attempt was recorded or is being recorded, but not dispatched, out of the policy's queue.
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -85,6 +85,8 @@
     pub(crate) replacement: Option<(Box<JobRow>, u64)>,
     /// Whether a silent worker may run it without a record, as work does that was started during a store outage.
     pub(crate) is_unproven: bool,
+    /// Highest attempt that was read from the table or written to it.
+    pub(crate) known_attempt: u32,
     /// Highest attempt that a worker knows. Task ids name the attempt, so a later one needs a higher number.
     pub(crate) seen_attempt: u32,
 }
@@ -94,6 +96,7 @@
     pub(crate) fn new(row: JobRow, version: u64) -> Self {
         Self {
             id: row.id(),
+            known_attempt: row.attempts.last().map_or(0, |attempt| attempt.number),
             row,
             version,
             phase: Phase::Parked,
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -35,7 +35,8 @@
         self.check_down(ix, actions);
         let worker = &self.workers[ix];
         let is_waiting = was_busy && (worker.is_renewing || worker.fence_op.is_some());
-        let interval_ms = if is_waiting {
+        let is_fresh = worker.health != Health::Up && worker.last_reply_ms + self.settings.worker_down_ms > self.now_ms;
+        let interval_ms = if is_waiting || is_fresh {
             BUSY_INTERVAL_MS
         } else {
             self.settings.worker_renew_interval_ms
@@ -119,8 +120,11 @@
     }
 
     /// Ends the adopted attempts that a silent worker keeps open, so that their other parts do not run on alone.
+    ///
+    /// The former holder may have waited for the worker before, so that only one fence and a repetition are waited for.
     fn end_adopted(&mut self, ix: usize, actions: &mut Vec<Action>) {
-        if self.workers[ix].last_reply_ms + self.settings.worker_down_ms > self.now_ms {
+        let bound_ms = self.settings.worker_timeout_ms * 5 / 4;
+        if self.workers[ix].last_reply_ms + bound_ms > self.now_ms {
             return;
         }
         let seats: Vec<Key> = self.workers[ix].seats.values().copied().collect();
--- a/crates/sched/src/writes.rs
+++ b/crates/sched/src/writes.rs
@@ -167,6 +167,7 @@
     fn write_done(&mut self, key: Key, open: &OpenWrite, version: u64, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.version = version;
+        job.known_attempt = job.known_attempt.max(open.attempt);
         let (id, phase, is_dirty) = (job.id.clone(), job.phase, job.is_dirty);
         if let Some(charge) = &open.charge {
             let event = Event::new(EventKind::ChargeWritten).attempt(charge.attempt);
