feat(policy): shares by shape, room for wide jobs, gathered grants, fewer losses by preemption

Late reclaims waited for the owner's own jobs of another guaranteed shape in the same share. Discards came from few wide jobs without checkpoints in borrowed capacity. Wide jobs waited behind narrow ones. Workers are up until reported down, which is what the scheduler and the driver assume. A worker that nothing could probe for 5 min returns on probation. Property runs found that a job told to stop kept its weight among the work that cannot be preempted, which led to an overcommitted worker; fixed.

--- a/crates/policy/src/accounts.rs
+++ b/crates/policy/src/accounts.rs
@@ -3,29 +3,29 @@
 
 use crate::amount::Amount;
 use crate::arrange::Arrangement;
-use crate::job::{Part, State};
+use crate::job::{Part, Standing, State};
+use crate::share::Charge;
 use crate::{Decision, GuaranteedShare, JobKey, Preemption, WorkerKey};
 
 impl GuaranteedShare {
     /// Debits the workers for all parts of a queued job and takes it out of its queue.
-    pub(crate) fn hold(&mut self, key: JobKey, found: &Arrangement<WorkerKey>, charged: bool) {
+    pub(crate) fn hold(&mut self, key: JobKey, found: &Arrangement<WorkerKey>, share: Option<u16>, standing: Standing) {
         self.dequeue(key);
-        let charge = if charged {
-            self.jobs[key].need()
-        } else {
-            Amount::default()
-        };
-        let parts = found
-            .iter()
-            .flat_map(|&(worker, parts)| std::iter::repeat_n(Part { worker, charge }, parts.into()));
+        let amount = self.jobs[key].need();
+        let charges: SmallVec<[Charge; 1]> = share.map(|share| Charge { share, amount }).into_iter().collect();
+        let parts = found.iter().flat_map(|&(worker, parts)| {
+            let charges = charges.clone();
+            std::iter::repeat_n(Part { worker, charges }, parts.into())
+        });
         self.jobs[key].parts = parts.collect();
+        self.jobs[key].standing = standing;
         self.enter_parts(key);
     }
 
     /// Debits the workers for the parts that the job lists.
     pub(crate) fn enter_parts(&mut self, key: JobKey) {
         let job = &self.jobs[key];
-        let (organisation, need, preemptible) = (job.organisation, job.need(), job.is_preemptible());
+        let (organisation, need, preemptible) = (job.organisation, job.need(), job.is_evictable());
         let total = need.times(job.parts.len() as u16);
         let urgent = job.class == Class::Urgent;
         let now_ms = self.now_ms;
@@ -33,15 +33,17 @@
             self.cluster.change(part.worker, |worker| {
                 worker.free -= need;
                 worker.jobs.push(key);
-                worker.charge(organisation, part.charge);
+                part.charges.iter().for_each(|&charge| worker.charge(charge));
                 if !preemptible {
-                    worker.hard += need - part.charge;
-                } else if !urgent && part.charge != need {
+                    worker.hard += need - part.charged();
+                } else if !urgent && part.charged() != need {
                     worker.borrowers += 1;
                     worker.borrowed_ms = now_ms;
                 }
             });
-            self.orgs[usize::from(organisation)].charged += part.charge;
+            for charge in &part.charges {
+                self.shares[usize::from(charge.share)].charged += charge.amount;
+            }
         }
         self.orgs[usize::from(organisation)].usage += total;
         self.running += 1;
@@ -53,11 +55,11 @@
     /// Credits the workers for all parts of a job that holds resources.
     pub(crate) fn release(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
-        let (organisation, need, preemptible) = (job.organisation, job.need(), job.is_preemptible());
+        let (organisation, need, preemptible) = (job.organisation, job.need(), job.is_evictable());
         let stopping = job.state == State::Stopping;
         let urgent = job.class == Class::Urgent;
         let parts = std::mem::take(&mut job.parts);
-        job.backfill = false;
+        job.standing = Standing::Evictable;
         let nothing = Amount::default();
         for part in &parts {
             self.cluster.change(part.worker, |worker| {
@@ -68,17 +70,19 @@
                 if stopping {
                     worker.stopping -= need;
                 }
-                worker.charge(organisation, nothing - part.charge);
+                part.charges.iter().for_each(|&charge| worker.charge(charge.negated()));
                 if !preemptible {
-                    worker.hard -= need - part.charge;
-                } else if !urgent && part.charge != need {
+                    worker.hard -= need - part.charged();
+                } else if !urgent && part.charged() != need {
                     worker.borrowers -= 1;
                 }
                 if worker.health.probe == Some(key) {
                     worker.health.probe = None;
                 }
             });
-            self.orgs[usize::from(organisation)].charged -= part.charge;
+            for charge in &part.charges {
+                self.shares[usize::from(charge.share)].charged -= charge.amount;
+            }
             self.touched.push(part.worker);
         }
         let total = need.times(parts.len() as u16);
@@ -92,16 +96,19 @@
 
     /// Puts the job into its queue. It keeps its place by time of submission.
     pub(crate) fn enqueue(&mut self, key: JobKey) {
+        let borrows = self.borrows(self.jobs[key].submitted_ms, key);
         let job = &mut self.jobs[key];
         let org = &mut self.orgs[usize::from(job.organisation)];
         job.state = State::Queued;
+        job.queue = job.queue_id(borrows);
         let remaining = job.declared_ms.saturating_sub(job.preserved_ms);
         let delay = match job.class {
             Class::Urgent => 0,
-            Class::Deferred => (org.correction.corrected_ms(remaining)).min(Self::MAX_RANK_DELAY_MS),
+            Class::Deferred if job.moves > 0 => 0,
+            Class::Deferred => org.correction.corrected_ms(remaining).min(Self::MAX_RANK_DELAY_MS),
         };
         job.rank = (u8::MAX - job.priority, job.submitted_ms + delay, job.sequence);
-        org.push(job.queue(), job.rank, key);
+        org.push(job.queue, job.rank, key);
         let shape = job.shape;
         *self
             .waiting
@@ -118,7 +125,7 @@
         if job.state != State::Queued {
             return;
         }
-        self.orgs[usize::from(job.organisation)].remove(job.queue(), job.rank);
+        self.orgs[usize::from(job.organisation)].remove(job.queue, job.rank);
         let shape = job.shape;
         let entry = (shape.accelerators(), shape.parts, shape.adjacency);
         if let Some(count) = self.waiting.get_mut(&entry) {
@@ -138,20 +145,29 @@
         let job = &mut self.jobs[key];
         job.state = State::Stopping;
         let need = job.need();
-        let (organisation, urgent) = (job.organisation, job.class == Class::Urgent);
+        let urgent = job.class == Class::Urgent;
         let mode = if job.checkpointable {
             Preemption::Checkpoint
         } else {
             Preemption::Stop
         };
+        job.moves = job.moves.saturating_add(1);
+        let was_firm = !job.is_evictable();
+        job.standing = Standing::Evictable;
         // Its share is free for the owner's next job from now on, as a claim on it is.
         for part in &mut job.parts {
-            let charge = std::mem::take(&mut part.charge);
-            self.orgs[usize::from(organisation)].charged -= charge;
+            let before = part.charged();
+            let charges = std::mem::take(&mut part.charges);
+            for charge in &charges {
+                self.shares[usize::from(charge.share)].charged -= charge.amount;
+            }
             self.cluster.change(part.worker, |worker| {
                 worker.stopping += need;
-                worker.charge(organisation, Amount::default() - charge);
-                if charge == need && !urgent {
+                charges.iter().for_each(|&charge| worker.charge(charge.negated()));
+                if was_firm {
+                    worker.hard -= need - before;
+                }
+                if (was_firm || before == need) && !urgent {
                     worker.borrowers += 1;
                 }
             });
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -1,6 +1,6 @@
 use model::{JobSpec, Refusal};
+use smallvec::SmallVec;
 
-use crate::amount::Amount;
 use crate::job::{Job, Part, State};
 use crate::{GuaranteedShare, JobKey, WorkerKey};
 
@@ -65,23 +65,16 @@
         self.sequence += 1;
         let mut job = Job::new(spec, organisation, 0, now_ms, self.sequence);
         job.state = State::Running;
-        let (need, preemptible) = (job.need(), job.is_preemptible());
-        let mut charges: Vec<(WorkerKey, Amount)> = Vec::new();
-        for &worker in workers {
-            let room = self.cluster.workers[worker].entitlement(organisation);
-            let here = workers.iter().filter(|&&other| other == worker).count() as u16;
-            let before = charges.iter().filter(|entry| entry.0 == worker);
-            let left = before.fold(room, |left, entry| left - entry.1);
-            let charge = if !preemptible || room.fits(need.times(here)) {
-                need.min(left)
-            } else {
-                Amount::default()
-            };
-            charges.push((worker, charge));
-            job.parts.push(Part { worker, charge });
-        }
+        let parts = workers.iter().map(|&worker| Part {
+            worker,
+            charges: SmallVec::new(),
+        });
+        job.parts = parts.collect();
         let key = self.jobs.insert(job);
         self.enter_parts(key);
+        for &worker in workers {
+            self.recharge(worker);
+        }
         self.dirty = true;
         key
     }
--- a/crates/policy/src/cluster.rs
+++ b/crates/policy/src/cluster.rs
@@ -30,7 +30,7 @@
     /// Set while starts are paced after the data centre came back.
     pub resumed_ms: Option<u64>,
     pub started_since: u32,
-    pub indexes: [Index; 3],
+    pub indexes: [Index; 4],
     /// Workers with borrowers, by the time when the last one was placed.
     borrowed: BTreeSet<(u64, WorkerKey)>,
     /// Capacity and free capacity of the workers that are up and in service.
@@ -88,15 +88,15 @@
                         reserved: Amount::default(),
                         borrowers: 0,
                         borrowed_ms: 0,
-                        shares: SmallVec::new(),
+                        portions: SmallVec::new(),
                         jobs: SmallVec::new(),
-                        presence: Presence::Expected,
+                        presence: Presence::Up,
                         quarantined: false,
                         in_service: false,
                         paused_until_ms: 0,
                         refusals: 0,
                         health: Health::default(),
-                        indexed: [None; 3],
+                        indexed: [None; 4],
                     }));
                 }
                 for &key in &members {
@@ -117,7 +117,7 @@
                 in_service: false,
                 resumed_ms: None,
                 started_since: 0,
-                indexes: [index(), index(), index()],
+                indexes: [index(), index(), index(), index()],
                 borrowed: BTreeSet::new(),
                 total: Amount::default(),
                 free: Amount::default(),
@@ -241,6 +241,16 @@
             .collect()
     }
 
+    /// Finds a worker with open capacity for work that cannot be preempted, the one with the least room for such work.
+    ///
+    /// Such work gathers on few workers, and the others stay whole for gangs.
+    pub fn place_firm(&self, dc: usize, need: Amount, avoid: &[WorkerKey]) -> Option<WorkerKey> {
+        let index = &self.dcs[dc].indexes[View::Bare as usize];
+        index
+            .workers(need.accelerators as usize)
+            .find(|&key| !avoid.contains(&key) && self.workers[key].available(View::Open).fits(need))
+    }
+
     /// Returns workers on which deferred work can be preempted, the most recently placed first.
     pub fn borrowed_workers(&self, dc: usize) -> impl Iterator<Item = WorkerKey> + '_ {
         self.dcs[dc].borrowed.iter().rev().map(|&(_, worker)| worker)
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -24,6 +24,9 @@
         }
     }
 
+    /// Jobs over which the typical run time is averaged.
+    const RUNS_AVERAGED: f64 = 256.0;
+
     fn on_started(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
@@ -75,6 +78,9 @@
         };
         let organisation = job.organisation;
         let declared = job.declared_ms.saturating_sub(job.preserved_ms);
+        if job.class == model::Class::Deferred {
+            self.typical_run_ms += (run_ms as f64 - self.typical_run_ms) / Self::RUNS_AVERAGED;
+        }
         self.orgs[usize::from(organisation)].correction.record(declared, run_ms);
         for part in job.parts.clone() {
             let health = &mut self.cluster.workers[part.worker].health;
@@ -140,6 +146,7 @@
         self.cluster.change(key, |worker| {
             worker.quarantined = true;
             worker.health.next_probe_ms = due;
+            worker.health.since_ms = now_ms;
         });
         self.probes.insert((due, key));
         let claimants: Vec<JobKey> = self.cluster.workers[key].jobs.to_vec();
--- a/crates/policy/src/guaranteed_share.rs
+++ b/crates/policy/src/guaranteed_share.rs
@@ -9,18 +9,19 @@
 use crate::job::Job;
 use crate::org::Org;
 use crate::reservation::Reservation;
+use crate::share::Share;
 use crate::urgent_load::UrgentLoad;
 use crate::worker::{Presence, View};
 use crate::{Decision, Event, JobKey, Plan, PlanError, Policy, Stats, WorkerKey};
 
 /// Policy with guaranteed shapes, borrowing, reclaim, fair share and reservations for wide jobs.
 ///
-/// Workers take no work until [`Event::WorkerUp`] was observed for them, and nothing starts before the first
-/// configuration.
+/// Workers take work unless [`Event::WorkerDown`] or [`Event::WorkerLeaving`] was observed for them, so the scheduler
+/// reports those that do not answer before its first decision. Nothing starts before the first configuration.
 ///
 /// ```
 /// use model::{Config, DataCentreStatus, JobSpec, Organisation, Resources, Topology};
-/// use policy::{Decision, Event, GuaranteedShare, Policy};
+/// use policy::{Decision, GuaranteedShare, Policy};
 ///
 /// let topology = Topology::uniform(1, 8, 8, Resources::new(8, 8, 32_000, 65_536));
 /// let config = Config {
@@ -30,10 +31,6 @@
 /// };
 /// let mut policy = GuaranteedShare::new(&topology);
 /// policy.configure(0, &config)?;
-/// for worker in topology.workers() {
-///     let worker = policy.worker_key(&worker.id).expect("the worker is of this topology");
-///     policy.observe(0, Event::WorkerUp { worker });
-/// }
 /// let job = policy.submit(0, &JobSpec::new("clyde-koi".parse()?, "appraisal-1".parse()?))?;
 /// let mut decisions = Vec::new();
 /// policy.decide(0, &mut decisions);
@@ -52,6 +49,8 @@
     /// Guarantees that this instance plans for.
     pub(crate) plan_config: Config,
     pub(crate) plan: Plan,
+    /// Shares of the plan in force; charges refer to them by position.
+    pub(crate) shares: Vec<Share>,
     pub(crate) deadlines: BTreeSet<(u64, JobKey)>,
     pub(crate) pauses: BTreeSet<(u64, WorkerKey)>,
     pub(crate) probes: BTreeSet<(u64, WorkerKey)>,
@@ -68,6 +67,8 @@
     pub(crate) wake_ms: u64,
     pub(crate) next_scan_ms: u64,
     pub(crate) sequence: u64,
+    /// Moving average of the run times of deferred jobs.
+    pub(crate) typical_run_ms: f64,
     /// Latest instant that was passed in.
     pub(crate) now_ms: u64,
 }
@@ -85,6 +86,7 @@
             configured: false,
             plan_config: Config::default(),
             plan: Plan::default(),
+            shares: Vec::new(),
             deadlines: BTreeSet::new(),
             pauses: BTreeSet::new(),
             probes: BTreeSet::new(),
@@ -98,6 +100,7 @@
             wake_ms: 0,
             next_scan_ms: 0,
             sequence: 0,
+            typical_run_ms: 0.0,
             now_ms: 0,
         }
     }
@@ -136,15 +139,11 @@
 
     fn grant(&mut self, now_ms: u64, need: Resources) -> Option<WorkerKey> {
         let need = Amount::from(need);
-        let shape = model::Shape::new(1, need.accelerators as u16, Adjacency::Worker);
-        let want = crate::cluster::Want { need, shape };
-        let worker = [View::Spare, View::Open].into_iter().find_map(|view| {
-            self.dcs_by_room().into_iter().find_map(|dc| {
-                let open = self.cluster.dcs[dc].allows_start(now_ms, 1);
-                open.then(|| self.cluster.place(dc, view, want, &[])).flatten()
-            })
-        })?[0]
-            .0;
+        let dcs = self.dcs_by_room();
+        let mut open = dcs
+            .into_iter()
+            .filter(|&dc| self.cluster.dcs[dc].allows_start(now_ms, 1));
+        let worker = open.find_map(|dc| self.cluster.place_firm(dc, need, &[]))?;
         self.change_grant(worker, need, 1);
         Some(worker)
     }
@@ -217,10 +216,10 @@
         self.urgent.change(amount);
     }
 
-    /// Returns the data centres with the most free accelerators first.
+    /// Returns the data centres with the fewest free accelerators first, so that the others stay whole for gangs.
     pub(crate) fn dcs_by_room(&self) -> SmallVec<[usize; 4]> {
         let mut order: SmallVec<[usize; 4]> = (0..self.cluster.dcs.len()).collect();
-        order.sort_by_key(|&dc| (std::cmp::Reverse(self.cluster.dcs[dc].free.accelerators), dc));
+        order.sort_by_key(|&dc| (self.cluster.dcs[dc].free.accelerators, dc));
         order
     }
 
@@ -255,6 +254,6 @@
     }
 
     pub(crate) fn is_up(&self, worker: WorkerKey) -> bool {
-        matches!(self.cluster.workers[worker].presence, Presence::Up | Presence::Expected)
+        self.cluster.workers[worker].presence == Presence::Up
     }
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -9,6 +9,8 @@
     results: SmallVec<[TaskResult; 10]>,
     pub probe: Option<JobKey>,
     pub next_probe_ms: u64,
+    /// When the worker was put into quarantine.
+    pub since_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +29,9 @@
     const JOBS_OF_ONE: usize = 5;
     /// Time between probes of a quarantined worker.
     pub const PROBE_INTERVAL_MS: u64 = 30_000;
+    /// Time after which a worker that nothing could probe returns on probation, lest work that is not idempotent waits
+    /// for it for ever.
+    pub const UNPROBED_MS: u64 = 300_000;
 
     pub fn record(&mut self, job: JobKey, organisation: u16, failed: bool) {
         if self.results.len() == Self::WINDOW {
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -4,6 +4,7 @@
 use crate::WorkerKey;
 use crate::amount::Amount;
 use crate::cluster::Want;
+use crate::share::Charge;
 
 /// State of a job within the policy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,13 +21,24 @@
     GivenUp,
 }
 
-/// Part of a job that holds resources on a worker.
+/// Relation of a placed job to the capacity that it holds outside of shares.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// May be ended for others, if it can be preempted at all.
+    Evictable,
+    /// Placed outside of all guarantees, so that it need not be ended for an owner.
+    Firm,
+    /// Runs on capacity that is reserved for another job and has to leave when that job can start.
+    Backfill,
+}
+
+/// Part of a job that holds resources on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Part {
     pub worker: WorkerKey,
-    /// What of it is charged to the organisation's share there. Work that can be preempted is charged wholly or not at
-    /// all on each worker; of other work that already ran when the share was planned under it, the share takes what it can.
-    pub charge: Amount,
+    /// What of it is charged to shares of its organisation there. Work that can be preempted is charged wholly or not
+    /// at all on each worker; of other work that already ran when shares were planned under it, they take what they can.
+    pub charges: SmallVec<[Charge; 1]>,
 }
 
 /// What the policy keeps of a job; the payload and the request id stay with the caller.
@@ -45,11 +57,14 @@
     pub deadline_at_ms: Option<u64>,
     pub started_ms: u64,
     pub sequence: u64,
-    /// Runs on capacity that is reserved for another job and has to leave when that job can start.
-    pub backfill: bool,
+    /// Times that it was moved away for a wider job.
+    pub moves: u8,
+    pub standing: Standing,
     pub state: State,
     pub parts: SmallVec<[Part; 2]>,
     pub failed_on: SmallVec<[WorkerKey; 2]>,
+    /// Queue that it was last put into.
+    pub queue: QueueId,
     /// Position in the queue while queued.
     pub rank: Rank,
 }
@@ -60,17 +75,24 @@
 /// Jobs of one organisation that are interchangeable for placement share a queue; only its head is tried.
 ///
 /// Processors and memory are rounded up to powers of two, so that the number of queues stays small.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct QueueId {
     pub class: Class,
     pub accelerators: u32,
     pub parts: u16,
     pub adjacency: model::Adjacency,
-    pub preemptible: bool,
+    /// Whether it may borrow at once.
+    pub borrows: bool,
     pub cpu_bits: u8,
     pub memory_bits: u8,
 }
 
+impl Part {
+    pub fn charged(&self) -> Amount {
+        (self.charges.iter()).fold(Amount::default(), |sum, charge| sum + charge.amount)
+    }
+}
+
 impl Job {
     /// Failures on this many distinct workers show that the job itself is at fault.
     pub const MAX_FAILED_WORKERS: usize = 3;
@@ -90,10 +112,12 @@
             deadline_at_ms: spec.deadline_ms.map(|deadline| now_ms.saturating_add(deadline)),
             started_ms: now_ms,
             sequence,
-            backfill: false,
+            moves: 0,
+            standing: Standing::Evictable,
             state: State::Queued,
             parts: SmallVec::new(),
             failed_on: SmallVec::new(),
+            queue: QueueId::default(),
             rank: (0, 0, 0),
         }
     }
@@ -102,6 +126,15 @@
         self.idempotent || self.checkpointable
     }
 
+    /// Returns whether the job may be ended for others where it runs.
+    pub const fn is_evictable(&self) -> bool {
+        self.is_preemptible() && !matches!(self.standing, Standing::Firm)
+    }
+
+    pub fn is_backfill(&self) -> bool {
+        self.standing == Standing::Backfill
+    }
+
     pub fn need(&self) -> Amount {
         self.need.into()
     }
@@ -117,14 +150,14 @@
         }
     }
 
-    pub fn queue(&self) -> QueueId {
+    pub fn queue_id(&self, borrows: bool) -> QueueId {
         let bits = |amount: u32| (u32::BITS - amount.leading_zeros()) as u8;
         QueueId {
             class: self.class,
             accelerators: self.shape.accelerators(),
             parts: self.shape.parts,
             adjacency: self.shape.adjacency,
-            preemptible: self.is_preemptible(),
+            borrows,
             cpu_bits: bits(self.need.cpu_milli),
             memory_bits: bits(self.need.memory_mib),
         }
--- a/crates/policy/src/org.rs
+++ b/crates/policy/src/org.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeMap;
 
-use model::{Class, Shape};
+use model::Class;
 
+use crate::JobKey;
 use crate::amount::Amount;
 use crate::correction::Correction;
 use crate::job::{QueueId, Rank};
-use crate::{JobKey, WorkerKey};
 
 /// Organisation with its queues and accounts.
 #[derive(Debug)]
@@ -17,12 +17,8 @@
     pub queue_limit: u32,
     /// Sum of the guaranteed shapes that are packed.
     pub guaranteed: Amount,
-    /// Distinct guaranteed shapes.
-    pub shapes: Vec<Shape>,
-    /// Part of the guarantee that its own work uses.
-    pub charged: Amount,
-    /// Workers with a share of this organisation, in topology order.
-    pub share_workers: Vec<WorkerKey>,
+    /// Its shares, the one with the smallest shape first.
+    pub shares: Vec<u16>,
     pub usage: Amount,
     /// Queued jobs by class.
     pub queued: [u32; 2],
@@ -40,9 +36,7 @@
             quota: None,
             queue_limit: 0,
             guaranteed: Amount::default(),
-            shapes: Vec::new(),
-            charged: Amount::default(),
-            share_workers: Vec::new(),
+            shares: Vec::new(),
             usage: Amount::default(),
             queued: [0; 2],
             boost: [0; 2],
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -4,7 +4,7 @@
 use smallvec::SmallVec;
 
 use crate::health::Health;
-use crate::job::{QueueId, State};
+use crate::job::{QueueId, Standing, State};
 use crate::reclaim::Evict;
 use crate::worker::View;
 use crate::{Decision, GuaranteedShare, JobKey, WorkerKey};
@@ -25,6 +25,10 @@
     const HEADS_TRIED: usize = 32;
     /// Pause before the next look for a job that can probe a worker.
     const PROBE_RETRY_MS: u64 = 1_000;
+    /// Run time up to which work without checkpoints stands in capacity that is guaranteed to others.
+    const SHORT_RUN_MS: u64 = 60_000;
+    /// Wait after which such work borrows even if it runs longer, as there may be no other capacity for it.
+    const OVERDUE_MS: u64 = 600_000;
     /// Interval of decisions while a returned data centre is paced.
     const PACE_MS: u64 = 100;
 
@@ -52,7 +56,7 @@
         self.send_probes(now_ms, out);
         self.fill(now_ms, Class::Urgent, out);
         self.fill(now_ms, Class::Deferred, out);
-        self.make_reservations(now_ms);
+        self.help_wide_jobs(now_ms, out);
         self.wake_ms = self.next_wake_ms(now_ms);
     }
 
@@ -122,12 +126,13 @@
                 } else {
                     Self::PROBE_RETRY_MS
                 };
-            if ready && job.is_none() && self.is_gang_waiting_for(key) {
+            let unprobed = !self.waiting.is_empty() && now_ms >= worker.health.since_ms + Health::UNPROBED_MS;
+            if ready && job.is_none() && (unprobed || self.is_gang_waiting_for(key)) {
                 self.begin_probation(key);
                 continue;
             }
             if let Some(job) = job {
-                self.hold(job, &SmallVec::from_elem((key, 1), 1), false);
+                self.hold(job, &SmallVec::from_elem((key, 1), 1), None, Standing::Evictable);
                 self.cluster.workers[key].health.probe = Some(job);
                 out.push(self.start(now_ms, job));
             }
@@ -217,50 +222,99 @@
         if !self.orgs[usize::from(job.organisation)].allows(job.shape.accelerators() as i32) {
             return false;
         }
-        // A guaranteed shape starts in the share. Other work leaves the share whole while there is room elsewhere.
-        let guaranteed = self.is_guaranteed_shape(key);
-        if guaranteed && self.start_in_share(now_ms, key, out) {
+        // A guaranteed shape starts in its share. Other work leaves the shares whole while there is room elsewhere.
+        let own = self.share_of_shape(key);
+        let shares = self.orgs[usize::from(self.jobs[key].organisation)].shares.clone();
+        let others = || shares.iter().copied().filter(|&share| Some(share) != own);
+        if own.is_some_and(|share| self.start_in_share(now_ms, key, share, out)) {
             return true;
         }
-        let preemptible = self.jobs[key].is_preemptible();
-        let last = if preemptible { View::Free } else { View::Open };
-        let room = !pass.no_room.contains(&queue);
+        let last = self.view_of(now_ms, key);
+        let room = !pass.no_room.contains(&queue) || self.is_overdue(now_ms, key);
         if room && self.start_outside(now_ms, key, View::Spare, out) {
             return true;
         }
-        if !guaranteed && self.start_in_share(now_ms, key, out) {
+        if own.is_none() && others().any(|share| self.start_in_share(now_ms, key, share, out)) {
             return true;
         }
         if room {
             if self.start_outside(now_ms, key, last, out) {
                 return true;
             }
-            if self.jobs[key].failed_on.is_empty() {
+            if self.jobs[key].failed_on.is_empty() && !self.is_overdue(now_ms, key) {
                 pass.no_room.insert(queue);
             }
         }
         if let Some(worker) = self.find_backfill(now_ms, key) {
-            self.hold(key, &SmallVec::from_elem((worker, 1), 1), false);
-            self.jobs[key].backfill = true;
+            self.hold(key, &SmallVec::from_elem((worker, 1), 1), None, Standing::Backfill);
             out.push(self.start(now_ms, key));
             return true;
         }
-        if let Some(found) = self.find_in_share(now_ms, key, Evict::Borrowers) {
-            self.claim(now_ms, key, &found, true, |_| true, out);
+        if self.is_urgent(key) && self.preempt_for_urgent(now_ms, key, out) {
             return true;
         }
-        if guaranteed && let Some(found) = self.find_in_share(now_ms, key, Evict::Own) {
-            self.clear_share(now_ms, key, &found, out);
-            self.claim(now_ms, key, &found, true, |_| true, out);
+        if let Some(share) = own
+            && (self.reclaim(now_ms, key, share, Evict::Borrowers, out)
+                || self.reclaim(now_ms, key, share, Evict::Own, out))
+        {
+            return true;
+        }
+        // Beyond its own count, a guaranteed shape may use the shares of the other shapes, as any work may.
+        if own.is_some() && others().any(|share| self.start_in_share(now_ms, key, share, out)) {
             return true;
         }
-        self.is_urgent(key) && self.preempt_for_urgent(now_ms, key, out)
+        others().any(|share| self.reclaim(now_ms, key, share, Evict::Borrowers, out))
+    }
+
+    /// Returns whether the job may stand in capacity that is guaranteed to others, from which it may be ended.
+    ///
+    /// Long work without checkpoints would lose too much there, so it waits for capacity outside of guarantees first.
+    pub(crate) fn borrows(&self, now_ms: u64, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        job.checkpointable
+            || job.class == Class::Urgent && job.idempotent
+            || job.idempotent && (self.corrected_ms(key) <= Self::SHORT_RUN_MS || self.is_overdue(now_ms, key))
+    }
+
+    /// Returns the capacity outside of its organisation's shares that the job may use.
+    pub(crate) fn view_of(&self, now_ms: u64, key: JobKey) -> View {
+        if self.borrows(now_ms, key) {
+            View::Free
+        } else {
+            View::Open
+        }
+    }
+
+    /// Returns how the job stands in capacity outside of its organisation's shares.
+    pub(crate) fn standing_of(&self, now_ms: u64, key: JobKey) -> Standing {
+        if self.borrows(now_ms, key) {
+            Standing::Evictable
+        } else {
+            Standing::Firm
+        }
+    }
+
+    /// Returns whether the job has waited so long that it borrows whatever it may lose.
+    fn is_overdue(&self, now_ms: u64, key: JobKey) -> bool {
+        now_ms >= self.jobs[key].submitted_ms + Self::OVERDUE_MS
     }
 
-    fn start_in_share(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Decision>) -> bool {
-        let found = self.find_in_share(now_ms, key, Evict::Nothing);
+    /// Claims workers of a share for the job and ends what stands there.
+    fn reclaim(&mut self, now_ms: u64, key: JobKey, share: u16, evict: Evict, out: &mut Vec<Decision>) -> bool {
+        let found = self.find_in_share(now_ms, key, share, evict);
         found.is_some_and(|found| {
-            self.hold(key, &found, true);
+            if evict == Evict::Own {
+                self.clear_share(now_ms, key, share, &found, out);
+            }
+            self.claim(now_ms, key, &found, Some(share), |_| true, out);
+            true
+        })
+    }
+
+    fn start_in_share(&mut self, now_ms: u64, key: JobKey, share: u16, out: &mut Vec<Decision>) -> bool {
+        let found = self.find_in_share(now_ms, key, share, Evict::Nothing);
+        found.is_some_and(|found| {
+            self.hold(key, &found, Some(share), Standing::Evictable);
             out.push(self.start(now_ms, key));
             true
         })
@@ -269,7 +323,8 @@
     fn start_outside(&mut self, now_ms: u64, key: JobKey, view: View, out: &mut Vec<Decision>) -> bool {
         let found = self.find_room(now_ms, key, view);
         found.is_some_and(|found| {
-            self.hold(key, &found, false);
+            let standing = self.standing_of(now_ms, key);
+            self.hold(key, &found, None, standing);
             out.push(self.start(now_ms, key));
             true
         })
@@ -282,9 +337,16 @@
             let state = &self.cluster.dcs[dc];
             let allowed = state.allows_start(now_ms, job.shape.parts)
                 && (job.class == Class::Urgent || self.leaves_headroom(dc, job.total_need()));
-            allowed
-                .then(|| self.cluster.place(dc, view, job.want(), &job.failed_on))
-                .flatten()
+            if !allowed {
+                return None;
+            }
+            // Work that cannot be preempted gathers on few workers, as long as it fits one.
+            let gathers = !self.borrows(now_ms, key) && job.shape.parts == 1;
+            let firm = gathers
+                .then(|| self.cluster.place_firm(dc, job.need(), &job.failed_on))
+                .flatten();
+            let firm = firm.map(|worker| SmallVec::from_elem((worker, 1), 1));
+            firm.or_else(|| self.cluster.place(dc, view, job.want(), &job.failed_on))
         })
     }
 
@@ -299,7 +361,11 @@
     /// Finds a worker with free capacity that is reserved for a job which cannot start before this one ends.
     fn find_backfill(&self, now_ms: u64, key: JobKey) -> Option<WorkerKey> {
         let job = &self.jobs[key];
-        if self.reservations.is_empty() || job.shape.parts > 1 || !job.is_preemptible() || job.class == Class::Urgent {
+        if self.reservations.is_empty()
+            || job.shape.parts > 1
+            || !self.borrows(now_ms, key)
+            || job.class == Class::Urgent
+        {
             return None;
         }
         let end = now_ms + self.corrected_ms(key);
--- a/crates/policy/src/replan.rs
+++ b/crates/policy/src/replan.rs
@@ -5,7 +5,7 @@
 use crate::amount::Amount;
 use crate::job::State;
 use crate::org::Org;
-use crate::worker::{Presence, Share};
+use crate::worker::Presence;
 use crate::{Decision, GuaranteedShare, JobKey, Plan, PlanError, WorkerKey};
 
 impl GuaranteedShare {
@@ -186,115 +186,6 @@
         }
     }
 
-    /// Replaces the shares of all workers and charges running work to them again.
-    fn enter_plan(&mut self) {
-        let mut shares: Vec<Vec<Share>> = vec![Vec::new(); self.cluster.order.len()];
-        for org in &mut self.orgs {
-            org.guaranteed = Amount::default();
-            org.share_workers.clear();
-            org.shapes.clear();
-        }
-        for slice in &self.plan.slices {
-            let organisation = self.org_ids[&slice.organisation];
-            let org = &mut self.orgs[usize::from(organisation)];
-            if !slice.is_lost() && !org.shapes.contains(&slice.shape) {
-                org.shapes.push(slice.shape);
-            }
-            for &(position, parts) in &slice.workers {
-                let worker = &self.cluster.workers[self.cluster.order[position as usize]];
-                let capacity = worker.capacity.into();
-                let amount = Amount::from(Plan::need_on(slice.shape, capacity)).times(parts);
-                let list = &mut shares[position as usize];
-                match list.iter_mut().find(|share| share.organisation == organisation) {
-                    Some(share) => share.guaranteed += amount,
-                    None => list.push(Share {
-                        organisation,
-                        guaranteed: amount,
-                        charged: Amount::default(),
-                    }),
-                }
-                self.orgs[usize::from(organisation)].guaranteed += amount;
-            }
-        }
-        for (position, list) in shares.into_iter().enumerate() {
-            let key = self.cluster.order[position];
-            for share in &list {
-                self.orgs[usize::from(share.organisation)].share_workers.push(key);
-            }
-            let worker = &self.cluster.workers[key];
-            if list.is_empty() && worker.shares.is_empty() {
-                continue;
-            }
-            self.recharge(key, &list);
-        }
-        self.recall_claimants();
-    }
-
-    /// Returns claimants to the queue whose claim the new plan turned into an obstacle for another owner.
-    fn recall_claimants(&mut self) {
-        let of_workers = self
-            .cluster
-            .order
-            .iter()
-            .filter(|&&worker| !self.cluster.workers[worker].shares.is_empty());
-        let mut claimants: Vec<JobKey> = of_workers
-            .flat_map(|&worker| self.cluster.workers[worker].jobs.iter().copied())
-            .filter(|&job| {
-                let job = &self.jobs[job];
-                job.state == State::Claiming
-                    && !job.is_preemptible()
-                    && job.parts.iter().any(|part| part.charge != job.need())
-            })
-            .collect();
-        claimants.sort_unstable();
-        claimants.dedup();
-        for job in claimants {
-            self.unclaim(job);
-        }
-    }
-
-    fn recharge(&mut self, key: WorkerKey, list: &[Share]) {
-        let mut jobs: Vec<JobKey> = self.cluster.workers[key].jobs.to_vec();
-        jobs.sort_unstable();
-        jobs.dedup();
-        // Work that cannot be preempted comes first, because it blocks the share of another if it is left outside.
-        jobs.sort_by_key(|&job| self.jobs[job].is_preemptible());
-        let worker = &self.cluster.workers[key];
-        for share in &worker.shares {
-            self.orgs[usize::from(share.organisation)].charged -= share.charged;
-        }
-        let jobs_arena = &mut self.jobs;
-        let orgs = &mut self.orgs;
-        self.cluster.change(key, |worker| {
-            worker.shares = list.iter().copied().collect();
-            worker.guaranteed = list.iter().fold(Amount::default(), |sum, share| sum + share.guaranteed);
-            worker.unclaimed = worker.guaranteed;
-            worker.hard = worker.granted;
-            worker.borrowers = 0;
-            for job in jobs {
-                let job = &mut jobs_arena[job];
-                let (organisation, need, preemptible) = (job.organisation, job.need(), job.is_preemptible());
-                let here = job.parts.iter().filter(|part| part.worker == key).count() as u16;
-                let whole = worker.entitlement(organisation).fits(need.times(here));
-                let chargeable = job.state != State::Stopping && (whole || !preemptible);
-                for part in job.parts.iter_mut().filter(|part| part.worker == key) {
-                    part.charge = if chargeable {
-                        need.min(worker.entitlement(organisation))
-                    } else {
-                        Amount::default()
-                    };
-                    worker.charge(organisation, part.charge);
-                    orgs[usize::from(organisation)].charged += part.charge;
-                    if !preemptible {
-                        worker.hard += need - part.charge;
-                    } else if part.charge != need && job.class == model::Class::Deferred {
-                        worker.borrowers += 1;
-                    }
-                }
-            }
-        });
-    }
-
     /// Ends or requeues the work of a data centre that was taken out, as far as it can run elsewhere.
     fn evacuate(&mut self, dc: usize) {
         let members: Vec<WorkerKey> = self.cluster.members(dc).collect();
@@ -337,9 +228,8 @@
             }
         }
         self.dirty = true;
-        let planned = |presence| matches!(presence, Presence::Expected | Presence::Up);
-        let has_share = !self.cluster.workers[worker].shares.is_empty();
-        if planned(before) != planned(presence) && (has_share || self.plan.lost() > 0) {
+        let has_share = !self.cluster.workers[worker].portions.is_empty();
+        if (before == Presence::Up) != (presence == Presence::Up) && (has_share || self.plan.lost() > 0) {
             self.replan();
         }
     }
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -3,18 +3,22 @@
 
 use crate::arrange::Arrangement;
 use crate::cluster::Want;
-use crate::job::State;
+use crate::job::{Job, State};
 use crate::reservation::Reservation;
-use crate::worker::View;
 use crate::{Decision, GuaranteedShare, JobKey, WorkerKey};
 
 impl GuaranteedShare {
-    /// Wait after which a wide job gets a reservation. Shorter waits are common and pass by themselves.
-    const RESERVE_AFTER_MS: u64 = 5_000;
+    /// Wait in typical run times after which other work is moved away for a wide job. Shorter waits pass by themselves.
+    const RUNS_BEFORE_MOVES: f64 = 2.0;
+    /// Wait in typical run times after which a wide job gets a reservation. Capacity idles under a reservation, so it
+    /// comes after moves, for jobs that moves cannot help.
+    const RUNS_BEFORE_RESERVATION: f64 = 16.0;
     /// Interval at which waiting jobs are looked through.
     pub(crate) const SCAN_INTERVAL_MS: u64 = 500;
     /// Bound on reservations, which keeps the capacity that waits for wide jobs small.
-    const MAX_RESERVATIONS: usize = 4;
+    const MAX_RESERVATIONS: usize = 1;
+    /// Waiting wide jobs that are looked at in one turn, oldest first.
+    const WIDE_JOBS_TRIED: usize = 16;
     /// Racks that are searched for the earliest start.
     const RACKS_SEARCHED: usize = 6;
     /// A reservation that is this late is given up and made anew, perhaps elsewhere.
@@ -55,7 +59,7 @@
                 ..
             } = self.reservations[index];
             let dc = self.cluster.workers[workers[0].0].dc;
-            let preemptible = self.jobs[job].is_preemptible();
+            let preemptible = self.borrows(now_ms, job);
             let (mut ready, mut nearly) = (true, true);
             for &(key, parts) in workers {
                 let worker = &self.cluster.workers[key];
@@ -65,17 +69,18 @@
                     worker.capacity - worker.guaranteed - worker.hard
                 };
                 ready &= worker.free.min(limit).fits(need.times(parts));
-                let after = self.room_after_eviction(key, worker.free, |job| job.backfill);
+                let after = self.room_after_eviction(key, worker.free, Job::is_backfill);
                 nearly &= after.min(limit).fits(need.times(parts));
             }
             let allowed = self.cluster.dcs[dc].allows_start(now_ms, self.jobs[job].shape.parts);
             if nearly && allowed {
                 let found = workers.clone();
                 if ready {
-                    self.hold(job, &found, false);
+                    let standing = self.standing_of(now_ms, job);
+                    self.hold(job, &found, None, standing);
                     out.push(self.start(now_ms, job));
                 } else {
-                    self.claim(now_ms, job, &found, false, |job| job.backfill, out);
+                    self.claim(now_ms, job, &found, None, Job::is_backfill, out);
                 }
             } else if now_ms > expected_ms + Self::MAX_LATE_MS {
                 self.cancel_reservation(index);
@@ -83,34 +88,43 @@
         }
     }
 
-    /// Makes reservations for the wide jobs that have waited longest, at most one for each organisation.
-    pub(crate) fn make_reservations(&mut self, now_ms: u64) {
-        if now_ms < self.next_scan_ms || self.reservations.len() >= Self::MAX_RESERVATIONS {
+    /// Returns how long a wide job waits before it is helped, as a multiple of the run time of other jobs.
+    ///
+    /// Capacity that wide jobs wait for becomes free at the pace at which other jobs end.
+    fn patience_ms(&self, runs: f64) -> u64 {
+        ((self.typical_run_ms * runs) as u64).clamp(5_000, 600_000)
+    }
+
+    /// Helps the wide jobs that have waited longest: makes room for one, or reserves capacity as it becomes free.
+    pub(crate) fn help_wide_jobs(&mut self, now_ms: u64, out: &mut Vec<Decision>) {
+        if now_ms < self.next_scan_ms {
             return;
         }
         self.next_scan_ms = now_ms + Self::SCAN_INTERVAL_MS;
         let mut waiting: Vec<(u64, JobKey)> = Vec::new();
-        for (index, org) in self.orgs.iter().enumerate() {
-            let mut reserved = self.reservations.iter();
-            if org.queued[Class::Deferred as usize] == 0
-                || reserved.any(|reservation| usize::from(self.jobs[reservation.job].organisation) == index)
-            {
-                continue;
-            }
+        for org in self.orgs.iter().filter(|org| org.queued[Class::Deferred as usize] > 0) {
             let heads = org.heads(Class::Deferred).map(|(_, _, key)| (key, &self.jobs[key]));
             let wide = heads.filter(|(_, job)| {
                 (job.shape.parts > 1 || job.shape.accelerators_per_part > 1)
-                    && now_ms >= job.submitted_ms + Self::RESERVE_AFTER_MS
+                    && now_ms >= job.submitted_ms + self.patience_ms(Self::RUNS_BEFORE_MOVES)
                     && org.allows(job.shape.accelerators() as i32)
             });
-            waiting.extend(wide.map(|(key, job)| (job.submitted_ms, key)).min());
+            waiting.extend(wide.map(|(key, job)| (job.submitted_ms, key)));
         }
         waiting.sort_unstable();
-        for (_, job) in waiting
-            .into_iter()
-            .take(Self::MAX_RESERVATIONS - self.reservations.len())
-        {
-            if let Some(reservation) = self.find_reservation(now_ms, job) {
+        let mut made = false;
+        for (_, job) in waiting.into_iter().take(Self::WIDE_JOBS_TRIED) {
+            if !made && self.make_room(now_ms, job, out) {
+                made = true;
+                continue;
+            }
+            let organisation = self.jobs[job].organisation;
+            let mut reserved = self.reservations.iter();
+            if now_ms >= self.jobs[job].submitted_ms + self.patience_ms(Self::RUNS_BEFORE_RESERVATION)
+                && self.reservations.len() < Self::MAX_RESERVATIONS
+                && !reserved.any(|reservation| self.jobs[reservation.job].organisation == organisation)
+                && let Some(reservation) = self.find_reservation(now_ms, job)
+            {
                 let need = reservation.need;
                 for &(worker, parts) in &reservation.workers {
                     self.cluster
@@ -130,7 +144,7 @@
             _ => (job.need(), job.shape.parts),
         };
         let size = unit.accelerators as usize;
-        let view = if job.is_preemptible() { View::Free } else { View::Open };
+        let view = self.view_of(now_ms, key);
         let mut best: Option<(u64, Arrangement<WorkerKey>)> = None;
         for dc in self.cluster.dcs.iter().filter(|dc| dc.in_service) {
             let racks = dc.indexes[view as usize].roomiest_racks(size, Self::RACKS_SEARCHED);
@@ -184,7 +198,7 @@
             if !state.is_usable() || reserved || job.failed_on.contains(&worker) {
                 continue;
             }
-            let limit = if job.is_preemptible() {
+            let limit = if self.borrows(now_ms, key) {
                 state.capacity
             } else {
                 state.capacity - state.guaranteed - state.hard
@@ -209,7 +223,7 @@
                 };
                 let other = &self.jobs[other];
                 free += other.need();
-                if !other.is_preemptible() {
+                if !other.is_evictable() {
                     limit += other.need();
                 }
                 limit = limit.min(state.capacity);
--- a/crates/policy/src/urgent_load.rs
+++ b/crates/policy/src/urgent_load.rs
@@ -13,7 +13,7 @@
     /// The peak fades with this half-life, so that a burst is remembered for the next one of the same session.
     const HALF_LIFE_MS: f64 = 600_000.0;
     /// Bound on the headroom as a share of the data centre. Beyond it urgent work preempts.
-    const MAX_SHARE: f64 = 0.05;
+    const MAX_SHARE: f64 = 0.02;
     /// Bursts vary; a quarter above the last peak is kept free.
     const MARGIN: f64 = 1.25;
 
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -4,21 +4,11 @@
 use crate::JobKey;
 use crate::amount::Amount;
 use crate::health::Health;
-
-/// Part of a worker's capacity that the plan assigns to one organisation.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Share {
-    pub organisation: u16,
-    pub guaranteed: Amount,
-    /// Used by the owner's work that is charged to the share.
-    pub charged: Amount,
-}
+use crate::share::{Charge, Portion};
 
 /// Whether a worker answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Presence {
-    /// Not heard of yet; counts for the plan, takes no work.
-    Expected,
     Up,
     Leaving,
     Down,
@@ -33,10 +23,12 @@
     Open = 1,
     /// Free, guaranteed or not: room for work that can be preempted.
     Free = 2,
+    /// Outside of guarantees and not held by work that cannot be preempted, free or not.
+    Bare = 3,
 }
 
 impl View {
-    pub const ALL: [Self; 3] = [Self::Spare, Self::Open, Self::Free];
+    pub const ALL: [Self; 4] = [Self::Spare, Self::Open, Self::Free, Self::Bare];
 }
 
 /// Worker with its accounts.
@@ -63,7 +55,7 @@
     pub borrowers: u16,
     /// When the last such part was placed.
     pub borrowed_ms: u64,
-    pub shares: SmallVec<[Share; 2]>,
+    pub portions: SmallVec<[Portion; 2]>,
     /// One entry a part.
     pub jobs: SmallVec<[JobKey; 8]>,
     pub presence: Presence,
@@ -74,7 +66,7 @@
     pub refusals: u8,
     pub health: Health,
     /// Slots and accelerators of each view as entered in the index; `None` while the worker takes no work.
-    pub indexed: [Option<(u16, u16)>; 3],
+    pub indexed: [Option<(u16, u16)>; 4],
 }
 
 impl Worker {
@@ -92,21 +84,20 @@
             View::Spare => free - self.unclaimed,
             View::Open => free.min(self.capacity - self.guaranteed - self.hard - self.reserved),
             View::Free => free,
+            View::Bare => self.capacity - self.guaranteed - self.hard - self.reserved,
         }
     }
 
-    /// Returns what is left of the organisation's share.
-    pub fn entitlement(&self, organisation: u16) -> Amount {
-        self.shares
-            .iter()
-            .find(|share| share.organisation == organisation)
-            .map_or_else(Amount::default, |share| share.guaranteed - share.charged)
+    /// Returns what is left of a share here.
+    pub fn entitlement(&self, share: u16) -> Amount {
+        let portion = self.portions.iter().find(|portion| portion.share == share);
+        portion.map_or_else(Amount::default, |portion| portion.guaranteed - portion.charged)
     }
 
-    pub fn charge(&mut self, organisation: u16, amount: Amount) {
-        if let Some(share) = self.shares.iter_mut().find(|share| share.organisation == organisation) {
-            share.charged += amount;
-            self.unclaimed -= amount;
+    pub fn charge(&mut self, charge: Charge) {
+        if let Some(portion) = self.portions.iter_mut().find(|portion| portion.share == charge.share) {
+            portion.charged += charge.amount;
+            self.unclaimed -= charge.amount;
         }
     }
 }
