feat(bench): compare the policy in production, plots and cost per decision

Cause: the driver measured the baselines only; cost per decision at the design scale was not measured. Change: `GuaranteedShare` runs beside the baselines; `--out` writes plots; `bench slope` measures one turn (end, arrival and start of a task) at 1,000 to 20,000 running tasks.

--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -67,6 +67,9 @@
             .expect("the scenario's guarantees can be packed");
         let worker_key = |worker: &model::Worker| policy.worker_key(&worker.id).expect("the policy knows every worker");
         let worker_keys: Vec<WorkerKey> = scenario.topology.workers().map(worker_key).collect();
+        for worker in worker_keys.iter().copied() {
+            policy.observe(0, Event::WorkerUp { worker });
+        }
         let worker_index = worker_keys
             .iter()
             .enumerate()
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,12 +1,19 @@
 //! Command line of the measurements.
 
-use std::{path::PathBuf, process::ExitCode, time::Instant};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Instant,
+};
 
 use bench::{
-    Comparison, Deployment, Driver, Metrics, Scenario,
+    Comparison, Deployment, Driver, Metrics, Scenario, SlopePoint,
     baseline::{BestFit, CountQuota, FirstFit, Fit},
+    write_plots,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use model::Topology;
+use policy::{GuaranteedShare, Policy};
 
 fn command() -> Command {
     let seed = Arg::new("seed")
@@ -46,12 +53,20 @@
                         .help("Exit with status 1 if a check fails"),
                 ),
         )
+        .subcommand(Command::new("slope").about("Measures the cost of a decision at 1,000 to 20,000 running tasks"))
 }
 
 fn baseline<F: Fit>(scenario: &Scenario) -> Metrics {
     Driver::new(scenario, CountQuota::<F>::new(&scenario.topology)).run()
 }
 
+/// Name of the policy in production in reports.
+const OURS: &str = "ours";
+
+fn ours(scenario: &Scenario) -> Metrics {
+    Driver::new(scenario, GuaranteedShare::new(&scenario.topology)).run()
+}
+
 fn run_policy(args: &ArgMatches) -> ExitCode {
     let number = |name| args.get_one::<u64>(name).copied().unwrap_or(1);
     let Some(deployment) = args.get_one::<Deployment>("deployment").copied() else {
@@ -62,6 +77,7 @@
     for seed in first..first + seeds {
         let start = Instant::now();
         let scenario = Scenario::new(deployment, seed);
+        comparison.add(OURS, ours(&scenario));
         comparison.add(FirstFit::NAME, baseline::<FirstFit>(&scenario));
         comparison.add(BestFit::NAME, baseline::<BestFit>(&scenario));
         eprintln!(
@@ -76,7 +92,13 @@
         first + seeds - 1
     );
     print!("{comparison}");
-    let failures = comparison.failures(false);
+    if let Some(directory) = args.get_one::<PathBuf>("out")
+        && let Err(error) = plot(directory, deployment, first, &comparison)
+    {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    let failures = comparison.failures(true);
     for failure in &failures {
         println!("check failed: {failure}");
     }
@@ -87,9 +109,55 @@
     }
 }
 
+/// Writes the plots of the first seed.
+fn plot(
+    directory: &Path,
+    deployment: Deployment,
+    seed: u64,
+    comparison: &Comparison,
+) -> Result<(), Box<dyn std::error::Error>> {
+    std::fs::create_dir_all(directory)?;
+    let first = |(name, seeds): &'_ (&'static str, Vec<Metrics>)| Some((*name, seeds.first()?.clone()));
+    let policies: Vec<_> = comparison.policies.iter().filter_map(first).collect();
+    let borrowed: Vec<_> = policies.iter().map(|(name, metrics)| (*name, metrics)).collect();
+    write_plots(directory, &format!("{}-{seed}", deployment.name()), &borrowed)?;
+    Ok(())
+}
+
+/// Prints the cost of a turn at each size, and its growth against that of the logarithm of the size.
+fn slope<P: Policy>(name: &str, new: impl Fn(&Topology) -> P) {
+    let topology = Deployment::Letter.topology();
+    println!("{name}: one turn is the end of a task, the arrival of another and its start");
+    println!(
+        "{:>8}{:>14}{:>14}{:>14}{:>12}{:>12}",
+        "tasks", "us per turn", "p99 us", "us per fill", "growth", "log growth"
+    );
+    let mut first: Option<SlopePoint> = None;
+    for tasks in [1_000, 5_000, 10_000, 20_000] {
+        let point = SlopePoint::measure(new(&topology), tasks, 1);
+        let base = *first.get_or_insert(point);
+        let micros = |duration: std::time::Duration| duration.as_secs_f64() * 1e6;
+        println!(
+            "{:>8}{:>14.2}{:>14.2}{:>14.2}{:>12.3}{:>12.3}",
+            point.tasks,
+            micros(point.per_turn),
+            micros(point.per_turn_p99),
+            micros(point.per_fill),
+            micros(point.per_turn) / micros(base.per_turn),
+            f64::from(point.tasks).ln() / f64::from(base.tasks).ln(),
+        );
+    }
+}
+
 fn main() -> ExitCode {
     match command().get_matches().subcommand() {
         Some(("policy", args)) => run_policy(args),
+        Some(("slope", _)) => {
+            slope(OURS, GuaranteedShare::new);
+            slope(FirstFit::NAME, CountQuota::<FirstFit>::new);
+            slope(BestFit::NAME, CountQuota::<BestFit>::new);
+            ExitCode::SUCCESS
+        }
         _ => ExitCode::FAILURE,
     }
 }
