feat(bench): instances give idle grants back; policies run on threads; checks name the seed

Cause: the driver kept a fixed pool of grants for the whole run. Change: the wanted number of grants is the peak of the last minute plus 4, at most the pool; surplus idle grants are given back.

--- a/crates/bench/src/comparison.rs
+++ b/crates/bench/src/comparison.rs
@@ -8,6 +8,8 @@
 /// Measurements of several policies on the same arrivals; the first one is compared with the others.
 #[derive(Debug, Clone, Default)]
 pub struct Comparison {
+    /// Seed of the first measurements; the others follow without gaps.
+    pub first_seed: u64,
     /// Name of each policy and its measurements, one for each seed.
     pub policies: Vec<(&'static str, Vec<Metrics>)>,
 }
@@ -38,14 +40,14 @@
         self.policies.iter().map(|(name, seeds)| (*name, pool(seeds))).collect()
     }
 
-    /// Returns the checks that fail, each with the seed's index where it applies.
+    /// Returns the checks that fail, each with the seed where it applies; `is_ours` if the first policy has to meet the targets.
     pub fn failures(&self, is_ours: bool) -> Vec<String> {
         let mut failures = Vec::new();
         for (name, seeds) in &self.policies {
-            for (index, metrics) in seeds.iter().enumerate() {
+            for (seed, metrics) in (self.first_seed..).zip(seeds) {
                 for (what, count) in metrics.violations.entries() {
                     if count > 0 {
-                        failures.push(format!("{name}, seed index {index}: {count} {what}, must be 0"));
+                        failures.push(format!("{name}, seed {seed}: {count} {what}, must be 0"));
                     }
                 }
             }
@@ -53,20 +55,20 @@
         let Some((name, seeds)) = self.policies.first().filter(|_| is_ours) else {
             return failures;
         };
-        for (index, metrics) in seeds.iter().enumerate() {
+        for (seed, metrics) in (self.first_seed..).zip(seeds) {
             let (share, absence) = (metrics.reclaim_share(), metrics.absence_share());
             if metrics.reclaims_in_bound < metrics.reclaims {
                 let (met, all) = (metrics.reclaims_in_bound, metrics.reclaims);
                 failures.push(format!(
-                    "{name}, seed index {index}: {met} of {all} reclaims in bound ({share:.3})"
+                    "{name}, seed {seed}: {met} of {all} reclaims in bound ({share:.3})"
                 ));
             }
             let urgent = quantile(&metrics.urgent_start_ms, 0.99);
             if urgent > Self::URGENT_START_BOUND_MS as f64 {
-                failures.push(format!("{name}, seed index {index}: urgent start p99 {urgent} ms"));
+                failures.push(format!("{name}, seed {seed}: urgent start p99 {urgent} ms"));
             }
             if absence < Self::LEAST_ABSENCE_SHARE {
-                failures.push(format!("{name}, seed index {index}: absence work share {absence:.3}"));
+                failures.push(format!("{name}, seed {seed}: absence work share {absence:.3}"));
             }
         }
         let pooled = self.pooled();
--- a/crates/bench/src/driver/grants.rs
+++ b/crates/bench/src/driver/grants.rs
@@ -1,3 +1,5 @@
+use std::collections::VecDeque;
+
 use model::Resources;
 use policy::Policy;
 
@@ -20,9 +22,16 @@
     slots: Vec<Slot>,
     idle: Vec<usize>,
     live: u32,
+    busy: u32,
+    /// Most busy slots in each of the last intervals, the present one last.
+    peaks: VecDeque<u32>,
 }
 
 impl Grants {
+    /// Slots held beyond the recent peak.
+    const SPARE: u32 = 4;
+    /// Ticks over which the peak is taken: one minute.
+    const PEAK_TICKS: usize = 600;
     /// What one grant reserves.
     pub(crate) const NEED: Resources = Resources::new(1, 1, 2_000, 4 * 1024);
 
@@ -30,6 +39,12 @@
         self.slots[slot].closing = true;
     }
 
+    /// Returns how many slots the instances want: the peak of the last minute and a few more.
+    fn wanted(&self, most: u32) -> u32 {
+        let peak = self.peaks.iter().copied().max().unwrap_or(0);
+        (peak + Self::SPARE).min(most)
+    }
+
     pub(crate) const fn live(&self) -> u32 {
         self.live
     }
@@ -42,15 +57,29 @@
     const RUN_LATENCY_MS: u64 = 2;
     const MAX_URGENT_ATTEMPTS: u32 = 10;
 
-    /// Asks for grants until the instances hold as many as they want.
+    /// Asks for grants until the instances hold as many as they want, and gives back what has been idle for longest.
     pub(super) fn fill_grants(&mut self) {
+        let wanted = self.grants.wanted(self.scenario.workload.grant_slots);
+        let surplus = self.grants.live.saturating_sub(wanted) as usize;
+        for slot in self
+            .grants
+            .idle
+            .drain(..surplus.min(self.grants.idle.len()))
+            .collect::<Vec<_>>()
+        {
+            self.release_grant(slot);
+        }
         for _ in 0..Self::GRANTS_A_TICK {
-            if self.grants.live >= self.scenario.workload.grant_slots {
+            if self.grants.live >= wanted {
                 break;
             }
             let Some(slot) = self.new_grant() else { break };
             self.grants.idle.push(slot);
         }
+        if self.grants.peaks.len() == Grants::PEAK_TICKS {
+            self.grants.peaks.pop_front();
+        }
+        self.grants.peaks.push_back(self.grants.busy);
     }
 
     fn new_grant(&mut self) -> Option<usize> {
@@ -93,10 +122,10 @@
 
     /// Takes the slot back from a request that has ended on it.
     pub(super) fn return_grant(&mut self, slot: usize) {
-        let wanted = self.scenario.workload.grant_slots;
+        self.grants.busy -= 1;
         let entry = &mut self.grants.slots[slot];
         entry.busy = false;
-        if entry.closing || self.grants.live > wanted {
+        if entry.closing || self.grants.live > self.scenario.workload.grant_slots {
             self.release_grant(slot);
         } else {
             self.grants.idle.push(slot);
@@ -137,6 +166,10 @@
             return;
         };
         self.grants.slots[slot].busy = true;
+        self.grants.busy += 1;
+        if let Some(peak) = self.grants.peaks.back_mut() {
+            *peak = (*peak).max(self.grants.busy);
+        }
         let worker = self.grants.slots[slot].worker;
         let arrival = self.arrival(job);
         let record = &mut self.records[job as usize];
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -67,19 +67,40 @@
     Driver::new(scenario, GuaranteedShare::new(&scenario.topology)).run()
 }
 
+/// Name of a policy and the function that runs it.
+type Run = (&'static str, fn(&Scenario) -> Metrics);
+
+/// Runs each policy on a thread of its own; they share nothing but the scenario.
+fn compare(scenario: &Scenario) -> Vec<(&'static str, Metrics)> {
+    let runs: [Run; 3] = [
+        (OURS, ours),
+        (FirstFit::NAME, baseline::<FirstFit>),
+        (BestFit::NAME, baseline::<BestFit>),
+    ];
+    std::thread::scope(|scope| {
+        let threads = runs.map(|(name, run)| (name, scope.spawn(move || run(scenario))));
+        threads
+            .map(|(name, thread)| (name, thread.join().expect("a run does not panic")))
+            .into()
+    })
+}
+
 fn run_policy(args: &ArgMatches) -> ExitCode {
     let number = |name| args.get_one::<u64>(name).copied().unwrap_or(1);
     let Some(deployment) = args.get_one::<Deployment>("deployment").copied() else {
         return ExitCode::FAILURE;
     };
     let (first, seeds) = (number("seed"), number("seeds"));
-    let mut comparison = Comparison::default();
+    let mut comparison = Comparison {
+        first_seed: first,
+        ..Comparison::default()
+    };
     for seed in first..first + seeds {
         let start = Instant::now();
         let scenario = Scenario::new(deployment, seed);
-        comparison.add(OURS, ours(&scenario));
-        comparison.add(FirstFit::NAME, baseline::<FirstFit>(&scenario));
-        comparison.add(BestFit::NAME, baseline::<BestFit>(&scenario));
+        for (name, metrics) in compare(&scenario) {
+            comparison.add(name, metrics);
+        }
         eprintln!(
             "seed {seed}: {} jobs, {:.1} s",
             scenario.arrivals.len(),
