feat(bench): capacity of the scheduler against the limits of the design scale

Cause: nothing measured control overhead against 2.6% of a core, 64 MB and 26 KB/s per node. Change: `bench capacity` measures one data centre of four at 11 sizes with fake workers and store, fits a plane, and prints the design scale. A counting allocator measures memory.

--- /dev/null
+++ b/crates/bench/src/capacity_point.rs
@@ -0,0 +1,176 @@
+use std::time::{Duration, Instant};
+
+use model::{Adjacency, Config, DataCentreStatus, Guarantee, JobSpec, Organisation, Resources, Shape, Topology};
+use policy::{Decision, Event, Policy};
+
+use crate::{Counting, Plant};
+
+/// Cost of a scheduler of one data centre, and of its policy alone, at one size.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct CapacityPoint {
+    /// Workers of the data centre; the topology has four times as many.
+    pub workers: u32,
+    /// Running tasks in the data centre.
+    pub tasks: u32,
+    /// Live memory of the scheduler with its policy.
+    pub memory_bytes: f64,
+    /// Live memory of the policy alone with the same tasks.
+    pub policy_memory_bytes: f64,
+    /// Share of a core while tasks only run: ticks and renewals.
+    pub steady_core_share: f64,
+    /// Processor time of one job from submission to its end, beyond the steady part.
+    pub per_job: Duration,
+    /// Processor time of the policy for the same: submission, start and end.
+    pub policy_per_job: Duration,
+    /// Processor time of the scheduler for a changed configuration.
+    pub per_configuration: Duration,
+    /// Bytes a second of all renew requests, and of the reports in reply.
+    pub renew_bytes_per_s: (f64, f64),
+    /// Share of a core for writing renew requests as JSON and reading the reports.
+    pub json_core_share: f64,
+}
+
+impl CapacityPoint {
+    const DATA_CENTRES: usize = 4;
+    const STEADY_MS: u64 = 20_000;
+    const JOBS: usize = 1_000;
+    const CONFIGURATIONS: u32 = 20;
+
+    /// Measures at a size; `new` creates a policy that serves the first data centre of the topology.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the configuration is rejected or not all tasks start.
+    pub fn measure<P: Policy>(workers: u32, tasks: u32, new: impl Fn(&Topology) -> P) -> Self {
+        let capacity = Resources::new(24, 24, 96_000, 192 * 1024);
+        let topology = Topology::uniform(Self::DATA_CENTRES, workers as usize * Self::DATA_CENTRES, 8, capacity);
+        let configs = [config(&topology, 1), config(&topology, 2)];
+        let (policy_memory_bytes, policy_per_job) = Self::measure_policy(&topology, &configs[0], &new, tasks);
+
+        let before = Counting::live_bytes();
+        let mut plant = Plant::new(&topology, &configs[0], new(&topology));
+        let organisations: Vec<_> = configs[0].organisations.iter().map(|org| org.id.clone()).collect();
+        for index in 0..tasks as usize {
+            plant.submit(&organisations[index % organisations.len()]);
+        }
+        plant.pass_time(5_000);
+        assert_eq!(plant.running(), tasks as usize, "all tasks run");
+        let memory_bytes = (Counting::live_bytes() - before) as f64 - plant.fake_bytes();
+
+        plant.cost = Duration::ZERO;
+        plant.counts_bytes = true;
+        plant.pass_time(Self::STEADY_MS);
+        plant.counts_bytes = false;
+        let steady_s = Self::STEADY_MS as f64 / 1_000.0;
+        let steady_core_share = plant.cost.as_secs_f64() / steady_s;
+        let per_s = |bytes: u64| bytes as f64 / steady_s;
+        let renew_bytes_per_s = (per_s(plant.renew_bytes.0), per_s(plant.renew_bytes.1));
+        let json_core_share = plant.json_cost.as_secs_f64() / steady_s;
+
+        plant.cost = Duration::ZERO;
+        plant.finish(Self::JOBS);
+        plant.pass_time(2_000);
+        for index in 0..Self::JOBS {
+            plant.submit(&organisations[index % organisations.len()]);
+        }
+        let steady = Duration::from_secs_f64(steady_core_share * 2.0);
+        let per_job = plant.cost.saturating_sub(steady) / Self::JOBS as u32;
+
+        plant.cost = Duration::ZERO;
+        for index in 0..Self::CONFIGURATIONS {
+            let mut config = configs[(index as usize + 1) % 2].clone();
+            config.version = model::ConfigVersion(u64::from(index) + 10);
+            plant.configure(&config);
+        }
+        Self {
+            workers,
+            tasks,
+            memory_bytes,
+            policy_memory_bytes,
+            steady_core_share,
+            per_job,
+            policy_per_job,
+            per_configuration: plant.cost / Self::CONFIGURATIONS,
+            renew_bytes_per_s,
+            json_core_share,
+        }
+    }
+
+    /// Returns the live memory of the policy with `tasks` running, and the time for submission, start and end of one.
+    fn measure_policy<P: Policy>(
+        topology: &Topology,
+        config: &Config,
+        new: impl Fn(&Topology) -> P,
+        tasks: u32,
+    ) -> (f64, Duration) {
+        let specs: Vec<JobSpec> = (0..tasks).map(|index| spec(config, index)).collect();
+        let (mut jobs, mut decisions) = (Vec::with_capacity(tasks as usize), Vec::with_capacity(64));
+        let before = Counting::live_bytes();
+        let mut policy = new(topology);
+        policy.configure(0, config).expect("the guarantees can be packed");
+        for worker in topology.data_centres[0].workers() {
+            let worker = policy.worker_key(&worker.id).expect("the policy knows every worker");
+            policy.observe(0, Event::WorkerUp { worker });
+        }
+        let mut now_ms = 10_000;
+        let start = Instant::now();
+        for spec in &specs {
+            now_ms += 1;
+            policy.submit(now_ms, spec).expect("the queue has room");
+            policy.decide(now_ms, &mut decisions);
+            for decision in decisions.drain(..) {
+                if let Decision::Start { job, .. } = decision {
+                    policy.observe(now_ms, Event::Started { job });
+                    jobs.push(job);
+                }
+            }
+        }
+        let starts = start.elapsed();
+        let memory = (Counting::live_bytes() - before) as f64 + size_of_val(&policy) as f64;
+        let ended = jobs.len().clamp(1, Self::JOBS) as u32;
+        let start = Instant::now();
+        for job in jobs.iter().copied().take(Self::JOBS) {
+            now_ms += 1;
+            policy.observe(now_ms, Event::Finished { job, run_ms: 100_000 });
+            policy.decide(now_ms, &mut decisions);
+        }
+        (memory, starts / tasks.max(1) + start.elapsed() / ended)
+    }
+}
+
+/// Returns a configuration of 34 organisations with small guarantees, `count` for the first one.
+fn config(topology: &Topology, count: u16) -> Config {
+    let organisations = (1..=34).map(|index| {
+        let id = format!("org-{index:02}").parse().expect("generated names are valid");
+        let mut organisation = Organisation::new(id).guarantee(Guarantee {
+            shape: Shape::new(2, 8, Adjacency::Rack),
+            count: if index == 1 { count } else { 1 },
+            data_centre: None,
+        });
+        organisation.quota_accelerators = Some(10_000);
+        organisation
+    });
+    let data_centres = topology.data_centres.iter().map(|dc| DataCentreStatus {
+        id: dc.id.clone(),
+        in_service: true,
+    });
+    Config {
+        organisations: organisations.collect(),
+        data_centres: data_centres.collect(),
+        ..Config::default()
+    }
+}
+
+fn spec(config: &Config, index: u32) -> JobSpec {
+    let organisation = &config.organisations[index as usize % config.organisations.len()];
+    let request = format!("request-{index:012}")
+        .parse()
+        .expect("generated names are valid");
+    JobSpec::new(organisation.id.clone(), request)
+        .idempotent(true)
+        .checkpointable(true)
+        .shape(Shape::new(1, 1, Adjacency::Worker))
+        .cpu_milli_per_part(1_500)
+        .memory_mib_per_part(4 * 1024)
+        .declared_run_ms(120_000)
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,7 +7,7 @@
 };
 
 use bench::{
-    Comparison, Deployment, Driver, Metrics, Scenario, SlopePoint,
+    CapacityPoint, CapacityReport, Comparison, Counting, Deployment, Driver, Metrics, Scenario, SlopePoint,
     baseline::{BestFit, CountQuota, FirstFit, Fit},
     write_plots,
 };
@@ -15,6 +15,9 @@
 use model::Topology;
 use policy::{GuaranteedShare, Policy};
 
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
 fn command() -> Command {
     let seed = Arg::new("seed")
         .long("seed")
@@ -54,6 +57,7 @@
                 ),
         )
         .subcommand(Command::new("slope").about("Measures the cost of a decision at 1,000 to 20,000 running tasks"))
+        .subcommand(Command::new("capacity").about("Measures memory, time and bytes of control at the design scale"))
 }
 
 fn baseline<F: Fit>(scenario: &Scenario) -> Metrics {
@@ -170,6 +174,19 @@
     }
 }
 
+/// Measures one data centre of four at nine sizes.
+fn capacity() -> CapacityReport {
+    let new = |topology: &Topology| GuaranteedShare::new(topology).serving([topology.data_centres[0].id.clone()]);
+    let sizes = [60, 120, 240]
+        .into_iter()
+        .flat_map(|workers| [300, 600, 1_200].map(|tasks| (workers, tasks)));
+    let full = [(240, 2_500), (240, 5_000)];
+    let points = sizes
+        .chain(full)
+        .map(|(workers, tasks)| CapacityPoint::measure(workers, tasks, new));
+    CapacityReport::new(points.collect())
+}
+
 fn main() -> ExitCode {
     match command().get_matches().subcommand() {
         Some(("policy", args)) => run_policy(args),
@@ -179,6 +196,10 @@
             slope(BestFit::NAME, CountQuota::<BestFit>::new);
             ExitCode::SUCCESS
         }
+        Some(("capacity", _)) => {
+            print!("{}", capacity());
+            ExitCode::SUCCESS
+        }
         _ => ExitCode::FAILURE,
     }
 }
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    fn letter() -> Self {
+    pub(crate) fn letter() -> Self {
         Self {
             horizon_ms: 30 * MINUTE_MS,
             drain_ms: 14 * 60 * MINUTE_MS,
--- /dev/null
+++ b/crates/bench/tests/capacity.rs
@@ -0,0 +1,53 @@
+//! Guards the capacity figures: the fit must find a known plane, and the fake plant must really run and end jobs.
+
+use bench::{CapacityPoint, LinearFit, Plant, SlopePoint};
+use model::{Config, DataCentreStatus, Organisation, Resources, Topology};
+use policy::GuaranteedShare;
+
+/// A wrong elimination step would show up as a plausible but false cost per task.
+#[test]
+fn fit_finds_a_known_plane() {
+    let points: Vec<_> = [(1.0, 2.0), (5.0, 2.0), (1.0, 7.0), (9.0, 11.0)]
+        .map(|(tasks, workers)| (tasks, workers, 3.0 + 0.5 * tasks + 2.0 * workers))
+        .into();
+    let fit = LinearFit::new(&points);
+    assert!((fit.at(100.0, 10.0) - 73.0).abs() < 1e-9, "{fit:?}");
+    assert!(fit.worst_deviation < 1e-9);
+}
+
+/// A plant in which nothing starts or ends would report a low cost.
+#[test]
+fn plant_runs_and_ends_jobs() {
+    let topology = Topology::uniform(1, 2, 8, Resources::new(8, 8, 32_000, 65_536));
+    let organisation: model::OrganisationId = "org-01".parse().unwrap();
+    let config = Config {
+        organisations: vec![Organisation::new(organisation.clone())],
+        data_centres: vec![DataCentreStatus {
+            id: "dc1".parse().unwrap(),
+            in_service: true,
+        }],
+        ..Config::default()
+    };
+    let mut plant = Plant::new(&topology, &config, GuaranteedShare::new(&topology));
+    for _ in 0..20 {
+        plant.submit(&organisation);
+    }
+    assert_eq!(plant.running(), 16, "each worker runs 8");
+    plant.finish(10);
+    plant.pass_time(2_000);
+    assert_eq!(plant.running(), 10, "10 ended and the 4 that waited started");
+}
+
+/// The measurements must be of the size that they name.
+#[test]
+fn points_have_the_size_asked_for() {
+    let new = |topology: &Topology| GuaranteedShare::new(topology).serving([topology.data_centres[0].id.clone()]);
+    let point = CapacityPoint::measure(60, 100, new);
+    assert_eq!((point.workers, point.tasks), (60, 100));
+    assert!(point.renew_bytes_per_s.0 > 0.0 && point.steady_core_share > 0.0);
+    let topology = bench::Deployment::Letter.topology();
+    assert_eq!(
+        SlopePoint::measure(GuaranteedShare::new(&topology), 1_000, 1).tasks,
+        1_000
+    );
+}
