--- a/crates/bench/src/driver/grants.rs
+++ b/crates/bench/src/driver/grants.rs
@@ -45,6 +45,15 @@
         (peak + Self::SPARE).min(most)
     }
 
+    /// Returns the number of workers on which a grant is held.
+    pub(crate) fn workers(&self) -> u32 {
+        let live = self.slots.iter().filter(|slot| !slot.released);
+        let mut workers: Vec<u32> = live.map(|slot| slot.worker).collect();
+        workers.sort_unstable();
+        workers.dedup();
+        workers.len() as u32
+    }
+
     pub(crate) const fn live(&self) -> u32 {
         self.live
     }
--- a/crates/bench/src/driver/measure.rs
+++ b/crates/bench/src/driver/measure.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use model::Shape;
 use policy::Policy;
@@ -181,6 +181,8 @@
             waiting_accelerators: self.waiting.queued.iter().sum(),
             largest_gang: largest_gang.max().unwrap_or(0),
             running_tasks: self.waiting.running_tasks,
+            fits_waiting: self.fits_waiting(),
+            grant_workers: self.grants.workers(),
         };
         self.metrics.samples.push(sample);
         if self.absence().is_some() {
@@ -193,6 +195,25 @@
         }
     }
 
+    /// Returns whether a waiting job that may run anywhere within its organisation's quota fits into what is free.
+    fn fits_waiting(&self) -> bool {
+        let mut seen = HashSet::new();
+        self.waiting.by_width.iter().any(|(accelerators, job)| {
+            let spec = &self.arrival(*job).spec;
+            let organisation = self.waiting.jobs[*job as usize].0 as usize;
+            let in_quota = self.waiting.held[organisation] + accelerators <= self.waiting.quotas[organisation];
+            if !spec.is_preemptible() || !in_quota || !seen.insert((spec.shape, spec.need_per_part())) {
+                return false;
+            }
+            let layout = &self.fleet.layout;
+            (0..layout.domain_count(spec.shape.adjacency)).any(|index| {
+                let range = layout.domain(spec.shape.adjacency, index);
+                let room = range.map(|worker| u32::from(self.fleet.usable(worker).count_of(spec.need_per_part())));
+                room.sum::<u32>() >= u32::from(spec.shape.parts)
+            })
+        })
+    }
+
     /// Returns the accelerators that waiting jobs, and jobs running in service, can use.
     fn demand_in_service(&self) -> u32 {
         let out: u32 = self
--- a/crates/bench/src/figure.rs
+++ b/crates/bench/src/figure.rs
@@ -123,6 +123,16 @@
             },
             Lower,
         ),
+        figure(
+            "share of time idle though a job fits",
+            |m| m.mean_and_p99(|s| f64::from(u8::from(s.fits_waiting))).0,
+            Lower,
+        ),
+        figure(
+            "workers with a grant, mean",
+            |m| m.mean_and_p99(|s| f64::from(s.grant_workers)).0,
+            Lower,
+        ),
         figure(
             "largest gang accelerators, mean",
             |m| m.mean_and_p99(|s| f64::from(s.largest_gang)).0,
--- a/crates/bench/src/sample.rs
+++ b/crates/bench/src/sample.rs
@@ -17,4 +17,8 @@
     pub largest_gang: u32,
     /// Running tasks.
     pub running_tasks: u32,
+    /// Whether a waiting job that can be preempted would fit into what is free.
+    pub fits_waiting: bool,
+    /// Workers on which at least one grant is held.
+    pub grant_workers: u32,
 }
