--- a/crates/sched/tests/scheduler/common/world/strike.rs
+++ b/crates/sched/tests/scheduler/common/world/strike.rs
@@ -3,10 +3,10 @@
 use model::{JobId, JobRow, WorkerId};
 use sched::{Input, Settings, WriteOutcome};
 
-use super::super::{Fault, Step, config};
-use super::{Ev, LEASE_MS, LINK_MS, Message, Process, TIMEOUT_MS, World, Write};
+use super::super::{Fault, Fleet, Step, config};
+use super::{AnyWorld, Ev, LEASE_MS, LINK_MS, Message, Process, TIMEOUT_MS, Write};
 
-impl World {
+impl<P: Fleet> AnyWorld<P> {
     pub(super) fn apply(&mut self, node: usize, incarnation: u32, write: &Write, message: Message) {
         let report = |id, outcome| Input::Written { write: id, outcome };
         let is_current = self.nodes[node].incarnation == incarnation;
@@ -159,7 +159,9 @@
         let actions = std::mem::take(&mut me.held_back);
         self.perform_all(node, actions);
         self.handle(node, Input::Tick);
-        while let Some(input) = self.nodes[node].inbox.pop_front() {
+        while self.nodes[node].process == Process::Runs
+            && let Some(input) = self.nodes[node].inbox.pop_front()
+        {
             self.handle(node, input);
         }
     }
--- a/crates/sched/tests/scheduler/main.rs
+++ b/crates/sched/tests/scheduler/main.rs
@@ -2,7 +2,9 @@
 
 mod common;
 mod defects;
+mod explore;
 mod faults;
 mod grants;
 mod path;
+mod schedules;
 mod service;
