--- a/crates/policy/src/could_run.rs
+++ b/crates/policy/src/could_run.rs
@@ -13,7 +13,7 @@
         let Some(job) = self.jobs.get(key) else { return true };
         let borrows = job.idempotent || job.checkpointable;
         // The owner's own shape counts as room; whether it is large enough was checked by the plan.
-        let owns_a_share = !self.orgs[usize::from(job.organisation)].share_workers.is_empty();
+        let owns_a_share = self.orgs[usize::from(job.organisation)].guaranteed != Amount::default();
         let room = |worker: &Worker| -> Amount {
             let bare = worker.capacity - worker.granted;
             if borrows || owns_a_share {
