--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -135,6 +135,9 @@
     }
 
     /// Returns the epoch under which the scheduler commands; `None` while it follows.
+    ///
+    /// It also follows once a worker showed a higher epoch, until the next election, even if no
+    /// [`Input::Deposed`] came.
     pub fn epoch(&self) -> Option<Epoch> {
         (self.mode != Mode::Following).then_some(self.epoch)
     }
