feat(policy): plan again around work that blocks a share; bound the reordering of jobs

Long jobs were set back by up to 10 min in the queue, and wide jobs without checkpoints were ended in borrowed capacity again and again. Change: only the shapes that do not fit around such work are planned over it, and the plan is made again every 2 s while one is; jobs are set back by at most 2 min; work moved for a wide job may be as wide as that job, and a gang prefers to borrow little; reservations come after 24 typical run times.

--- a/crates/policy/src/accounts.rs
+++ b/crates/policy/src/accounts.rs
@@ -228,5 +228,5 @@
     }
 
     /// Longest delay of a long job behind shorter ones that were submitted later.
-    const MAX_RANK_DELAY_MS: u64 = 600_000;
+    const MAX_RANK_DELAY_MS: u64 = 120_000;
 }
--- a/crates/policy/src/enter_plan.rs
+++ b/crates/policy/src/enter_plan.rs
@@ -74,6 +74,10 @@
             self.recharge(key);
         }
         self.demote_firm_work();
+        self.is_obstructed = self.cluster.order.iter().any(|&worker| {
+            let worker = &self.cluster.workers[worker];
+            !worker.portions.is_empty() && (worker.capacity - worker.guaranteed - worker.hard).is_overdrawn()
+        });
         self.recall_claimants();
     }
 
--- a/crates/policy/src/guaranteed_share.rs
+++ b/crates/policy/src/guaranteed_share.rs
@@ -67,6 +67,9 @@
     pub(crate) wake_ms: u64,
     pub(crate) next_scan_ms: u64,
     pub(crate) sequence: u64,
+    /// Whether shares lie under work that cannot be preempted; the plan is then made again from time to time.
+    pub(crate) is_obstructed: bool,
+    pub(crate) next_replan_ms: u64,
     /// Moving average of the run times of deferred jobs.
     pub(crate) typical_run_ms: f64,
     /// Latest instant that was passed in.
@@ -100,6 +103,8 @@
             wake_ms: 0,
             next_scan_ms: 0,
             sequence: 0,
+            is_obstructed: false,
+            next_replan_ms: 0,
             typical_run_ms: 0.0,
             now_ms: 0,
         }
--- a/crates/policy/src/make_room.rs
+++ b/crates/policy/src/make_room.rs
@@ -8,18 +8,20 @@
 impl GuaranteedShare {
     /// A job that was ended this often for others stays where it is, so that wide jobs do not starve narrow ones.
     const MAX_MOVES: u8 = 2;
+    /// Weight of each borrowed accelerator against lost work: a gang that borrows is ended when any one owner returns.
+    const BORROWING_COST_MS: u64 = 60_000;
     /// Racks of a data centre that are searched.
     const RACKS_COMPARED: usize = 8;
 
     /// Starts a wide job that has waited long where the least must be moved away for it.
     ///
-    /// Only narrower deferred work that can be checkpointed and stands outside of its owner's share is moved.
+    /// Only deferred work that is no wider, can be checkpointed and stands outside of its owner's share is moved.
     pub(crate) fn make_room(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Decision>) -> bool {
         let width = self.jobs[key].shape.accelerators();
         let movable = move |other: &Job| {
             other.checkpointable
                 && other.class == Class::Deferred
-                && 2 * other.shape.accelerators() <= width
+                && other.shape.accelerators() <= width
                 && other.moves < Self::MAX_MOVES
         };
         let Some(found) = self.cheapest_room(now_ms, key, movable) else {
@@ -99,6 +101,11 @@
             } else {
                 victims.map(|&job| self.eviction_cost(job)).sum()
             };
+            let open = (state.capacity - state.guaranteed - state.hard)
+                .count_of(need)
+                .min(later);
+            let borrowed = u64::from(later - open) * need.accelerators as u64;
+            let cost = cost + borrowed * Self::BORROWING_COST_MS;
             options.push((cost / u64::from(later), worker, later));
         }
         options.sort_unstable();
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -28,7 +28,9 @@
     /// Run time up to which work without checkpoints stands in capacity that is guaranteed to others.
     const SHORT_RUN_MS: u64 = 60_000;
     /// Wait after which such work borrows even if it runs longer, as there may be no other capacity for it.
-    const OVERDUE_MS: u64 = 600_000;
+    const OVERDUE_MS: u64 = 3_600_000;
+    /// Interval at which shares under work that cannot be preempted are planned again.
+    const REPLAN_INTERVAL_MS: u64 = 2_000;
     /// Interval of decisions while a returned data centre is paced.
     const PACE_MS: u64 = 100;
 
@@ -44,6 +46,11 @@
         for dc in &mut self.cluster.dcs {
             dc.end_slow_start(now_ms);
         }
+        if self.is_obstructed && now_ms >= self.next_replan_ms {
+            self.next_replan_ms = now_ms + Self::REPLAN_INTERVAL_MS;
+            self.replan();
+            self.dirty = false;
+        }
         let first = out.len();
         out.append(&mut self.outbox);
         for decision in &out[first..] {
@@ -66,7 +73,9 @@
         let probe = self.probes.first().map(|entry| entry.0);
         let paced = self.cluster.dcs.iter().any(|dc| dc.resumed_ms.is_some());
         let waiting = !self.waiting.is_empty();
+        let replan = self.is_obstructed.then_some(self.next_replan_ms);
         [
+            replan,
             deadline,
             pause,
             probe,
@@ -271,9 +280,11 @@
     /// Long work without checkpoints would lose too much there, so it waits for capacity outside of guarantees first.
     pub(crate) fn borrows(&self, now_ms: u64, key: JobKey) -> bool {
         let job = &self.jobs[key];
-        job.checkpointable
-            || job.class == Class::Urgent && job.idempotent
-            || job.idempotent && (self.corrected_ms(key) <= Self::SHORT_RUN_MS || self.is_overdue(now_ms, key))
+        let cheap = job.checkpointable
+            || job.class == Class::Urgent
+            || self.corrected_ms(key) <= Self::SHORT_RUN_MS
+            || self.is_overdue(now_ms, key);
+        job.is_preemptible() && cheap
     }
 
     /// Returns the capacity outside of its organisation's shares that the job may use.
--- a/crates/policy/src/replan.rs
+++ b/crates/policy/src/replan.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::{Config, Guarantee, OrganisationId, Resources};
 
@@ -136,7 +136,7 @@
         if !self.configured {
             return;
         }
-        let amounts = |deduct: bool| -> Vec<Resources> {
+        let amounts = |around: bool| -> Vec<Resources> {
             let workers = self.cluster.order.iter().zip(self.topology.workers());
             workers
                 .map(|(&key, described)| {
@@ -144,24 +144,41 @@
                     if !self.is_up(key) || !worker.in_service || worker.quarantined {
                         return Resources::default();
                     }
-                    let hard = if deduct { worker.hard } else { Amount::default() };
-                    reduced(described.capacity, hard)
+                    let fixed = if around { self.fixed_on(key) } else { Amount::default() };
+                    (Amount::from(described.capacity) - fixed).into()
                 })
                 .collect()
         };
         // Work that cannot be preempted is planned around where possible; a shape under it could not be reclaimed yet.
-        let around = Plan::compute(&self.plan_config, &self.topology, &amounts(true), &self.plan);
-        let plan = if around.lost() == 0 {
-            around
-        } else {
-            let over = Plan::compute(&self.plan_config, &self.topology, &amounts(false), &self.plan);
-            if over.lost() < around.lost() { over } else { around }
-        };
+        // Only the shapes that do not fit around it are planned over it, where they were before if they were.
+        let mut plan = Plan::compute(&self.plan_config, &self.topology, &amounts(true), &self.plan);
+        if plan.lost() > 0 {
+            let mut hint = plan.clone();
+            hint.slices.extend(self.plan.slices.iter().cloned());
+            let over = Plan::compute(&self.plan_config, &self.topology, &amounts(false), &hint);
+            if over.lost() < plan.lost() {
+                plan = over;
+            }
+        }
         self.report_lost(&plan);
         self.plan = plan;
         self.enter_plan();
     }
 
+    /// Returns what work that can neither be preempted nor charged to its owner's share holds on a worker.
+    fn fixed_on(&self, key: WorkerKey) -> Amount {
+        let worker = &self.cluster.workers[key];
+        let jobs: BTreeSet<JobKey> = worker.jobs.iter().copied().collect();
+        let fixed = jobs
+            .iter()
+            .map(|&job| &self.jobs[job])
+            .filter(|job| !job.is_preemptible());
+        fixed.fold(worker.granted, |sum, job| {
+            let here = job.parts.iter().filter(|part| part.worker == key);
+            here.fold(sum, |sum, part| sum + job.need() - part.charged())
+        })
+    }
+
     fn report_lost(&mut self, plan: &Plan) {
         let count = |plan: &Plan| {
             let mut lost = BTreeMap::new();
@@ -234,7 +251,3 @@
         }
     }
 }
-
-fn reduced(capacity: Resources, hard: Amount) -> Resources {
-    (Amount::from(capacity) - hard).into()
-}
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -12,7 +12,7 @@
     const RUNS_BEFORE_MOVES: f64 = 2.0;
     /// Wait in typical run times after which a wide job gets a reservation. Capacity idles under a reservation, so it
     /// comes after moves, for jobs that moves cannot help.
-    const RUNS_BEFORE_RESERVATION: f64 = 16.0;
+    const RUNS_BEFORE_RESERVATION: f64 = 24.0;
     /// Interval at which waiting jobs are looked through.
     pub(crate) const SCAN_INTERVAL_MS: u64 = 500;
     /// Bound on reservations, which keeps the capacity that waits for wide jobs small.
@@ -92,7 +92,7 @@
     ///
     /// Capacity that wide jobs wait for becomes free at the pace at which other jobs end.
     fn patience_ms(&self, runs: f64) -> u64 {
-        ((self.typical_run_ms * runs) as u64).clamp(5_000, 600_000)
+        ((self.typical_run_ms * runs) as u64).clamp(5_000, 1_800_000)
     }
 
     /// Helps the wide jobs that have waited longest: makes room for one, or reserves capacity as it becomes free.
