feat(sched): durable checkpoints; work leaves a data centre that is out; audit gaps

Checkpoints lived in memory and inventories only, so a job with a checkpoint could not move to another data centre. The policy of one data centre preempted nothing when that data centre was taken out, because it saw no other one in service. The audit command read fields that the server does not send. Ruled out: keeping checkpoints in the object store under a key of their own; the worker's checkpoint text is short, and the row is written anyway.

--- a/crates/cli/src/job_commands.rs
+++ b/crates/cli/src/job_commands.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use crate::client::decode;
-use crate::{Client, CommandError, ExitStatus, Format, args_job, output};
+use crate::{Audit, Client, CommandError, ExitStatus, Format, args_job, output};
 
 /// Longest wait in one request; a longer wait is a sequence of requests, so that a lost instance costs one of them.
 const WAIT_STEP: Duration = Duration::from_secs(5);
@@ -119,19 +119,36 @@
 pub(crate) async fn audit(client: &Client, format: Format, matches: &ArgMatches) -> Result<ExitStatus, CommandError> {
     let job = job_id(matches);
     let reply: Value = client.get(&format!("/v1/audit/{job}")).await?;
-    match format {
-        Format::Json => output::json(&reply),
-        Format::Table => {
-            output::line(&format!("job {job}: {}", reply["state"].as_str().unwrap_or("unknown")));
-            output::table(
-                rows(&reply, "steps"),
-                &["step", "attempt", "worker", "lease", "accelerator_ms", "evidence"],
-            );
-            for gap in rows(&reply, "gaps") {
-                output::line(&format!("gap: {}", gap.as_str().unwrap_or_default()));
-            }
+    if format == Format::Json {
+        output::json(&reply);
+        return Ok(ExitStatus::Success);
+    }
+    let audit: Audit = serde_json::from_value(reply).map_err(|error| CommandError::Protocol {
+        message: error.to_string(),
+    })?;
+    output::line(&format!("job {job}: {:?}", audit.job.state).to_lowercase());
+    for attempt in &audit.job.attempts {
+        output::line(&format!(
+            "attempt {} under epoch {}: {:?}",
+            attempt.number, attempt.epoch, attempt.state
+        ));
+        for (part, place) in attempt.placement.parts.iter().enumerate() {
+            output::line(&format!(
+                "  part {part}: worker {}, lease {}",
+                place.worker, place.lease
+            ));
         }
     }
+    for charge in &audit.charges {
+        let confirmed = if charge.confirmed { "confirmed" } else { "not confirmed" };
+        output::line(&format!(
+            "charge of attempt {}: {} accelerator ms, {confirmed}",
+            charge.attempt, charge.accelerator_ms
+        ));
+    }
+    for gap in audit.gaps() {
+        output::line(&format!("gap: {gap}"));
+    }
     Ok(ExitStatus::Success)
 }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod args;
 mod args_job;
+mod audit;
 mod client;
 mod command_error;
 mod exit_status;
@@ -24,6 +25,7 @@
 mod timeline_command;
 
 pub use args::command;
+pub use audit::{Audit, AuditedJob};
 pub use client::Client;
 pub use command_error::CommandError;
 pub use exit_status::ExitStatus;
--- a/crates/cli/src/operator_commands.rs
+++ b/crates/cli/src/operator_commands.rs
@@ -43,12 +43,12 @@
         Format::Table => {
             output::table(
                 rows(&reply, "instances"),
-                &["instance", "data_centre", "version", "age_ms"],
+                &["instance", "data_centre", "version", "status"],
             );
             output::line("");
             output::table(
                 rows(&reply, "data_centres"),
-                &["data_centre", "in_service", "state", "version"],
+                &["data_centre", "in_service", "out", "version", "scheduler", "local_out"],
             );
         }
     }
@@ -65,7 +65,7 @@
                 &[
                     "instance",
                     "data_centre",
-                    "state",
+                    "status",
                     "config_version",
                     "scheduler_of",
                     "age_ms",
--- a/crates/model/src/job_row.rs
+++ b/crates/model/src/job_row.rs
@@ -32,6 +32,9 @@
     /// Reason, if the job did not run.
     #[serde(default)]
     pub refusal: Option<Refusal>,
+    /// Checkpoint of each part to resume from, as workers reported them; empty means from the start.
+    #[serde(default)]
+    pub checkpoints: Vec<String>,
     /// How often the job was moved to another data centre because it could not run where it was.
     #[serde(default)]
     pub moves: u32,
@@ -54,6 +57,7 @@
             answer_sha256: None,
             failure: None,
             refusal: None,
+            checkpoints: Vec::new(),
             moves: 0,
             cancel_requested: false,
         }
--- a/crates/policy/src/replan.rs
+++ b/crates/policy/src/replan.rs
@@ -207,7 +207,8 @@
     fn evacuate(&mut self, dc: usize) {
         let members: Vec<WorkerKey> = self.cluster.members(dc).collect();
         self.cancel_reservations(&members);
-        let elsewhere = self.cluster.dcs.iter().any(|dc| dc.in_service);
+        // A policy that serves one data centre leaves it to the scheduler to move the work to another one.
+        let elsewhere = self.plan_config.data_centres.iter().any(|dc| dc.in_service);
         let mut jobs: Vec<JobKey> = (members.iter())
             .flat_map(|&worker| self.cluster.workers[worker].jobs.iter().copied())
             .collect();
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -41,13 +41,14 @@
         let id = row.id();
         let is_resume = row.attempts.last().is_some_and(|last| {
             last.state == model::AttemptState::Stopped && (row.spec.checkpointable || !row.spec.idempotent)
-        });
+        }) && row.checkpoints.len() != usize::from(row.spec.shape.parts);
         let is_adopted = matches!(row.state, JobState::Running | JobState::Indeterminate) || is_resume;
         let mut job = Job::new(row, version);
         let parts = usize::from(job.row.spec.shape.parts);
         let found = self.found_checkpoints.range((id.clone(), 0)..=(id.clone(), u32::MAX));
         if let Some((_, whole)) = found.rev().find(|(_, checkpoints)| checkpoints.len() == parts) {
             job.checkpoints = whole.values().cloned().collect();
+            job.row.checkpoints.clone_from(&job.checkpoints);
         }
         let key = self.jobs.insert(job);
         self.parked.insert(key);
@@ -299,7 +300,7 @@
 
     /// While the data centre is out, gives queued jobs to another data centre that is in service.
     ///
-    /// Jobs with a checkpoint stay: the row cannot carry it, and starting from the beginning would lose or repeat work.
+    /// The row carries the checkpoints, so that the job resumes there.
     pub(crate) fn move_elsewhere(&mut self, actions: &mut Vec<Action>) {
         if self.is_in_service || !self.is_store_up {
             return;
@@ -313,7 +314,7 @@
         }
         let waiting = self.queued.iter().chain(&self.parked);
         let keys: Vec<Key> = waiting
-            .filter(|key| self.jobs[**key].checkpoints.is_empty() && self.jobs[**key].open.is_none())
+            .filter(|key| self.jobs[**key].open.is_none())
             .take(MAX_PER_TICK)
             .copied()
             .collect();
--- a/crates/sched/src/ending.rs
+++ b/crates/sched/src/ending.rs
@@ -141,6 +141,7 @@
         let checkpoints: Option<Vec<String>> = run.parts.iter().map(checkpoint).collect();
         let preserved_ms = match checkpoints {
             Some(checkpoints) => {
+                job.row.checkpoints.clone_from(&checkpoints);
                 job.checkpoints = checkpoints;
                 self.charge(key, run);
                 self.now_ms.saturating_sub(run.started_ms)
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -97,6 +97,7 @@
         Self {
             id: row.id(),
             known_attempt: row.attempts.last().map_or(0, |attempt| attempt.number),
+            checkpoints: row.checkpoints.clone(),
             row,
             version,
             phase: Phase::Parked,
@@ -108,7 +109,6 @@
             charges: Vec::new(),
             answer: None,
             outcome: None,
-            checkpoints: Vec::new(),
             replacement: None,
             seen_attempt: 0,
             is_unproven: false,
--- a/crates/sched/src/stranded.rs
+++ b/crates/sched/src/stranded.rs
@@ -58,10 +58,7 @@
         let job = &self.jobs[key];
         let wait_ms = FIRST_MOVE_MS << job.row.moves.min(MAX_DOUBLINGS);
         let waited_ms = self.now_unix_ms.saturating_sub(job.row.accepted_unix_ms);
-        waited_ms >= wait_ms
-            && job.open.is_none()
-            && job.checkpoints.is_empty()
-            && job.policy_key.is_some_and(|key| !self.policy.could_run(key))
+        waited_ms >= wait_ms && job.open.is_none() && job.policy_key.is_some_and(|key| !self.policy.could_run(key))
     }
 
     /// Returns the data centre in service that follows this one in order of ids, so that moves visit all of them.
