--- a/crates/bench/tests/driver.rs
+++ b/crates/bench/tests/driver.rs
@@ -7,6 +7,7 @@
     baseline::{BestFit, CountQuota, FirstFit, Fit},
 };
 use common::{Fault, Faulty};
+use policy::GuaranteedShare;
 use rstest::rstest;
 
 /// Shortens a scenario so that a test takes a moment; an absence is moved into the rest.
@@ -52,6 +53,16 @@
     }
 }
 
+/// The policy in production must keep every rule in the same runs; its targets are for `bench policy --check`.
+#[rstest]
+#[case::lochside(Deployment::Lochside)]
+#[case::lanka(Deployment::Lanka)]
+fn policy_keeps_the_rules(#[case] deployment: Deployment, #[values(1, 2, 3)] seed: u64) {
+    let scenario = short(deployment, seed);
+    let metrics = Driver::new(&scenario, GuaranteedShare::new(&scenario.topology)).run();
+    assert_eq!(metrics.violations, Violations::default());
+}
+
 /// A check that cannot fail proves nothing; each fault must raise its own count.
 #[rstest]
 #[case::missing_part(Fault::MissingPart, |v: Violations| v.partial_gangs)]
