fix(entry): state the end of the own attempt only; a promise ran twice after an outage

The workers' logs and the row show how: a request whose record had an unknown outcome is closed as not started in the background until the store takes it. After the outage the caller's retry had recorded and started an attempt of its own, and the late closing was put over it, so that a third request was allowed. First seen with an attempt of another instance; then, with that excluded, with a later request of the same instance that was given the same granted lease and number. Ruled out: a false proof by the worker (its log has no stop or revocation), an early takeover by the scheduler (the owner was live), a second start by the worker (task ids differ). Change: a late closing applies only if the row still ends with the very same attempt: number, workers, leases and instant of the record. A next attempt whose record is unknown is named in the final row.

--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -159,14 +159,18 @@
         let ticket = self.pick(need, &job.avoid)?;
         let mut next = row.clone();
         let task = open_attempt(&mut next, &ticket, self.shared.clock.now_unix_ms());
-        let written = self.job_write(next.clone(), *version).commit(&self.clients.store).await;
-        let WriteOutcome::Done { version: written } = written else {
-            self.give_back(&ticket);
-            return None;
-        };
-        *row = next;
-        *version = written;
-        Some((ticket, task))
+        match self.job_write(next.clone(), *version).commit(&self.clients.store).await {
+            WriteOutcome::Done { version: written } => {
+                *row = next;
+                *version = written;
+                return Some((ticket, task));
+            }
+            // The record may have taken effect, so the final state has to name the new attempt as not started.
+            WriteOutcome::Unavailable | WriteOutcome::Unknown => *row = next,
+            WriteOutcome::Conflict { .. } => {}
+        }
+        self.give_back(&ticket);
+        None
     }
 
     /// Sends the task to the worker and reads its end.
--- a/crates/entry/src/urgent/urgent_desk.rs
+++ b/crates/entry/src/urgent/urgent_desk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use model::{AttemptState, JobRow, JobSpec, JobState, Outcome, TaskId};
+use model::{JobRow, JobSpec, Outcome, TaskId};
 use net::peer::{UpdateGrantsReply, UpdateGrantsRequest};
 use sched::WriteOutcome;
 use timer::{Subscribe, Tick, Timer};
@@ -173,25 +173,14 @@
     }
 }
 
-/// Bases the final state on the row as it is, if that row holds this instance's attempt and is not final.
+/// Bases the final state on the row as it is, if that row holds this very attempt and is not final.
+///
+/// Any other attempt belongs to someone else, even if it follows this one in the row: an instance that took a job over
+/// after its first attempt proved not to have started was once declared not started itself, and the job ran twice.
 fn rebase(write: &mut JobWrite, current: &JobRow, version: u64) -> bool {
-    let job_id_is_ours = current.digest == write.row.digest && current.data_centre == write.row.data_centre;
-    let leases = |row: &JobRow| row.attempts.last().map(|attempt| attempt.placement.clone());
-    if current.state.is_final() || !job_id_is_ours {
+    if current.state.is_final() || current.digest != write.row.digest || !current.ends_with_attempt_of(&write.row) {
         return false;
     }
-    if leases(current) != leases(&write.row) {
-        // Only an attempt that was recorded but never dispatched may lie over one that proved not to have started.
-        if write.row.state != JobState::DidNotRun {
-            return false;
-        }
-        write.row.attempts.clone_from(&current.attempts);
-        for attempt in &mut write.row.attempts {
-            if attempt.state == AttemptState::Recorded {
-                attempt.state = AttemptState::NotStarted;
-            }
-        }
-    }
     write.expected_version = version;
     true
 }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -52,6 +52,25 @@
 pub async fn assert_passed(fleet: &Fleet, report: &Report) {
     if !report.passed() {
         let timeline = fleet.timeline().await;
+        let executions = fleet.executions().await.unwrap_or_default();
+        let doubled = report
+            .doubled
+            .iter()
+            .filter_map(|text| text.split(':').next()?.parse::<JobId>().ok());
+        for job in doubled.chain(report.false_refusals.iter().cloned()).take(4) {
+            for entry in executions.iter().filter(|entry| entry.task.job == job) {
+                println!("{}", serde_json::to_string(entry).unwrap_or_default());
+            }
+            let of_job = timeline.iter().filter(|record| record.event.job.as_ref() == Some(&job));
+            for record in of_job {
+                println!(
+                    "{} {}",
+                    record.at_unix_ms,
+                    trace::to_text(std::slice::from_ref(record)).trim()
+                );
+            }
+            println!("{}", fleet.row(&format!("job/{job}")).await);
+        }
         for (job, _) in report.missing.iter().take(4) {
             let of_job = timeline.iter().filter(|record| record.event.job.as_ref() == Some(job));
             println!("{}", trace::to_text(&of_job.cloned().collect::<Vec<_>>()));
--- a/crates/model/src/job_row.rs
+++ b/crates/model/src/job_row.rs
@@ -68,6 +68,16 @@
         self.spec.id()
     }
 
+    /// Returns whether both rows end with the very same attempt: number, workers, leases and instant of the record.
+    ///
+    /// Only the maker of an attempt may state its end; a later attempt in the row belongs to someone else. The instant
+    /// tells two requests apart that were given the same granted lease one after the other.
+    pub fn ends_with_attempt_of(&self, other: &Self) -> bool {
+        let identity = |attempt: &Attempt| (attempt.number, attempt.placement.clone(), attempt.recorded_unix_ms);
+        let last = |row: &Self| row.attempts.last().map(identity);
+        last(self).is_some() && last(self) == last(other)
+    }
+
     /// Returns the key of the row in the platform's table.
     pub fn key(&self) -> String {
         Self::key_of(&self.id())
