refactor(sched): one way of moving a job to another data centre

Cause: the last read found the same steps twice, for a data centre that is out and for a stranded job. Ruled out: counting both as moves; the wait of a stranded job doubles with each move, and an absence must not lengthen it. Change: both use move_job; the stranded search counts the move itself.

--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -319,13 +319,7 @@
             .copied()
             .collect();
         for (index, key) in keys.into_iter().enumerate() {
-            self.detach(key, |job| Observed::Removed { job });
-            let job = &mut self.jobs[key];
-            job.row.data_centre = others[index % others.len()].clone();
-            let event = Event::new(EventKind::JobRequeued).job(job.id.clone()).cause("moved");
-            self.event(event, actions);
-            self.set_phase(key, Phase::Final);
-            self.mark_dirty(key);
+            self.move_job(key, others[index % others.len()].clone(), actions);
         }
     }
 }
--- a/crates/sched/src/stranded.rs
+++ b/crates/sched/src/stranded.rs
@@ -49,6 +49,7 @@
         };
         for key in looked_at {
             if self.is_stranded(key) {
+                self.jobs[key].row.moves += 1;
                 self.move_job(key, next.clone(), actions);
             }
         }
@@ -78,10 +79,10 @@
             .cloned()
     }
 
-    fn move_job(&mut self, key: Key, data_centre: DataCentreId, actions: &mut Vec<Action>) {
+    /// Gives a queued job to another data centre; its scheduler finds the row.
+    pub(crate) fn move_job(&mut self, key: Key, data_centre: DataCentreId, actions: &mut Vec<Action>) {
         self.detach(key, |job| Observed::Removed { job });
         let job = &mut self.jobs[key];
-        job.row.moves += 1;
         job.row.data_centre = data_centre;
         let event = Event::new(EventKind::JobRequeued).job(job.id.clone()).cause("moved");
         self.event(event, actions);
