--- /dev/null
+++ b/crates/conf/src/domain_settings.rs
@@ -0,0 +1,31 @@
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+/// Settings of an instance of a scheduling domain. All limits come from the deployment.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DomainSettings {
+    /// Address of readiness and metrics.
+    pub ready_address: SocketAddr,
+    /// Longest lease that a worker grants.
+    pub lease_max_ms: u64,
+    /// Longest time that a worker takes to stop a run.
+    pub stop_grace_ms: u64,
+    /// Time after which a member of a gang gives up waiting for the others.
+    pub gang_wait_ms: u64,
+    /// Factor of the run time of work away from its data or spread over racks.
+    pub remote_factor: f64,
+    /// Time within which guaranteed work must have started.
+    pub reclaim_ms: u64,
+    /// Time after which a leaving worker must get no new work.
+    pub drain_ms: u64,
+    /// Time after which a revoked key must not work any more.
+    pub revoke_ms: u64,
+    /// Time within which a configuration must be in force.
+    pub config_deadline_ms: u64,
+    /// Time without disruption after which time limits hold for an instance.
+    pub contact_ms: u64,
+    /// Time between the signal to stop and the kill.
+    pub process_grace_s: f64,
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod change;
 mod column;
+mod domain_settings;
 mod peer_address;
 mod settings;
 mod settings_error;
@@ -28,6 +29,7 @@
 mod sheet_fault;
 
 pub use change::{Change, ChangeKind};
+pub use domain_settings::DomainSettings;
 pub use column::Column;
 pub use peer_address::PeerAddress;
 pub use settings::Settings;
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -4,10 +4,10 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
-use crate::{PeerAddress, SettingsError};
+use crate::{DomainSettings, PeerAddress, SettingsError};
 
 /// Settings of an entry instance. Every key but the first five has a default.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this instance.
@@ -98,6 +98,8 @@
     /// Newest timeline events kept in memory. Default 20,000 events.
     #[serde(default = "defaults::timeline_capacity_events")]
     pub timeline_capacity_events: u64,
+    /// Makes the process an instance of a scheduling domain on the users' platform.
+    pub domain: Option<DomainSettings>,
 }
 
 impl Settings {
--- a/crates/daemon/src/daemon_error.rs
+++ b/crates/daemon/src/daemon_error.rs
@@ -15,6 +15,9 @@
     /// The instance cannot start.
     #[error(transparent)]
     Entry(#[from] entry::EntryError),
+    /// The instance of a domain cannot start.
+    #[error(transparent)]
+    Platform(#[from] platform::AdapterError),
     /// Signals cannot be received.
     #[error("cannot receive signals: {0}")]
     Signals(io::Error),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,12 +4,15 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
-use conf::Settings;
+use conf::{DomainSettings, Settings};
 use daemon_error::DaemonError;
 use entry::{Entry, Listeners};
-use signals::stop_signal;
+use node_settings::node_settings;
+use platform::{Addresses, Instance};
+use signals::{on_reload, stop_signal};
 
 mod daemon_error;
+mod node_settings;
 mod signals;
 
 #[global_allocator]
@@ -36,7 +39,7 @@
         )
 }
 
-fn read_settings(path: &Path) -> Result<Settings, DaemonError> {
+pub(crate) fn read_settings(path: &Path) -> Result<Settings, DaemonError> {
     let text = std::fs::read_to_string(path).map_err(|source| DaemonError::Read {
         path: path.to_owned(),
         source,
@@ -54,6 +57,9 @@
         println!("{}: settings are valid", path.display());
         return Ok(());
     }
+    if let Some(domain) = settings.domain.clone() {
+        return run_domain(path, settings, &domain);
+    }
     let listeners = Listeners::bind(&settings)?;
     actix_rt::System::new().block_on(async {
         let stop = stop_signal()?;
@@ -64,6 +70,24 @@
     })
 }
 
+/// Runs an instance of a scheduling domain on the users' platform.
+fn run_domain(path: &Path, settings: Settings, domain: &DomainSettings) -> Result<(), DaemonError> {
+    actix_rt::System::new().block_on(async {
+        let stop = stop_signal()?;
+        let reload = on_reload(path.to_owned(), settings.clone())?;
+        actix_rt::spawn(reload);
+        let addresses = Addresses {
+            front: settings.http_address,
+            ready: domain.ready_address,
+            store_url: settings.platform_url.clone(),
+        };
+        let instance = Instance::start(node_settings(&settings, domain), &addresses)?;
+        stop.await;
+        instance.stop().await;
+        Ok(())
+    })
+}
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/daemon/src/node_settings.rs
@@ -0,0 +1,33 @@
+use conf::{DomainSettings, Settings};
+use domain::Limits;
+use node::NodeSettings;
+
+/// Silence of the holder until it is replaced, as a part of the time within which an instance counts as disturbed.
+/// Two takeovers in a row then fit into that time.
+const LEASE_PART_OF_CONTACT: u64 = 2;
+
+/// Time for which a holder goes on without the store, as parts of the longest lease. Longer bridges longer outages;
+/// it also delays the restart of work on workers that a successor cannot reach.
+const HOLDOVER_OF_LEASE: (u64, u64) = (2, 3);
+
+/// Derives the settings of the node from those of the deployment.
+pub(crate) fn node_settings(settings: &Settings, domain: &DomainSettings) -> NodeSettings {
+    let (part, whole) = HOLDOVER_OF_LEASE;
+    NodeSettings {
+        instance: settings.instance.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
+        limits: Limits {
+            lease_max_ms: domain.lease_max_ms,
+            stop_grace_ms: domain.stop_grace_ms,
+            gang_wait_ms: domain.gang_wait_ms,
+            holdover_ms: domain.lease_max_ms * part / whole,
+            remote_factor: domain.remote_factor,
+            reclaim_ms: domain.reclaim_ms,
+            drain_ms: domain.drain_ms,
+        },
+        revoke_ms: domain.revoke_ms,
+        config_deadline_ms: domain.config_deadline_ms,
+        stop_grace_ms: (domain.process_grace_s * 1_000.0) as u64,
+        lease_ttl_ms: domain.contact_ms / LEASE_PART_OF_CONTACT,
+    }
+}
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,8 +1,12 @@
 use std::future::Future;
+use std::path::PathBuf;
+
+use conf::Settings;
 
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::daemon_error::DaemonError;
+use crate::read_settings;
 
 /// Returns a future that ends with the first SIGTERM or SIGINT.
 ///
@@ -19,3 +23,25 @@
         }
     })
 }
+
+/// Returns a future that reads the settings again with each SIGHUP. The settings of a deployment that a running process
+/// can take over are none, so a change is logged and takes effect with the next start.
+///
+/// # Errors
+///
+/// Returns [`DaemonError::Signals`] if the handler cannot be installed.
+pub(crate) fn on_reload(path: PathBuf, mut settings: Settings) -> Result<impl Future<Output = ()>, DaemonError> {
+    let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
+    Ok(async move {
+        while hangup.recv().await.is_some() {
+            match read_settings(&path) {
+                Ok(read) => {
+                    let is_changed = read != settings;
+                    spdlog::info!("settings_reloaded", kv: { is_changed });
+                    settings = read;
+                }
+                Err(error) => spdlog::error!("settings_not_reloaded", kv: { cause = error.to_string() }),
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/domain/src/action.rs
@@ -0,0 +1,92 @@
+use compact_str::CompactString;
+
+use crate::{Progress, WorkerKey};
+
+/// Run of a task, as workers name it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct TaskRun {
+    /// Task name.
+    pub task: CompactString,
+    /// Run.
+    pub run: u64,
+}
+
+/// Order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartOrder {
+    /// What to start.
+    pub what: TaskRun,
+    /// Payload of the job.
+    pub spec: String,
+    /// End of the lease on the worker's clock.
+    pub lease_until_ms: u64,
+    /// Checkpoint to resume from.
+    pub checkpoint: Option<CompactString>,
+    /// Ticket of the placement service.
+    pub ticket: Option<CompactString>,
+}
+
+/// Progress row of a job to write.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CommitRow {
+    /// Job id.
+    pub job: CompactString,
+    /// Version that the row must have.
+    pub expected_version: u64,
+    /// New value.
+    pub progress: Progress,
+    /// The job left the queue: its entry in the queue's index goes.
+    pub leaves_queue: bool,
+}
+
+/// Rows to write in one transaction under the scheduler's epoch.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Commit {
+    /// Progress of jobs.
+    pub rows: Vec<CommitRow>,
+    /// Workers that get tasks from now on, with their addresses.
+    pub add_workers: Vec<(CompactString, CompactString)>,
+    /// Workers that run nothing any more.
+    pub remove_workers: Vec<CompactString>,
+}
+
+/// What the caller of the engine has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Order a worker to start a run.
+    Start {
+        /// Worker.
+        worker: WorkerKey,
+        /// Order.
+        order: StartOrder,
+    },
+    /// Order a worker to stop a run; it also voids a start that has not arrived.
+    Stop {
+        /// Worker.
+        worker: WorkerKey,
+        /// What to stop.
+        what: TaskRun,
+    },
+    /// Renew the lease of everything on a worker and read its lists.
+    Renew {
+        /// Worker.
+        worker: WorkerKey,
+        /// End of the lease on the worker's clock, if that clock is known.
+        lease_until_ms: Option<u64>,
+        /// Newest end that is durable.
+        noted: u64,
+        /// How long the worker may wait for an end before it replies.
+        wait_ms: u64,
+    },
+    /// Set the share at which a run works.
+    Pace {
+        /// Worker.
+        worker: WorkerKey,
+        /// Run.
+        what: TaskRun,
+        /// Share.
+        percent: u32,
+    },
+    /// Write rows; at most one commit is under way.
+    Commit(Commit),
+}
--- /dev/null
+++ b/crates/domain/src/engine/adopt.rs
@@ -0,0 +1,114 @@
+use super::keys::RunKey;
+use super::{Engine, Run, RunState, WorkerKey};
+use crate::{Resources, TaskName, TaskRun};
+
+/// Runs that were started in an earlier epoch.
+impl Engine {
+    /// Takes a run that this scheduler did not start: adopts it if its task needs it, else stops it.
+    pub(super) fn adopt(&mut self, worker: WorkerKey, what: TaskRun, now_ms: u64) -> RunKey {
+        let mut run = Run {
+            job: super::keys::JobKey::default(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            number: what.run,
+            worker,
+            need: Resources::default(),
+            state: RunState::Running,
+            ordered_ms: now_ms,
+            settled_ms: Some(now_ms),
+            is_void: false,
+            stop_sent_ms: None,
+            checkpoint: None,
+            percent: 0.0,
+            recent: 0.0,
+            progress_ms: now_ms,
+            first_seen: None,
+            pace_percent: 100,
+            paced_ms: 0,
+            is_foreign: true,
+        };
+        if let Some((job, name)) = self.wanted(&what) {
+            let shape = &self.jobs[job].spec.steps[name.step as usize];
+            run.need = shape.charged();
+            run.job = job;
+            run.occurrence = name.occurrence;
+            run.step = name.step;
+            run.index = name.index;
+            run.is_foreign = false;
+            let is_gang = shape.is_gang;
+            let key = self.add_run(run, what.clone());
+            if let Some(state) = self.step_mut(job, name.occurrence, name.step) {
+                state.set_active(name.index, key);
+                state.last_run = state.last_run.max(what.run);
+                if is_gang {
+                    state.gang_run = Some(what.run);
+                }
+            }
+            return key;
+        }
+        run.need = self.need_of(&what).unwrap_or(self.workers[worker].entry.capacity);
+        self.notes
+            .push(format!("run_not_wanted task={} run={}", what.task, what.run));
+        let key = self.add_run(run, what);
+        self.stop_run(key, now_ms);
+        key
+    }
+
+    /// Returns what a run takes from its worker, if its job is known.
+    fn need_of(&self, what: &TaskRun) -> Option<Resources> {
+        let name: TaskName = what.task.parse().ok()?;
+        let open = self.job_ids.get(&name.job).map(|key| &self.jobs[*key].spec);
+        let spec = open.or_else(|| self.ended_jobs.get(&name.job))?;
+        Some(spec.steps.get(name.step as usize)?.charged())
+    }
+
+    /// Returns the task of a run if it is needed: not done, not cancelled and without another run.
+    fn wanted(&self, what: &TaskRun) -> Option<(super::keys::JobKey, TaskName)> {
+        let name: TaskName = what.task.parse().ok()?;
+        let key = *self.job_ids.get(&name.job)?;
+        let job = &self.jobs[key];
+        if job.is_final() {
+            return None;
+        }
+        let state = job
+            .occurrences
+            .get(&name.occurrence)?
+            .steps
+            .get(name.step as usize)?;
+        let index = name.index as usize;
+        let is_needed = index < state.done.len() && !state.done[index] && state.active[index].is_none();
+        let is_other_gang = state.gang_run.is_some_and(|run| run != what.run) || state.is_gang_ending;
+        (is_needed && !is_other_gang).then_some((key, name))
+    }
+
+    /// Ends adopted gangs whose members are not all found once all workers were heard or their leases have expired.
+    pub(super) fn check_adopted(&mut self, now_ms: u64) {
+        let is_awaited = self
+            .workers
+            .values()
+            .any(|worker| !worker.is_fenced && worker.is_recorded);
+        if is_awaited && now_ms < self.took_over_ms + self.limits.gang_wait_ms {
+            return;
+        }
+        let mut partial = Vec::new();
+        for (key, job) in &self.jobs {
+            for (number, occurrence) in &job.occurrences {
+                for (step, state) in occurrence.steps.iter().enumerate() {
+                    let is_partial = state.gang_run.is_some()
+                        && !state.is_gang_ending
+                        && !state.is_done()
+                        && (state.active_count as usize) < state.active.len();
+                    if is_partial {
+                        partial.push((key, *number, step as u32));
+                    }
+                }
+            }
+        }
+        for (job, occurrence, step) in partial {
+            self.notes
+                .push(format!("gang_incomplete job={} step={step}", self.jobs[job].spec.id));
+            self.end_gang(job, occurrence, step, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/cancel.rs
@@ -0,0 +1,91 @@
+use super::Engine;
+use super::keys::{JobKey, RunKey};
+use crate::JobState;
+
+/// Changes of a job's state.
+impl Engine {
+    /// Cancels a job and stops its runs.
+    pub fn cancel(&mut self, id: &str, now_ms: u64) {
+        let Some(key) = self.job_ids.get(id).copied() else { return };
+        if self.jobs[key].is_final() {
+            return;
+        }
+        self.jobs[key].is_cancelled = true;
+        self.notes.push(format!("job_cancelled job={id}"));
+        self.close_job(key, JobState::Cancelled, now_ms);
+    }
+
+    /// Fails a job: a task failed as often as it may.
+    pub(super) fn fail_job(&mut self, key: JobKey, now_ms: u64) {
+        if self.jobs[key].is_final() {
+            return;
+        }
+        self.notes.push(format!("job_failed job={}", self.jobs[key].spec.id));
+        self.close_job(key, JobState::Failed, now_ms);
+    }
+
+    /// Ends the job if all its tasks are done.
+    pub(super) fn check_finished(&mut self, key: JobKey, now_ms: u64) {
+        let job = &mut self.jobs[key];
+        if job.is_final() {
+            return;
+        }
+        let all_open = job.next_occurrence == job.spec.occurrences();
+        if all_open && job.occurrences.values().all(super::Occurrence::is_done) {
+            self.notes.push(format!(
+                "job_done job={} age_ms={}",
+                job.spec.id,
+                now_ms.saturating_sub(job.seen_ms)
+            ));
+            self.close_job(key, JobState::Done, now_ms);
+        }
+    }
+
+    fn close_job(&mut self, key: JobKey, state: JobState, now_ms: u64) {
+        let job = &mut self.jobs[key];
+        job.state = state;
+        job.is_urgent = true;
+        self.mark_dirty(key, now_ms);
+        let active: Vec<RunKey> = self.jobs[key]
+            .occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps)
+            .filter(|step| !step.is_done())
+            .flat_map(|step| step.active.iter().flatten().copied())
+            .collect();
+        for run in active {
+            self.stop_run(run, now_ms);
+        }
+        self.is_schedule_due = true;
+    }
+
+    /// Shows a job as running once a run of it is known.
+    pub(super) fn note_job_running(&mut self, run: RunKey, now_ms: u64) {
+        let Some(run) = self.runs.get(run) else { return };
+        if run.is_foreign {
+            return;
+        }
+        let key = run.job;
+        let job = &mut self.jobs[key];
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+            self.mark_dirty(key, now_ms);
+        }
+    }
+
+    /// Forgets a job that is final, durable and without runs.
+    pub(super) fn drop_if_over(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let is_over = job.is_final()
+            && !self.dirty.contains(&key)
+            && !self.commit.covers(key)
+            && job
+                .occurrences
+                .values()
+                .flat_map(|occurrence| &occurrence.steps)
+                .all(|step| step.active_count == 0);
+        if is_over && let Some(job) = self.jobs.remove(key) {
+            self.job_ids.remove(&job.spec.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/commits.rs
@@ -0,0 +1,217 @@
+use compact_str::CompactString;
+use indexmap::{IndexMap, IndexSet};
+
+use super::keys::JobKey;
+use super::{Engine, WorkerKey};
+use crate::{Action, Commit, CommitRow};
+
+/// Write that is under way.
+#[derive(Debug, Clone, Default)]
+struct InFlight {
+    jobs: Vec<JobKey>,
+    /// Newest end of each worker that the write makes durable, with the worker's incarnation.
+    noted: Vec<(WorkerKey, Option<u64>, u64)>,
+    add_workers: Vec<CompactString>,
+    left_queue: Vec<JobKey>,
+}
+
+/// What waits to be written, and the write under way.
+#[derive(Debug, Clone, Default)]
+pub(super) struct CommitState {
+    in_flight: Option<InFlight>,
+    retry_ms: u64,
+    failures: u32,
+    add_workers: IndexMap<CompactString, CompactString>,
+    remove_workers: IndexSet<CompactString>,
+}
+
+impl CommitState {
+    pub fn covers(&self, job: JobKey) -> bool {
+        self.in_flight.as_ref().is_some_and(|write| write.jobs.contains(&job))
+    }
+
+    pub fn remove_worker(&mut self, id: &CompactString) {
+        self.add_workers.shift_remove(id);
+        self.remove_workers.insert(id.clone());
+    }
+}
+
+/// Durable progress.
+impl Engine {
+    /// Most jobs in one write: two entries each, with room for workers, stay under the store's 100 entries.
+    const JOBS_PER_COMMIT: usize = 35;
+
+    /// Most workers in one write.
+    const WORKERS_PER_COMMIT: usize = 20;
+
+    /// Longest delay of changes that no caller waits for, so that several share a write.
+    const LAZY_COMMIT_MS: u64 = 100;
+
+    /// Pause after a failed write, doubled up to [`Engine::RETRY_MAX_MS`].
+    const RETRY_MS: u64 = 50;
+
+    /// Longest pause after failed writes.
+    const RETRY_MAX_MS: u64 = 400;
+
+    pub(super) fn mark_dirty(&mut self, key: JobKey, now_ms: u64) {
+        let job = &mut self.jobs[key];
+        job.dirty_since_ms.get_or_insert(now_ms);
+        self.dirty.insert(key);
+    }
+
+    /// Writes what changed if it is due and no write is under way.
+    pub(super) fn commit_due(&mut self, now_ms: u64) {
+        if self.commit.in_flight.is_some() || now_ms < self.commit.retry_ms || !self.is_loaded {
+            return;
+        }
+        self.queue_worker_rows();
+        let has_workers = !self.commit.add_workers.is_empty() || !self.commit.remove_workers.is_empty();
+        let has_unnoted = self.workers.values().any(|worker| worker.seen > worker.noted);
+        if self.dirty.is_empty() && !has_workers {
+            self.note_ends_without_change(now_ms);
+            return;
+        }
+        let is_due = has_workers
+            || has_unnoted
+            || self.dirty.iter().any(|key| {
+                let job = &self.jobs[*key];
+                job.is_urgent || job.dirty_since_ms.is_some_and(|since| now_ms >= since + Self::LAZY_COMMIT_MS)
+            });
+        if is_due {
+            self.start_commit();
+        }
+    }
+
+    /// Ends that change no job need no write.
+    fn note_ends_without_change(&mut self, now_ms: u64) {
+        for worker in self.workers.values_mut() {
+            if worker.seen > worker.noted {
+                worker.noted = worker.seen;
+                worker.renew_due_ms = now_ms;
+            }
+        }
+    }
+
+    fn queue_worker_rows(&mut self) {
+        for worker in self.workers.values() {
+            let is_new = worker.is_listed && !worker.is_recorded && !worker.entry.id.is_empty();
+            if is_new {
+                let address = worker.entry.address.clone();
+                self.commit.add_workers.insert(worker.entry.id.clone(), address);
+                self.commit.remove_workers.swap_remove(&worker.entry.id);
+            }
+        }
+    }
+
+    fn start_commit(&mut self) {
+        let is_whole = self.dirty.len() <= Self::JOBS_PER_COMMIT;
+        let mut keys: Vec<_> = self.dirty.iter().copied().collect();
+        keys.sort_by_key(|key| !self.jobs[*key].is_urgent);
+        keys.truncate(Self::JOBS_PER_COMMIT);
+        let mut write = InFlight {
+            jobs: keys.clone(),
+            ..InFlight::default()
+        };
+        let mut commit = Commit::default();
+        for key in keys {
+            self.dirty.shift_remove(&key);
+            let job = &mut self.jobs[key];
+            job.is_urgent = false;
+            job.dirty_since_ms = None;
+            let leaves_queue = job.is_in_queue && job.state != crate::JobState::Queued;
+            if leaves_queue {
+                write.left_queue.push(key);
+            }
+            commit.rows.push(CommitRow {
+                job: job.spec.id.clone(),
+                expected_version: job.version,
+                progress: job.progress(),
+                leaves_queue,
+            });
+        }
+        if is_whole {
+            let noted = |(key, worker): (WorkerKey, &super::Worker)| (key, worker.born_unix_ms, worker.seen);
+            write.noted = self
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.seen > worker.noted)
+                .map(noted)
+                .collect();
+        }
+        let added = self.commit.add_workers.iter().take(Self::WORKERS_PER_COMMIT);
+        commit.add_workers = added.map(|(id, address)| (id.clone(), address.clone())).collect();
+        write.add_workers = commit.add_workers.iter().map(|(id, _)| id.clone()).collect();
+        commit.remove_workers = self
+            .commit
+            .remove_workers
+            .iter()
+            .take(Self::WORKERS_PER_COMMIT / 2)
+            .cloned()
+            .collect();
+        self.commit.in_flight = Some(write);
+        self.actions.push(Action::Commit(commit));
+    }
+
+    /// Notes that the write under way is durable.
+    pub fn committed(&mut self, commit: &Commit, version: u64, now_ms: u64) {
+        let Some(write) = self.commit.in_flight.take() else { return };
+        self.commit.failures = 0;
+        for id in &write.add_workers {
+            self.commit.add_workers.shift_remove(id);
+            if let Some(key) = self.worker_ids.get(id) {
+                self.workers[*key].is_recorded = true;
+            }
+        }
+        for id in &commit.remove_workers {
+            self.commit.remove_workers.swap_remove(id);
+        }
+        for key in &write.left_queue {
+            if let Some(job) = self.jobs.get_mut(*key) {
+                job.is_in_queue = false;
+            }
+        }
+        for (key, born_unix_ms, noted) in &write.noted {
+            let Some(worker) = self.workers.get_mut(*key) else { continue };
+            if worker.born_unix_ms == *born_unix_ms {
+                worker.noted = worker.noted.max(*noted);
+                worker.renew_due_ms = now_ms;
+            }
+        }
+        for key in write.jobs {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.version = version;
+                self.drop_if_over(key);
+            }
+        }
+        self.is_schedule_due = true;
+    }
+
+    /// Takes the failure of the write under way. `current` holds versions of progress rows that differ from the
+    /// expected ones: an earlier write whose reply was lost took effect.
+    pub fn commit_failed(&mut self, current: &[(CompactString, u64)], now_ms: u64) {
+        let Some(write) = self.commit.in_flight.take() else { return };
+        for key in write.jobs {
+            if self.jobs.contains_key(key) {
+                self.jobs[key].is_urgent = true;
+                self.mark_dirty(key, now_ms);
+            }
+        }
+        for (id, version) in current {
+            if let Some(key) = self.job_ids.get(id) {
+                self.jobs[*key].version = *version;
+            }
+        }
+        self.commit.failures += 1;
+        let pause = Self::RETRY_MS << self.commit.failures.min(4);
+        self.commit.retry_ms = if current.is_empty() {
+            now_ms + pause.min(Self::RETRY_MAX_MS)
+        } else {
+            now_ms
+        };
+    }
+
+    /// Returns whether nothing waits to be written.
+    pub fn is_clean(&self) -> bool {
+        self.dirty.is_empty() && self.commit.in_flight.is_none()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/job_entry.rs
@@ -0,0 +1,88 @@
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+
+use super::step_state::StepState;
+use crate::{Job, JobState, Progress};
+
+/// Occurrence of a job; a job that is not scheduled has one.
+#[derive(Debug, Clone)]
+pub(super) struct Occurrence {
+    pub steps: Vec<StepState>,
+    /// Own time when it became due.
+    pub due_ms: u64,
+}
+
+impl Occurrence {
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+}
+
+/// Job in the scheduler.
+#[derive(Debug, Clone)]
+pub(super) struct JobEntry {
+    pub spec: Rc<Job>,
+    pub state: JobState,
+    /// Version of its progress row.
+    pub version: u64,
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences whose tasks are all done and that are dropped from memory.
+    pub done_occurrences: u32,
+    pub next_occurrence: u32,
+    pub is_cancelled: bool,
+    /// Own time when the scheduler first saw it.
+    pub seen_ms: u64,
+    /// Its state changed in a way that its caller waits for.
+    pub is_urgent: bool,
+    /// Progress of occurrences that are not open in memory.
+    pub loaded: Option<Progress>,
+    /// It has an entry in its queue's index.
+    pub is_in_queue: bool,
+    pub dirty_since_ms: Option<u64>,
+}
+
+impl JobEntry {
+    pub const fn is_final(&self) -> bool {
+        self.state.is_final() || self.is_cancelled
+    }
+
+    pub fn progress(&self) -> Progress {
+        let mut progress = self.loaded.clone().unwrap_or_default();
+        progress.state = self.state;
+        progress.route = self.spec.route.clone();
+        progress.organisation = self.spec.organisation.clone();
+        if self.state.is_final() {
+            progress.steps.clear();
+            return progress;
+        }
+        for (number, occurrence) in &self.occurrences {
+            let steps = occurrence
+                .steps
+                .iter()
+                .enumerate()
+                .filter_map(|(step, state)| Some((step as u32, state.progress()?)))
+                .collect();
+            progress.steps.insert(*number, steps);
+        }
+        progress
+    }
+}
+
+/// Summary of a job for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobSummary {
+    /// Job id.
+    pub id: CompactString,
+    /// State.
+    pub state: JobState,
+    /// Tasks that are done.
+    pub done: u32,
+    /// Tasks with a run.
+    pub active: u32,
+    /// Tasks that wait.
+    pub waiting: u32,
+    /// Why tasks wait.
+    pub reason: CompactString,
+}
--- /dev/null
+++ b/crates/domain/src/engine/load.rs
@@ -0,0 +1,188 @@
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+
+use super::job_entry::{JobEntry, Occurrence};
+use super::step_state::StepState;
+use super::worker::Worker;
+use super::{Engine, RunState};
+use crate::{EntryState, Job, JobState, Progress, WorkerEntry};
+
+/// Rows of the store.
+impl Engine {
+    /// Takes a job with its progress. The version is that of the progress row.
+    pub fn add_job(&mut self, spec: Job, progress: Progress, version: u64, now_ms: u64, now_unix_ms: u64) {
+        if self.job_ids.contains_key(&spec.id) {
+            return;
+        }
+        if progress.state.is_final() {
+            self.ended_jobs.insert(spec.id.clone(), Rc::new(spec));
+            return;
+        }
+        if spec.accept_epoch > self.epoch {
+            // A newer scheduler exists and owns this job.
+            return;
+        }
+        let id = spec.id.clone();
+        let is_in_queue = progress.state == JobState::Queued;
+        let entry = JobEntry {
+            spec: Rc::new(spec),
+            state: progress.state,
+            version,
+            occurrences: BTreeMap::new(),
+            done_occurrences: 0,
+            next_occurrence: 0,
+            is_cancelled: false,
+            seen_ms: now_ms.saturating_sub(0),
+            is_urgent: false,
+            loaded: Some(progress),
+            is_in_queue,
+            dirty_since_ms: None,
+        };
+        let age_ms = now_unix_ms
+            .saturating_sub(entry.spec.accepted_unix_ms)
+            .min(Self::LONGEST_AGE_MS);
+        let key = self.jobs.insert(entry);
+        self.jobs[key].seen_ms = now_ms.saturating_sub(age_ms);
+        self.job_ids.insert(id, key);
+        self.open_occurrences_of(key, now_ms, now_unix_ms);
+        self.is_schedule_due = true;
+    }
+
+    /// Oldest age of a job that orders the queue; bounds the effect of a wrong clock.
+    const LONGEST_AGE_MS: u64 = 600_000;
+
+    /// Notes that all rows of the store were read.
+    pub fn set_loaded(&mut self) {
+        self.is_loaded = true;
+        self.is_schedule_due = true;
+    }
+
+    /// Takes a worker that former schedulers used; it may run tasks although it is not listed.
+    pub fn add_recorded_worker(&mut self, id: &CompactString, address: &CompactString, now_ms: u64) {
+        if let Some(key) = self.worker_ids.get(id) {
+            self.workers[*key].is_recorded = true;
+            return;
+        }
+        let entry = WorkerEntry {
+            id: id.clone(),
+            address: address.clone(),
+            service: CompactString::default(),
+            data_centre: CompactString::default(),
+            rack: CompactString::default(),
+            labels: Vec::new(),
+            capacity: crate::Resources::default(),
+            state: EntryState::Ready,
+            born_unix_ms: None,
+        };
+        let mut worker = Worker::new(entry, false, now_ms);
+        worker.is_recorded = true;
+        worker.lapse_ms = now_ms + self.limits.holdover_ms + self.limits.lapse_ms();
+        let key = self.workers.insert(worker);
+        self.worker_ids.insert(id.clone(), key);
+    }
+
+    /// Takes the platform's entry of a worker.
+    pub fn set_worker(&mut self, entry: WorkerEntry, now_ms: u64) {
+        self.is_schedule_due = true;
+        if let Some(key) = self.worker_ids.get(&entry.id).copied() {
+            let worker = &mut self.workers[key];
+            let is_reborn = matches!((worker.born_unix_ms, entry.born_unix_ms), (Some(old), Some(new)) if old < new);
+            worker.is_listed = true;
+            match entry.state {
+                EntryState::Draining { .. } if worker.draining_since_ms.is_none() => {
+                    worker.draining_since_ms = Some(now_ms);
+                    self.notes
+                        .push(format!("worker_draining worker={} state={:?}", entry.id, entry.state));
+                }
+                EntryState::Ready => worker.draining_since_ms = None,
+                EntryState::Draining { .. } => {}
+            }
+            worker.entry = entry;
+            if is_reborn {
+                // A renewal tells for sure; until then nothing new is placed on the former incarnation.
+                worker.renew_due_ms = now_ms;
+            }
+            return;
+        }
+        let id = entry.id.clone();
+        let mut worker = Worker::new(entry, true, now_ms);
+        if matches!(worker.entry.state, EntryState::Draining { .. }) {
+            worker.draining_since_ms = Some(now_ms);
+        }
+        let key = self.workers.insert(worker);
+        self.worker_ids.insert(id, key);
+    }
+
+    /// Notes that a worker is no longer in the platform's list.
+    pub fn unlist_worker(&mut self, id: &str, now_ms: u64) {
+        if let Some(key) = self.worker_ids.get(id).copied() {
+            self.workers[key].is_listed = false;
+            self.workers[key].renew_due_ms = now_ms;
+            self.notes.push(format!("worker_unlisted worker={id}"));
+        }
+    }
+
+    /// Returns the ids of all listed workers.
+    pub fn listed_workers(&self) -> Vec<CompactString> {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_listed)
+            .map(|worker| worker.entry.id.clone())
+            .collect()
+    }
+
+    /// Opens the occurrences that are due.
+    pub(super) fn open_occurrences(&mut self, now_unix_ms: u64) {
+        let scheduled: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.spec.times > 0 && !job.is_final() && job.next_occurrence < job.spec.times)
+            .map(|(key, _)| key)
+            .collect();
+        for key in scheduled {
+            let now_ms = self.next_schedule_ms;
+            self.open_occurrences_of(key, now_ms, now_unix_ms);
+        }
+    }
+
+    fn open_occurrences_of(&mut self, key: super::keys::JobKey, now_ms: u64, now_unix_ms: u64) {
+        let job = &mut self.jobs[key];
+        let spec = std::rc::Rc::clone(&job.spec);
+        while job.next_occurrence < spec.occurrences() {
+            let number = job.next_occurrence;
+            if spec.times > 0 && now_unix_ms < spec.first_run_unix_ms + u64::from(number) * spec.interval_ms {
+                break;
+            }
+            let progress = job.loaded.as_ref().and_then(|loaded| loaded.steps.get(&number));
+            let steps: Vec<_> = spec
+                .steps
+                .iter()
+                .enumerate()
+                .map(|(step, shape)| {
+                    StepState::new(shape.count, progress.and_then(|steps| steps.get(&(step as u32))))
+                })
+                .collect();
+            let due_ms = if spec.times == 0 { job.seen_ms } else { now_ms };
+            job.occurrences.insert(number, Occurrence { steps, due_ms });
+            job.next_occurrence += 1;
+            self.is_schedule_due = true;
+        }
+    }
+
+    /// Returns whether a run of an earlier epoch may be on a worker that has not replied since.
+    pub(super) fn may_run_unseen(&self, job: &JobEntry, now_ms: u64) -> bool {
+        job.spec.accept_epoch < self.epoch
+            && now_ms < self.took_over_ms + self.limits.holdover_ms + self.limits.lapse_ms()
+            && self
+                .workers
+                .values()
+                .any(|worker| !worker.is_fenced && worker.is_recorded)
+    }
+
+    /// Returns whether any run is being started or stopped, for a planned stop.
+    pub fn has_unsettled_runs(&self) -> bool {
+        self.runs.values().any(|run| run.state != RunState::Running)
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/mod.rs
@@ -0,0 +1,206 @@
+//! The scheduler's state machine.
+
+mod adopt;
+mod cancel;
+mod commits;
+mod health;
+mod job_entry;
+mod keys;
+mod load;
+mod order;
+mod pace;
+mod place;
+mod preempt;
+mod renew;
+mod run;
+mod starts;
+mod stats;
+mod step_state;
+mod worker;
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use indexmap::IndexSet;
+use slotmap::SlotMap;
+
+pub use job_entry::JobSummary;
+use job_entry::{JobEntry, Occurrence};
+use keys::{JobKey, RunKey};
+pub use keys::WorkerKey;
+use run::{Run, RunState};
+pub use starts::{Rejection, StartOutcome};
+pub use stats::EngineStats;
+use step_state::StepState;
+use worker::Worker;
+
+use crate::{Action, Config, Job, Limits, Resources, TaskName, TaskRun};
+
+/// Scheduler of one domain.
+#[derive(Debug)]
+pub struct Engine {
+    epoch: u64,
+    limits: Limits,
+    config: Config,
+    out_of_service: HashSet<CompactString>,
+    workers: SlotMap<WorkerKey, Worker>,
+    worker_ids: HashMap<CompactString, WorkerKey>,
+    jobs: SlotMap<JobKey, JobEntry>,
+    job_ids: HashMap<CompactString, JobKey>,
+    /// Jobs that were final at the takeover; their runs may still be stopping.
+    ended_jobs: HashMap<CompactString, Rc<Job>>,
+    runs: SlotMap<RunKey, Run>,
+    run_keys: HashMap<TaskRun, RunKey>,
+    actions: Vec<Action>,
+    dirty: IndexSet<JobKey>,
+    commit: commits::CommitState,
+    is_loaded: bool,
+    took_over_ms: u64,
+    next_schedule_ms: u64,
+    is_schedule_due: bool,
+    corrections: HashMap<(CompactString, u32), order::Correction>,
+    stats: EngineStats,
+    notes: Vec<String>,
+}
+
+impl Engine {
+    /// Pause between two placement passes, so that a burst of events costs one pass.
+    const SCHEDULE_GAP_MS: u64 = 10;
+
+    /// Longest time without a placement pass, for decisions that depend on time alone.
+    const SCHEDULE_EVERY_MS: u64 = 100;
+
+    /// Time after a takeover in which runs of jobs that ended before may be found: several leases.
+    const ENDED_JOBS_MS: u64 = 60_000;
+
+    /// Creates the scheduler of an epoch that begins now.
+    pub fn new(epoch: u64, limits: Limits, now_ms: u64) -> Self {
+        Self {
+            epoch,
+            limits,
+            config: Config::default(),
+            out_of_service: HashSet::new(),
+            workers: SlotMap::with_key(),
+            worker_ids: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            job_ids: HashMap::new(),
+            ended_jobs: HashMap::new(),
+            runs: SlotMap::with_key(),
+            run_keys: HashMap::new(),
+            actions: Vec::new(),
+            dirty: IndexSet::new(),
+            commit: commits::CommitState::default(),
+            is_loaded: false,
+            took_over_ms: now_ms,
+            next_schedule_ms: now_ms,
+            is_schedule_due: true,
+            corrections: HashMap::new(),
+            stats: EngineStats::default(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Returns the epoch, which is the fencing token of all orders.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the address of a worker and the id that orders to it name.
+    pub fn worker_target(&self, key: WorkerKey) -> Option<(CompactString, CompactString)> {
+        let worker = self.workers.get(key)?;
+        Some((worker.entry.address.clone(), worker.entry.id.clone()))
+    }
+
+    /// Returns and clears the actions.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns and clears the notes on decisions, one line each, for the log.
+    pub fn take_notes(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Returns counters since the start of the epoch, and gauges.
+    pub fn stats(&self) -> EngineStats {
+        let mut stats = self.stats;
+        stats.running = self.runs.len() as u64;
+        stats.workers = self.workers.len() as u64;
+        stats.open_jobs = self.jobs.values().filter(|job| !job.is_final()).count() as u64;
+        stats
+    }
+
+    /// Takes a newer configuration.
+    pub fn set_config(&mut self, config: Config) {
+        if config.version >= self.config.version {
+            self.config = config;
+            self.is_schedule_due = true;
+        }
+    }
+
+    /// Takes the data centres that are out of service.
+    pub fn set_out_of_service(&mut self, data_centres: HashSet<CompactString>) {
+        if self.out_of_service != data_centres {
+            self.notes.push(format!("out_of_service data_centres={data_centres:?}"));
+            self.out_of_service = data_centres;
+            self.is_schedule_due = true;
+        }
+    }
+
+    /// Lets time pass: renews leases, expires silent workers, places tasks and writes what changed.
+    pub fn tick(&mut self, now_ms: u64, now_unix_ms: u64, may_start: bool) {
+        self.renew_due(now_ms, may_start);
+        self.expire_silent(now_ms);
+        self.check_adopted(now_ms);
+        self.open_occurrences(now_unix_ms);
+        if now_ms > self.took_over_ms + Self::ENDED_JOBS_MS {
+            self.ended_jobs.clear();
+        }
+        let is_due = self.is_schedule_due || now_ms >= self.next_schedule_ms + Self::SCHEDULE_EVERY_MS;
+        if may_start && self.is_loaded && is_due && now_ms >= self.next_schedule_ms {
+            self.is_schedule_due = false;
+            self.next_schedule_ms = now_ms + Self::SCHEDULE_GAP_MS;
+            self.check_health(now_ms);
+            self.place_all(now_ms);
+            self.pace_fillers(now_ms);
+        }
+        self.commit_due(now_ms);
+    }
+
+    fn job_of(&self, run: &Run) -> &JobEntry {
+        &self.jobs[run.job]
+    }
+
+    fn step_of(&self, run: &Run) -> Option<&StepState> {
+        self.jobs
+            .get(run.job)?
+            .occurrences
+            .get(&run.occurrence)?
+            .steps
+            .get(run.step as usize)
+    }
+
+    fn step_mut(&mut self, job: JobKey, occurrence: u32, step: u32) -> Option<&mut StepState> {
+        self.jobs
+            .get_mut(job)?
+            .occurrences
+            .get_mut(&occurrence)?
+            .steps
+            .get_mut(step as usize)
+    }
+
+    fn free_of(&self, worker: &Worker) -> Resources {
+        worker.entry.capacity.minus(&worker.used)
+    }
+
+    fn task_name(job: &Job, occurrence: u32, step: u32, index: u32) -> CompactString {
+        let name = TaskName {
+            job: job.id.clone(),
+            occurrence,
+            step,
+            index,
+        };
+        compact_str::format_compact!("{name}")
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/place.rs
@@ -0,0 +1,300 @@
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+
+use super::keys::WorkerKey;
+use super::order::Unit;
+use super::{Engine, Worker};
+use crate::{EntryState, Job, Resources, Step};
+
+/// Worker that can take tasks in a placement pass.
+#[derive(Debug, Clone)]
+pub(super) struct Spot {
+    pub worker: WorkerKey,
+    pub free: Resources,
+    pub capacity: Resources,
+    pub rack: CompactString,
+    pub service: CompactString,
+    /// Kept for wider work that comes first; later units must not use it.
+    pub is_reserved: bool,
+}
+
+/// Tasks on one spot of a plan.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Share {
+    pub spot: usize,
+    pub tasks: u32,
+}
+
+/// Placement of waiting work on workers.
+impl Engine {
+    /// Longest time since the last reply of a worker that gets new tasks: one renewal with its wait, and a margin.
+    const FRESH_MS: u64 = Self::RENEW_WAIT_MS + 500;
+
+    /// Most blocked gangs that keep a rack for themselves in one pass.
+    const MAX_RESERVATIONS: usize = 2;
+
+    /// Most units looked at in one pass; bounds the processor time of a pass under a long queue.
+    const MAX_UNITS: usize = 150;
+
+    /// Returns whether a worker may get new tasks.
+    pub(super) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
+        worker.is_listed
+            && worker.is_recorded
+            && worker.is_fenced
+            && worker.entry.state == EntryState::Ready
+            && worker.silent_since_ms.is_none()
+            && now_ms < worker.heard_ms + Self::FRESH_MS
+            && now_ms >= worker.avoid_until_ms
+            && !self.out_of_service.contains(&worker.entry.data_centre)
+    }
+
+    fn spots(&self, now_ms: u64) -> Vec<Spot> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| self.is_usable(worker, now_ms))
+            .map(|(key, worker)| Spot {
+                worker: key,
+                free: self.free_of(worker),
+                capacity: worker.entry.capacity,
+                rack: worker.entry.rack.clone(),
+                service: worker.entry.service.clone(),
+                is_reserved: false,
+            })
+            .collect()
+    }
+
+    /// Places what fits, in order.
+    pub(super) fn place_all(&mut self, now_ms: u64) {
+        let units = self.ready_units(now_ms);
+        if units.is_empty() {
+            return;
+        }
+        let mut spots = self.spots(now_ms);
+        let mut reservations = 0;
+        for unit in units.into_iter().take(Self::MAX_UNITS) {
+            if self.place_unit(&unit, &mut spots, now_ms) {
+                continue;
+            }
+            if unit.priority == 0 {
+                self.preempt_for(&unit, &spots, now_ms);
+            }
+            if reservations < Self::MAX_RESERVATIONS && self.reserve(&unit, &mut spots) {
+                reservations += 1;
+            }
+        }
+    }
+
+    /// Starts what fits of a unit; returns whether nothing of it is left waiting.
+    fn place_unit(&mut self, unit: &Unit, spots: &mut [Spot], now_ms: u64) -> bool {
+        let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
+        let shape = &spec.steps[unit.step as usize];
+        if shape.is_gang {
+            let Some(plan) = self.plan_gang(unit, &spec, shape, spots, now_ms) else { return false };
+            self.start_gang(unit, shape, &plan, spots, now_ms);
+            return true;
+        }
+        let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else { return true };
+        let idle: Vec<_> = state.idle().collect();
+        let mut per_worker = self.tasks_per_worker(unit);
+        let may_be_remote = self.may_be_remote(unit, &spec, shape, now_ms);
+        let failed_on = self.failed_on(unit);
+        for index in idle {
+            let best = spots
+                .iter()
+                .enumerate()
+                .filter(|(_, spot)| self.takes(spot, &spec, shape))
+                .filter(|(_, spot)| !spot.is_reserved && shape.charged().fits(&spot.free))
+                .filter(|(_, spot)| has_share_left(shape, per_worker.get(&spot.worker)))
+                .filter(|(_, spot)| may_be_remote || shape.data_rack.as_ref().is_none_or(|rack| *rack == spot.rack))
+                .min_by_key(|(_, spot)| {
+                    let left = spot.free.minus(&shape.charged());
+                    let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != spot.rack);
+                    (
+                        failed_on.contains(&spot.worker),
+                        is_remote,
+                        left.accelerators,
+                        left.memory_mib,
+                        left.cpu_milli,
+                    )
+                })
+                .map(|(index, _)| index);
+            let Some(best) = best else { return false };
+            let spot = &mut spots[best];
+            spot.free = spot.free.minus(&shape.charged());
+            let worker = spot.worker;
+            *per_worker.entry(worker).or_default() += 1;
+            let number = self.next_run(unit.job, unit.occurrence, unit.step);
+            self.start_run((unit.job, unit.occurrence, unit.step, index), number, worker, now_ms);
+        }
+        true
+    }
+
+    /// Returns whether a worker may run a step at all.
+    pub(super) fn takes(&self, spot: &Spot, spec: &Job, shape: &Step) -> bool {
+        let has_label = |label: &CompactString| {
+            self.workers
+                .get(spot.worker)
+                .is_some_and(|worker| worker.entry.labels.contains(label))
+        };
+        spot.service == spec.service && shape.required_label.as_ref().is_none_or(has_label)
+    }
+
+    fn failed_on(&self, unit: &Unit) -> Vec<WorkerKey> {
+        let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
+        state
+            .failed_on
+            .iter()
+            .filter_map(|id| self.worker_ids.get(id).copied())
+            .collect()
+    }
+
+    pub(super) fn tasks_per_worker(&self, unit: &Unit) -> HashMap<WorkerKey, u32> {
+        let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
+        let mut counts = HashMap::new();
+        for run in state.active.iter().flatten().filter_map(|key| self.runs.get(*key)) {
+            *counts.entry(run.worker).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns whether work may run away from its data or spread over racks: it waited as long as that costs.
+    fn may_be_remote(&self, unit: &Unit, spec: &Job, shape: &Step, now_ms: u64) -> bool {
+        if shape.data_rack.is_none() && !shape.is_same_rack {
+            return true;
+        }
+        let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
+        let waited_ms = now_ms.saturating_sub(state.ready_since_ms.unwrap_or(now_ms));
+        let extra_ms = (self.expected_ms(spec, unit.step) as f64 * (self.limits.remote_factor - 1.0)) as u64;
+        waited_ms > extra_ms
+    }
+
+    /// Finds workers for a whole gang.
+    fn plan_gang(&self, unit: &Unit, spec: &Job, shape: &Step, spots: &[Spot], now_ms: u64) -> Option<Vec<Share>> {
+        let usable: Vec<_> = (0..spots.len())
+            .filter(|spot| !spots[*spot].is_reserved && self.takes(&spots[*spot], spec, shape))
+            .collect();
+        if !shape.is_same_rack && shape.data_rack.is_none() {
+            return pack(shape, &usable, spots);
+        }
+        if let Some(plan) = best_rack(shape, &usable, spots) {
+            return Some(plan);
+        }
+        let fits_some_rack = self.fits_some_rack(spec, shape);
+        if fits_some_rack && !self.may_be_remote(unit, spec, shape, now_ms) {
+            return None;
+        }
+        pack(shape, &usable, spots)
+    }
+
+    /// Returns whether a rack could hold the gang if it were empty.
+    fn fits_some_rack(&self, spec: &Job, shape: &Step) -> bool {
+        let mut racks: HashMap<&CompactString, u64> = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            let has_label = shape
+                .required_label
+                .as_ref()
+                .is_none_or(|label| worker.entry.labels.contains(label));
+            if worker.entry.service == spec.service && has_label {
+                *racks.entry(&worker.entry.rack).or_default() += share_of(shape, &worker.entry.capacity);
+            }
+        }
+        racks.values().any(|tasks| *tasks >= u64::from(shape.count))
+    }
+
+    fn start_gang(&mut self, unit: &Unit, shape: &Step, plan: &[Share], spots: &mut [Spot], now_ms: u64) {
+        let number = self.next_run(unit.job, unit.occurrence, unit.step);
+        if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
+            state.gang_run = Some(number);
+        }
+        let mut index = 0;
+        for share in plan {
+            let spot = &mut spots[share.spot];
+            for _ in 0..share.tasks {
+                spot.free = spot.free.minus(&shape.charged());
+                self.start_run((unit.job, unit.occurrence, unit.step, index), number, spot.worker, now_ms);
+                index += 1;
+            }
+        }
+    }
+
+    /// Keeps the rack that is closest to holding a blocked gang from later units; returns whether it did.
+    fn reserve(&self, unit: &Unit, spots: &mut [Spot]) -> bool {
+        let spec = &self.jobs[unit.job].spec;
+        let shape = &spec.steps[unit.step as usize];
+        if !shape.is_gang || shape.count < 2 {
+            return false;
+        }
+        let mut racks: HashMap<CompactString, (u64, u64)> = HashMap::new();
+        for spot in spots.iter().filter(|spot| !spot.is_reserved && self.takes(spot, spec, shape)) {
+            let (now, empty) = racks.entry(spot.rack.clone()).or_default();
+            *now += share_of(shape, &spot.free);
+            *empty += share_of(shape, &spot.capacity);
+        }
+        let best = racks
+            .iter()
+            .filter(|(_, (_, empty))| *empty >= u64::from(shape.count))
+            .max_by_key(|(rack, (now, _))| (*now, (*rack).clone()))
+            .map(|(rack, _)| rack.clone());
+        let Some(rack) = best else { return false };
+        for spot in spots.iter_mut().filter(|spot| spot.rack == rack) {
+            spot.is_reserved = true;
+        }
+        true
+    }
+}
+
+pub(super) fn has_share_left(shape: &Step, on_worker: Option<&u32>) -> bool {
+    shape.max_per_worker == 0 || on_worker.copied().unwrap_or(0) < shape.max_per_worker
+}
+
+/// Returns how many tasks of a step fit into `room`.
+pub(super) fn share_of(shape: &Step, room: &Resources) -> u64 {
+    let most = if shape.max_per_worker == 0 { shape.count } else { shape.max_per_worker };
+    shape.charged().times_in(room).min(u64::from(most))
+}
+
+/// Puts the gang on the fullest of the given spots that hold it.
+fn pack(shape: &Step, usable: &[usize], spots: &[Spot]) -> Option<Vec<Share>> {
+    let mut order: Vec<_> = usable
+        .iter()
+        .map(|spot| (*spot, share_of(shape, &spots[*spot].free)))
+        .filter(|(_, tasks)| *tasks > 0)
+        .collect();
+    // Data first, then the fullest workers, so that empty ones stay whole for wide work.
+    order.sort_by_key(|(spot, _)| {
+        let spot = &spots[*spot];
+        let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != spot.rack);
+        (is_remote, spot.free.accelerators, spot.free.memory_mib)
+    });
+    let mut left = u64::from(shape.count);
+    let mut plan = Vec::new();
+    for (spot, tasks) in order {
+        let tasks = tasks.min(left);
+        if tasks > 0 {
+            plan.push(Share {
+                spot,
+                tasks: tasks as u32,
+            });
+            left -= tasks;
+        }
+    }
+    (left == 0).then_some(plan)
+}
+
+/// Puts the gang into one rack: that of its data if it has one, else the fullest that holds it.
+fn best_rack(shape: &Step, usable: &[usize], spots: &[Spot]) -> Option<Vec<Share>> {
+    let mut racks: HashMap<&CompactString, Vec<usize>> = HashMap::new();
+    for spot in usable {
+        racks.entry(&spots[*spot].rack).or_default().push(*spot);
+    }
+    racks
+        .into_iter()
+        .filter(|(rack, _)| shape.data_rack.as_ref().is_none_or(|data| data == *rack))
+        .filter_map(|(rack, members)| {
+            let free: u64 = members.iter().map(|spot| spots[*spot].free.accelerators).sum();
+            Some((free, rack, pack(shape, &members, spots)?))
+        })
+        .min_by_key(|(free, rack, _)| (*free, (*rack).clone()))
+        .map(|(_, _, plan)| plan)
+}
--- /dev/null
+++ b/crates/domain/src/engine/renew.rs
@@ -0,0 +1,351 @@
+use std::collections::HashSet;
+
+use super::keys::RunKey;
+use super::{Engine, RunState, WorkerKey};
+use crate::{Action, End, EndKind, Limits, RunningTask, TaskName, TaskRun, WorkerReport};
+
+/// Renewals of leases, reports of workers, and what follows from them.
+impl Engine {
+    /// How long a worker may hold a renewal back while nothing ends. Bounds how old its lease gets.
+    pub const RENEW_WAIT_MS: u64 = 700;
+
+    /// Interval of renewals while ends wait to become durable; a waiting renewal would return at once.
+    const RENEW_BUSY_MS: u64 = 400;
+
+    /// Interval of asking a silent worker again.
+    const RENEW_SILENT_MS: u64 = 250;
+
+    /// Sends the renewals that are due.
+    pub(super) fn renew_due(&mut self, now_ms: u64, may_start: bool) {
+        if !may_start || !self.is_loaded {
+            // Reports name runs of jobs that are not read yet; they would be taken for unknown.
+            return;
+        }
+        let keys: Vec<_> = self.workers.keys().collect();
+        for key in keys {
+            self.repeat_stops(key, now_ms);
+            let limits = self.limits;
+            let worker = &mut self.workers[key];
+            if worker.renew_sent_ms.is_some() || now_ms < worker.renew_due_ms {
+                continue;
+            }
+            let has_unnoted = worker.seen > worker.noted;
+            // A silent worker is only looked at: a renewal that arrives while its reply is lost would keep the lease
+            // alive for ever.
+            let lease_until_ms = worker
+                .lease_until_ms(now_ms, limits.lease_max_ms, Limits::CLOCK_DRIFT)
+                .filter(|_| worker.silent_since_ms.is_none());
+            let is_settled = worker.is_fenced && lease_until_ms.is_some();
+            let wait_ms = if has_unnoted || !is_settled { 0 } else { Self::RENEW_WAIT_MS };
+            worker.renew_sent_ms = Some(now_ms);
+            if lease_until_ms.is_some() {
+                worker.lapse_ms = worker.lapse_ms.max(now_ms + limits.lapse_ms());
+            }
+            let noted = worker.noted;
+            self.actions.push(Action::Renew {
+                worker: key,
+                lease_until_ms,
+                noted,
+                wait_ms,
+            });
+        }
+    }
+
+    /// Takes the failure of a renewal: no reply, or a reply that is not a report.
+    pub fn renew_failed(&mut self, key: WorkerKey, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
+        if worker.silent_since_ms.is_none() {
+            worker.silent_since_ms = Some(sent_ms);
+            self.notes.push(format!(
+                "worker_silent worker={} heard_ms_ago={}",
+                worker.entry.id,
+                now_ms.saturating_sub(worker.heard_ms)
+            ));
+        }
+        worker.renew_due_ms = now_ms + Self::RENEW_SILENT_MS;
+    }
+
+    /// Notes that a worker saw a newer epoch.
+    pub fn renew_fenced(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.renew_sent_ms = None;
+            worker.is_lost = true;
+        }
+    }
+
+    /// Notes that another incarnation answers at the address of a worker: it runs nothing any more.
+    pub fn renew_other_incarnation(&mut self, key: WorkerKey, now_ms: u64) {
+        self.worker_gone(key, now_ms);
+    }
+
+    /// Takes the report of a worker.
+    pub fn renewed(&mut self, key: WorkerKey, report: &WorkerReport, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let Some(sent_ms) = worker.renew_sent_ms.take() else { return };
+        let is_reborn = matches!((worker.born_unix_ms, report.born_unix_ms), (Some(old), Some(new)) if old != new);
+        if is_reborn {
+            self.worker_reborn(key, now_ms);
+        }
+        let worker = &mut self.workers[key];
+        if worker.silent_since_ms.take().is_some() {
+            self.notes.push(format!("worker_heard worker={}", worker.entry.id));
+        }
+        worker.born_unix_ms = report.born_unix_ms.or(worker.born_unix_ms);
+        worker.is_fenced = true;
+        worker.heard_ms = now_ms;
+        worker.clock = Some((report.clock_ms, now_ms));
+        let known = worker.seen;
+        for end in report.ends.iter().filter(|end| end.number > known) {
+            self.workers[key].seen = end.number;
+            self.ended(key, end, now_ms);
+        }
+        let mut listed = HashSet::with_capacity(report.running.len());
+        for task in &report.running {
+            if let Some(run) = self.listed(key, task, now_ms) {
+                listed.insert(run);
+            }
+        }
+        if report.ends.len() < WorkerReport::MAX_ENDS {
+            self.check_missing(key, &listed, sent_ms, now_ms);
+        }
+        let worker = &mut self.workers[key];
+        let has_unnoted = worker.seen > worker.noted;
+        worker.renew_due_ms = if has_unnoted { now_ms + Self::RENEW_BUSY_MS } else { now_ms };
+        self.is_schedule_due |= !report.ends.is_empty();
+    }
+
+    /// Takes a run that a worker lists; returns its key.
+    fn listed(&mut self, worker: WorkerKey, task: &RunningTask, now_ms: u64) -> Option<RunKey> {
+        let what = TaskRun {
+            task: task.task.clone(),
+            run: task.run,
+        };
+        let key = match self.run_keys.get(&what) {
+            Some(key) => *key,
+            None => self.adopt(worker, what, now_ms),
+        };
+        let run = self.runs.get_mut(key)?;
+        if run.worker != worker {
+            return None;
+        }
+        if run.state == RunState::Starting {
+            run.state = RunState::Running;
+        }
+        if run.percent != task.percent || run.first_seen.is_none() {
+            run.progress_ms = now_ms;
+            run.percent = task.percent;
+            run.first_seen.get_or_insert((now_ms, task.percent));
+        }
+        run.recent = task.recent;
+        if task.checkpoint.is_some() && run.checkpoint != task.checkpoint {
+            run.checkpoint.clone_from(&task.checkpoint);
+            self.keep_checkpoint(key);
+        }
+        self.note_job_running(key, now_ms);
+        Some(key)
+    }
+
+    /// Copies the checkpoint of a run to its task. It becomes durable with the next write of the job.
+    fn keep_checkpoint(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get(key) else { return };
+        if run.is_foreign {
+            return;
+        }
+        let is_gang = self.job_of(run).spec.steps[run.step as usize].is_gang;
+        let (job, occurrence, step) = (run.job, run.occurrence, run.step);
+        let index = if is_gang { 0 } else { run.index };
+        let checkpoint = run.checkpoint.clone();
+        if let Some(state) = self.step_mut(job, occurrence, step) {
+            state.checkpoints[index as usize] = checkpoint;
+        }
+    }
+
+    /// Finds runs that a report must list and does not: they have ended and were noted, or never arrived.
+    fn check_missing(&mut self, worker: WorkerKey, listed: &HashSet<RunKey>, sent_ms: u64, now_ms: u64) {
+        let missing: Vec<_> = self.workers[worker]
+            .runs
+            .iter()
+            .copied()
+            .filter(|key| {
+                let is_settled = self.runs[*key].settled_ms.is_some_and(|settled| settled < sent_ms);
+                is_settled && !listed.contains(key)
+            })
+            .collect();
+        for key in missing {
+            let Some(run) = self.runs.get(key) else { continue };
+            if run.is_void {
+                self.remove_run(key);
+            } else {
+                self.give_up_run(key, now_ms);
+            }
+        }
+    }
+
+    /// Takes an end that a worker lists.
+    fn ended(&mut self, worker: WorkerKey, end: &End, now_ms: u64) {
+        let what = TaskRun {
+            task: end.task.clone(),
+            run: end.run,
+        };
+        let run_key = self.run_keys.get(&what).copied();
+        let Ok(name) = end.task.parse::<TaskName>() else {
+            return;
+        };
+        if let Some(job) = self.job_ids.get(&name.job).copied() {
+            self.end_of_task(job, worker, &name, end, run_key, now_ms);
+        }
+        if let Some(key) = run_key {
+            self.remove_run(key);
+        }
+    }
+
+    fn end_of_task(
+        &mut self,
+        job: super::keys::JobKey,
+        worker: WorkerKey,
+        name: &TaskName,
+        end: &End,
+        run_key: Option<RunKey>,
+        now_ms: u64,
+    ) {
+        let spec = std::rc::Rc::clone(&self.jobs[job].spec);
+        let Some(shape) = spec.steps.get(name.step as usize) else { return };
+        if name.index >= shape.count {
+            return;
+        }
+        let worker_id = self.workers[worker].entry.id.clone();
+        let run = run_key.and_then(|key| self.runs.get(key)).cloned();
+        let slot = if shape.is_gang { 0 } else { name.index as usize };
+        let Some(state) = self.step_mut(job, name.occurrence, name.step) else { return };
+        if end.checkpoint.is_some() {
+            state.checkpoints[slot].clone_from(&end.checkpoint);
+        }
+        let is_news = !state.done[name.index as usize];
+        match end.kind {
+            EndKind::Done => {
+                if shape.is_gang {
+                    (0..shape.count as usize).for_each(|index| state.set_done(index));
+                } else {
+                    state.set_done(name.index as usize);
+                }
+                let other = state.active[name.index as usize];
+                self.workers[worker].failed_jobs.clear();
+                if is_news {
+                    self.stats.done += 1;
+                }
+                if let Some(run) = &run {
+                    self.learn(&spec.route, name.step, shape, run, now_ms);
+                }
+                if let Some(other) = other
+                    && Some(other) != run_key
+                {
+                    self.give_up_run(other, now_ms);
+                }
+            }
+            EndKind::Failed => {
+                if !state.failed[slot].contains(&end.run) {
+                    state.failed[slot].push(end.run);
+                }
+                let failures = state.failed[slot].len() as u32;
+                if !state.failed_on.contains(&worker_id) {
+                    state.failed_on.push(worker_id.clone());
+                }
+                self.stats.failed += 1;
+                let failed_jobs = &mut self.workers[worker].failed_jobs;
+                if !failed_jobs.contains(&spec.id) {
+                    failed_jobs.push(spec.id.clone());
+                }
+                self.notes.push(format!(
+                    "run_failed task={} run={} worker={worker_id} failures={failures} attempts={}",
+                    end.task, end.run, spec.attempts
+                ));
+                if !shape.is_long_running && failures >= spec.attempts {
+                    self.fail_job(job, now_ms);
+                }
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                self.stats.broken += 1;
+                if let Some(run) = &run {
+                    let elapsed_ms = now_ms.saturating_sub(run.ordered_ms);
+                    if end.checkpoint.is_none() {
+                        self.stats.wasted_core_ms += run.need.weight_milli() * elapsed_ms / 1_000;
+                    }
+                }
+                self.notes.push(format!(
+                    "run_ended task={} run={} worker={worker_id} how={:?}",
+                    end.task, end.run, end.kind
+                ));
+            }
+        }
+        if shape.is_gang && end.kind != EndKind::Done {
+            self.end_gang(job, name.occurrence, name.step, now_ms);
+        }
+        self.mark_dirty(job, now_ms);
+        self.check_finished(job, now_ms);
+    }
+
+    /// Declares the runs on workers lost that were silent until their leases had surely expired.
+    pub(super) fn expire_silent(&mut self, now_ms: u64) {
+        let expired: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| now_ms > worker.lapse_ms)
+            .filter(|(_, worker)| !worker.runs.is_empty() || !worker.is_listed)
+            .filter(|(_, worker)| worker.silent_since_ms.is_some() || !worker.is_fenced)
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.notes
+                .push(format!("worker_expired worker={}", self.workers[key].entry.id));
+            self.drop_runs(key, now_ms);
+            if !self.workers[key].is_listed {
+                self.forget_worker(key);
+            }
+        }
+    }
+
+    /// Handles a worker whose process is surely gone.
+    pub(super) fn worker_gone(&mut self, key: WorkerKey, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        self.notes.push(format!("worker_gone worker={}", worker.entry.id));
+        worker.is_listed = false;
+        self.drop_runs(key, now_ms);
+        self.forget_worker(key);
+    }
+
+    /// Handles a worker that started again under its id.
+    fn worker_reborn(&mut self, key: WorkerKey, now_ms: u64) {
+        self.notes
+            .push(format!("worker_reborn worker={}", self.workers[key].entry.id));
+        self.drop_runs(key, now_ms);
+        let worker = &mut self.workers[key];
+        worker.seen = 0;
+        worker.noted = 0;
+        worker.clock = None;
+        worker.failed_jobs.clear();
+    }
+
+    fn drop_runs(&mut self, key: WorkerKey, now_ms: u64) {
+        for run_key in self.workers[key].runs.clone() {
+            let Some(run) = self.runs.get(run_key).cloned() else { continue };
+            self.stats.broken += 1;
+            self.remove_run(run_key);
+            let is_gang = !run.is_foreign
+                && self
+                    .jobs
+                    .get(run.job)
+                    .is_some_and(|job| job.spec.steps[run.step as usize].is_gang);
+            if is_gang {
+                self.end_gang(run.job, run.occurrence, run.step, now_ms);
+            }
+        }
+    }
+
+    fn forget_worker(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.remove(key) {
+            self.worker_ids.remove(&worker.entry.id);
+            self.commit.remove_worker(&worker.entry.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/starts.rs
@@ -0,0 +1,319 @@
+use compact_str::CompactString;
+
+use super::keys::{JobKey, RunKey};
+use super::{Engine, Run, RunState, WorkerKey};
+use crate::{Action, Limits, StartOrder, TaskRun};
+
+/// Why a worker did not start a run. It did nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// It saw a newer epoch.
+    Fenced,
+    /// It already ended this run or a later one.
+    Old,
+    /// The order arrived after its lease.
+    Late,
+    /// The task does not fit.
+    NoRoom,
+    /// The ticket of the placement service is missing or has expired.
+    NoTicket,
+    /// It takes no orders at present.
+    Unhealthy,
+    /// Another incarnation answers at the address.
+    OtherIncarnation,
+    /// The order is malformed.
+    Malformed,
+    /// The order was not sent: no connection.
+    NotSent,
+}
+
+/// What became of a start order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// The run is on the worker.
+    Started,
+    /// The worker did nothing.
+    Rejected(Rejection),
+    /// No reply: the order may take effect at any time until its lease ends.
+    Unanswered,
+}
+
+/// Start and stop orders and their replies.
+impl Engine {
+    /// Pause before a step whose start was rejected is placed again.
+    const REJECTED_PAUSE_MS: u64 = 50;
+
+    /// Time without work for a worker that refuses orders or cannot be reached.
+    const REFUSAL_PAUSE_MS: u64 = 1_000;
+
+    /// Interval of repeating a stop that was not confirmed.
+    const STOP_REPEAT_MS: u64 = 300;
+
+    /// Returns the next run number of a step; numbers of later epochs are higher.
+    pub(super) fn next_run(&mut self, job: JobKey, occurrence: u32, step: u32) -> u64 {
+        /// Runs of one step in one epoch.
+        const RUNS_PER_EPOCH: u64 = 1_000_000;
+        let base = (self.epoch - 1) * RUNS_PER_EPOCH;
+        let Some(state) = self.step_mut(job, occurrence, step) else {
+            return base + 1;
+        };
+        state.last_run = state.last_run.max(base) + 1;
+        state.last_run
+    }
+
+    /// Orders a worker to start a task.
+    pub(super) fn start_run(
+        &mut self,
+        (job, occurrence, step, index): (JobKey, u32, u32, u32),
+        number: u64,
+        worker_key: WorkerKey,
+        now_ms: u64,
+    ) {
+        let spec = std::rc::Rc::clone(&self.jobs[job].spec);
+        let shape = &spec.steps[step as usize];
+        let worker = &self.workers[worker_key];
+        let Some(lease_until_ms) = worker.lease_until_ms(now_ms, self.limits.lease_max_ms, Limits::CLOCK_DRIFT) else {
+            return;
+        };
+        let slot = if shape.is_gang { 0 } else { index };
+        let checkpoint = self
+            .step_mut(job, occurrence, step)
+            .and_then(|state| state.checkpoints[slot as usize].clone());
+        let what = TaskRun {
+            task: Self::task_name(&spec, occurrence, step, index),
+            run: number,
+        };
+        let run = Run {
+            job,
+            occurrence,
+            step,
+            index,
+            number,
+            worker: worker_key,
+            need: shape.charged(),
+            state: RunState::Starting,
+            ordered_ms: now_ms,
+            settled_ms: None,
+            is_void: false,
+            stop_sent_ms: None,
+            checkpoint: checkpoint.clone(),
+            percent: 0.0,
+            recent: 0.0,
+            progress_ms: now_ms,
+            first_seen: None,
+            pace_percent: 100,
+            paced_ms: 0,
+            is_foreign: false,
+        };
+        let key = self.add_run(run, what.clone());
+        if let Some(state) = self.step_mut(job, occurrence, step) {
+            state.set_active(index, key);
+        }
+        let lapse_ms = self.limits.lapse_ms();
+        let worker = &mut self.workers[worker_key];
+        worker.lapse_ms = worker.lapse_ms.max(now_ms + lapse_ms);
+        self.stats.starts += 1;
+        let order = StartOrder {
+            what,
+            spec: spec.spec.clone(),
+            lease_until_ms,
+            checkpoint,
+            ticket: None,
+        };
+        self.actions.push(Action::Start {
+            worker: worker_key,
+            order,
+        });
+    }
+
+    pub(super) fn add_run(&mut self, run: Run, what: TaskRun) -> RunKey {
+        let worker_key = run.worker;
+        let need = run.need;
+        let key = self.runs.insert(run);
+        self.run_keys.insert(what, key);
+        let worker = &mut self.workers[worker_key];
+        worker.runs.push(key);
+        worker.used = worker.used.plus(&need);
+        key
+    }
+
+    /// Forgets a run that surely does not occupy its worker any more.
+    pub(super) fn remove_run(&mut self, key: RunKey) {
+        let Some(run) = self.runs.remove(key) else { return };
+        if let Some(worker) = self.workers.get_mut(run.worker) {
+            worker.runs.retain(|other| *other != key);
+            worker.used = worker.used.minus(&run.need);
+        }
+        self.run_keys.retain(|_, other| *other != key);
+        if !run.is_foreign {
+            let is_gang_left = self
+                .step_mut(run.job, run.occurrence, run.step)
+                .is_some_and(|state| {
+                    state.clear_active(run.index, key);
+                    state.gang_run.is_some() && !state.is_done()
+                });
+            if is_gang_left {
+                self.end_gang(run.job, run.occurrence, run.step, run.ordered_ms);
+            }
+            self.drop_if_over(run.job);
+        }
+        self.is_schedule_due = true;
+    }
+
+    /// Stops all members of a gang; it starts again as a whole.
+    pub(super) fn end_gang(&mut self, job: JobKey, occurrence: u32, step: u32, now_ms: u64) {
+        let Some(state) = self.step_mut(job, occurrence, step) else { return };
+        if state.active_count == 0 {
+            return;
+        }
+        state.is_gang_ending = true;
+        let members: Vec<_> = state.active.iter().flatten().copied().collect();
+        for member in members {
+            self.stop_run(member, now_ms);
+        }
+    }
+
+    /// Orders the stop of a run, or repeats the order.
+    pub(super) fn stop_run(&mut self, key: RunKey, now_ms: u64) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        run.state = RunState::Stopping;
+        let is_recent = run
+            .stop_sent_ms
+            .is_some_and(|sent| now_ms < sent + Self::STOP_REPEAT_MS);
+        if run.is_void || is_recent {
+            return;
+        }
+        run.stop_sent_ms = Some(now_ms);
+        let worker = run.worker;
+        let Some(what) = self.what_of(key) else { return };
+        self.stats.stops += 1;
+        self.actions.push(Action::Stop { worker, what });
+    }
+
+    /// Repeats stops that were not confirmed.
+    pub(super) fn repeat_stops(&mut self, worker: WorkerKey, now_ms: u64) {
+        let unconfirmed: Vec<_> = self.workers[worker]
+            .runs
+            .iter()
+            .copied()
+            .filter(|key| {
+                let run = &self.runs[*key];
+                run.state == RunState::Stopping && !run.is_void
+            })
+            .collect();
+        for key in unconfirmed {
+            self.stop_run(key, now_ms);
+        }
+    }
+
+    pub(super) fn what_of(&self, key: RunKey) -> Option<TaskRun> {
+        let run = self.runs.get(key)?;
+        if run.is_foreign {
+            return self
+                .run_keys
+                .iter()
+                .find(|(_, other)| **other == key)
+                .map(|(what, _)| what.clone());
+        }
+        let spec = &self.job_of(run).spec;
+        Some(TaskRun {
+            task: Self::task_name(spec, run.occurrence, run.step, run.index),
+            run: run.number,
+        })
+    }
+
+    /// Takes the reply to a start order.
+    pub fn start_replied(&mut self, worker: WorkerKey, what: &TaskRun, outcome: StartOutcome, now_ms: u64) {
+        let Some(key) = self.run_keys.get(what).copied() else { return };
+        let Some(run) = self.runs.get_mut(key) else { return };
+        match outcome {
+            StartOutcome::Started => {
+                run.settled_ms = Some(now_ms);
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running;
+                    run.progress_ms = now_ms;
+                }
+                self.note_job_running(key, now_ms);
+            }
+            StartOutcome::Unanswered => {
+                self.stats.unanswered_starts += 1;
+                if run.state == RunState::Starting {
+                    self.notes
+                        .push(format!("start_unanswered task={} run={}", what.task, what.run));
+                    self.give_up_run(key, now_ms);
+                }
+            }
+            StartOutcome::Rejected(rejection) => {
+                self.stats.rejected_starts += 1;
+                self.notes.push(format!(
+                    "start_rejected task={} run={} worker={} reason={rejection:?}",
+                    what.task,
+                    what.run,
+                    self.workers.get(worker).map_or("", |worker| worker.entry.id.as_str())
+                ));
+                self.start_rejected(key, worker, rejection, now_ms);
+            }
+        }
+        self.is_schedule_due = true;
+    }
+
+    /// Ends a run and, if it belongs to a gang, the others.
+    pub(super) fn give_up_run(&mut self, key: RunKey, now_ms: u64) {
+        self.stop_run(key, now_ms);
+        let Some(run) = self.runs.get(key) else { return };
+        let (job, occurrence, step) = (run.job, run.occurrence, run.step);
+        if !run.is_foreign && self.job_of(run).spec.steps[step as usize].is_gang {
+            self.end_gang(job, occurrence, step, now_ms);
+        }
+    }
+
+    fn start_rejected(&mut self, key: RunKey, worker_key: WorkerKey, rejection: Rejection, now_ms: u64) {
+        let run = &self.runs[key];
+        let (job, occurrence, step) = (run.job, run.occurrence, run.step);
+        self.remove_run(key);
+        if let Some(state) = self.step_mut(job, occurrence, step) {
+            state.not_before_ms = now_ms + Self::REJECTED_PAUSE_MS;
+        }
+        let Some(worker) = self.workers.get_mut(worker_key) else { return };
+        worker.renew_due_ms = now_ms;
+        match rejection {
+            Rejection::Fenced => worker.is_lost = true,
+            Rejection::Unhealthy | Rejection::NotSent => {
+                worker.avoid_until_ms = worker.avoid_until_ms.max(now_ms + Self::REFUSAL_PAUSE_MS);
+            }
+            Rejection::NoRoom | Rejection::Late => {
+                // The next report shows what occupies it and what its clock says.
+                worker.avoid_until_ms = worker.avoid_until_ms.max(now_ms + Self::STOP_REPEAT_MS);
+            }
+            Rejection::OtherIncarnation => self.worker_gone(worker_key, now_ms),
+            Rejection::Old | Rejection::NoTicket | Rejection::Malformed => {}
+        }
+    }
+
+    /// Takes the reply to a stop order.
+    pub fn stop_replied(&mut self, what: &TaskRun, is_confirmed: bool, now_ms: u64) {
+        let Some(key) = self.run_keys.get(what).copied() else { return };
+        let Some(run) = self.runs.get_mut(key) else { return };
+        if is_confirmed {
+            run.is_void = true;
+            run.settled_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns whether a worker rejected the epoch of this scheduler.
+    pub fn is_fenced_off(&self) -> bool {
+        self.workers.values().any(|worker| worker.is_lost)
+    }
+
+    /// Returns the ids of the jobs that have a run on a worker, for the log.
+    pub fn jobs_on(&self, worker: WorkerKey) -> Vec<CompactString> {
+        let Some(worker) = self.workers.get(worker) else { return Vec::new() };
+        worker
+            .runs
+            .iter()
+            .filter_map(|key| self.runs.get(*key))
+            .filter(|run| !run.is_foreign)
+            .map(|run| self.job_of(run).spec.id.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/engine/step_state.rs
@@ -0,0 +1,125 @@
+use compact_str::CompactString;
+
+use super::keys::RunKey;
+use crate::StepProgress;
+
+/// Live state of a step of an occurrence.
+#[derive(Debug, Clone, Default)]
+pub(super) struct StepState {
+    pub done: Vec<bool>,
+    pub done_count: u32,
+    /// Runs that failed, by task; a gang counts under its first task.
+    pub failed: Vec<Vec<u64>>,
+    /// Newest checkpoint, by task; a gang keeps one under its first task.
+    pub checkpoints: Vec<Option<CompactString>>,
+    pub active: Vec<Option<RunKey>>,
+    pub active_count: u32,
+    /// Highest run number given to a task of the step.
+    pub last_run: u64,
+    /// Run of the gang that is starting or running.
+    pub gang_run: Option<u64>,
+    /// The gang has to end: a member ended or cannot start.
+    pub is_gang_ending: bool,
+    /// Nothing starts before, after a rejected start.
+    pub not_before_ms: u64,
+    /// Workers on which a run failed, newest last.
+    pub failed_on: Vec<CompactString>,
+    pub ready_since_ms: Option<u64>,
+    /// When the step last asked others to make room.
+    pub preempted_ms: u64,
+    pub has_started: bool,
+}
+
+impl StepState {
+    pub fn new(count: u32, progress: Option<&StepProgress>) -> Self {
+        let count = count as usize;
+        let mut state = Self {
+            done: vec![false; count],
+            failed: vec![Vec::new(); count],
+            checkpoints: vec![None; count],
+            active: vec![None; count],
+            ..Self::default()
+        };
+        let Some(progress) = progress else { return state };
+        for index in &progress.done {
+            state.set_done(*index as usize);
+        }
+        for (index, runs) in &progress.failed {
+            if let Some(slot) = state.failed.get_mut(*index as usize) {
+                slot.clone_from(runs);
+            }
+        }
+        for (index, checkpoint) in &progress.checkpoints {
+            if let Some(slot) = state.checkpoints.get_mut(*index as usize) {
+                *slot = Some(checkpoint.clone());
+            }
+        }
+        state
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.done_count as usize == self.done.len()
+    }
+
+    pub fn set_done(&mut self, index: usize) {
+        if let Some(done) = self.done.get_mut(index)
+            && !*done
+        {
+            *done = true;
+            self.done_count += 1;
+        }
+    }
+
+    /// Returns the tasks that are neither done nor active.
+    pub fn idle(&self) -> impl Iterator<Item = u32> + '_ {
+        let is_idle = |index: &usize| !self.done[*index] && self.active[*index].is_none();
+        (0..self.done.len()).filter(is_idle).map(|index| index as u32)
+    }
+
+    pub fn idle_count(&self) -> u32 {
+        self.done.len() as u32 - self.done_count - self.active_count
+    }
+
+    pub fn clear_active(&mut self, index: u32, run: RunKey) {
+        let slot = &mut self.active[index as usize];
+        if *slot == Some(run) {
+            *slot = None;
+            self.active_count -= 1;
+            if self.active_count == 0 {
+                self.gang_run = None;
+                self.is_gang_ending = false;
+            }
+        }
+    }
+
+    pub fn set_active(&mut self, index: u32, run: RunKey) {
+        if self.active[index as usize].replace(run).is_none() {
+            self.active_count += 1;
+        }
+        self.has_started = true;
+    }
+
+    pub fn progress(&self) -> Option<StepProgress> {
+        let indices = |is_set: &dyn Fn(usize) -> bool| -> Vec<u32> {
+            (0..self.done.len())
+                .filter(|index| is_set(*index))
+                .map(|index| index as u32)
+                .collect()
+        };
+        let done = indices(&|index| self.done[index]);
+        let failed = indices(&|index| !self.failed[index].is_empty())
+            .into_iter()
+            .map(|index| (index, self.failed[index as usize].clone()))
+            .collect();
+        let checkpoints = (0..self.done.len())
+            .filter(|index| !self.done[*index])
+            .filter_map(|index| Some((index as u32, self.checkpoints[index].clone()?)))
+            .collect();
+        let progress = StepProgress {
+            done,
+            failed,
+            checkpoints,
+        };
+        (progress != StepProgress::default()).then_some(progress)
+    }
+}
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,35 @@
+//! Scheduler of one domain: every decision about jobs of several steps on the workers of a region.
+//!
+//! [`Engine`] is a state machine. It takes rows of the store, replies of workers and the time, and returns [`Action`]s;
+//! it does no I/O, so that a test can inject every fault at every step without sleeping.
+//!
+//! ```
+//! use domain::{Engine, Limits};
+//!
+//! let engine = Engine::new(1, Limits::default(), 0);
+//! assert_eq!(engine.epoch(), 1);
+//! ```
+
+mod action;
+mod config;
+mod engine;
+mod job;
+mod limits;
+mod progress;
+mod resources;
+mod step;
+mod task_name;
+mod worker_entry;
+mod worker_report;
+
+pub use action::{Action, Commit, CommitRow, StartOrder, TaskRun};
+pub use config::{Config, Organisation, Route, Service};
+pub use engine::{Engine, EngineStats, JobSummary, Rejection, StartOutcome, WorkerKey};
+pub use job::Job;
+pub use limits::Limits;
+pub use progress::{JobState, Progress, StepProgress};
+pub use resources::Resources;
+pub use step::Step;
+pub use task_name::{ParseTaskNameError, TaskName};
+pub use worker_entry::{EntryState, WorkerEntry};
+pub use worker_report::{End, EndKind, RunningTask, WorkerReport};
--- /dev/null
+++ b/crates/domain/tests/engine/faults.rs
@@ -0,0 +1,118 @@
+//! Lost, late and doubled orders, silent and reborn workers, lost writes.
+
+use domain::JobState;
+use rstest::rstest;
+
+use crate::world::{World, job, step};
+
+/// Guards against a doubled run when a start gets no reply and takes effect later.
+#[rstest]
+#[case::never_arrives(None)]
+#[case::arrives_at_once(Some(0))]
+#[case::arrives_after_the_stop(Some(700))]
+#[case::arrives_much_later(Some(5_000))]
+fn start_without_reply_runs_once(#[case] delay_ms: Option<u64>) {
+    let mut world = World::new(1, 2);
+    match delay_ms {
+        Some(delay_ms) => world.late_start_ms = Some(delay_ms),
+        None => world.lose_starts = 1,
+    }
+    let id = world.submit(job("a", 1, step(1, 8, 2_000)));
+    world.run_until(8_000, |world| world.state(&id) == JobState::Done);
+    world.run_for(8_000);
+    world.assert_sound();
+}
+
+/// Guards against gangs of which a part runs: one start is lost, so all others have to end.
+#[test]
+fn gang_with_a_lost_start_starts_again_whole() {
+    let mut world = World::new(1, 4);
+    let mut gang = step(4, 8, 1_000);
+    gang.is_gang = true;
+    world.lose_starts = 1;
+    let id = world.submit(job("a", 1, gang));
+    world.run_until(6_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
+
+/// Guards against a run elsewhere before the lease of a silent worker has surely expired.
+#[test]
+fn silent_worker_keeps_its_tasks_until_its_lease_expired() {
+    let mut world = World::new(1, 2);
+    let id = world.submit(job("a", 1, step(1, 8, 20_000)));
+    world.run_for(1_000);
+    let silent = world.workers_of(&id)[0].clone();
+    world.workers.get_mut(&silent).unwrap().is_silent = true;
+    world.run_for(5_000);
+    assert_eq!(world.starts.len(), 1);
+    world.run_until(4_000, |world| world.starts.len() == 2);
+    world.assert_sound();
+}
+
+/// Guards against waiting for runs that a restarted worker has forgotten.
+#[test]
+fn restarted_worker_frees_its_tasks_at_once() {
+    let mut world = World::new(1, 2);
+    let id = world.submit(job("a", 1, step(1, 8, 3_000)));
+    world.run_for(1_000);
+    let worker = world.workers_of(&id)[0].clone();
+    let now_ms = world.now_ms;
+    world.workers.get_mut(&worker).unwrap().restart(now_ms);
+    world.run_until(2_000, |world| world.starts.len() == 2);
+    world.run_until(6_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
+
+/// Guards against ends that are forgotten by the worker before they are durable, and against lost ends.
+#[rstest]
+#[case::reply_lost(false)]
+#[case::store_down(true)]
+fn end_survives_a_failed_write_and_a_takeover(#[case] is_store_down: bool) {
+    let mut world = World::new(1, 2);
+    let id = world.submit(job("a", 1, step(3, 2, 1_000)));
+    world.run_for(500);
+    world.is_store_down = is_store_down;
+    world.lose_commits = 3;
+    world.run_for(1_500);
+    world.is_store_down = false;
+    world.take_over();
+    world.run_until(5_000, |world| world.state(&id) == JobState::Done);
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+    world.assert_sound();
+}
+
+/// Guards against a failure that counts twice because it was listed again after a takeover.
+#[test]
+fn failure_counts_once_over_a_takeover() {
+    let mut world = World::new(1, 3);
+    for worker in world.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    let id = world.submit(job("a", 1, step(1, 1, 500)));
+    world.lose_commits = 2;
+    world.run_until(1_000, |world| world.engine.stats().failed == 1);
+    for worker in world.workers.values_mut() {
+        worker.fails_all = false;
+    }
+    world.take_over();
+    world.run_until(5_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
+
+/// Guards against work for a worker that fails everything while others are sound.
+#[test]
+fn worker_that_fails_everything_is_excluded() {
+    let mut world = World::new(1, 3);
+    let failing = world.workers.values_mut().next().unwrap();
+    failing.fails_all = true;
+    let failing = failing.id.clone();
+    for number in 0..20 {
+        world.submit(job(&format!("{number}"), 1, step(1, 2, 400)));
+        world.run_for(100);
+    }
+    world.run_for(3_000);
+    assert!(world.store.values().all(|stored| stored.progress.state == JobState::Done));
+    let tries = world.starts.iter().filter(|(_, _, worker)| *worker == failing).count();
+    assert!(tries <= 6, "{tries} starts on the failing worker");
+    world.assert_sound();
+}
--- /dev/null
+++ b/crates/domain/tests/engine/jobs.rs
@@ -0,0 +1,96 @@
+//! Jobs on sound workers.
+
+use domain::{JobState, TaskName};
+use rstest::rstest;
+
+use crate::world::{World, job, step};
+
+#[test]
+fn job_of_dependent_steps_runs_in_order() {
+    let mut world = World::new(1, 2);
+    let mut dependent = job("a", 1, step(3, 1, 400));
+    let mut second = step(2, 1, 300);
+    second.after = [0].into_iter().collect();
+    dependent.steps.push(second);
+    let id = world.submit(dependent);
+    let elapsed_ms = world.run_until(2_000, |world| world.state(&id) == JobState::Done);
+    assert!(elapsed_ms >= 700, "{elapsed_ms}");
+    world.assert_sound();
+    let steps: Vec<_> = world
+        .starts
+        .iter()
+        .map(|(_, task, _)| task.parse::<TaskName>().unwrap().step)
+        .collect();
+    assert_eq!(steps, [0, 0, 0, 1, 1]);
+}
+
+#[rstest]
+#[case::same_rack(true, 1)]
+#[case::anywhere(false, 2)]
+fn gang_keeps_to_one_rack_if_it_has_to(#[case] is_same_rack: bool, #[case] most_racks: usize) {
+    let mut world = World::new(2, 4);
+    let mut gang = step(4, 8, 500);
+    gang.is_gang = true;
+    gang.is_same_rack = is_same_rack;
+    let id = world.submit(job("a", 1, gang));
+    world.run_for(100);
+    let mut racks: Vec<_> = world
+        .workers_of(&id)
+        .iter()
+        .map(|worker| world.workers[worker].rack.clone())
+        .collect();
+    racks.sort();
+    racks.dedup();
+    assert!(racks.len() <= most_racks && !racks.is_empty(), "{racks:?}");
+    world.run_until(2_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
+
+#[test]
+fn at_most_the_allowed_number_of_tasks_runs_on_a_worker() {
+    let mut world = World::new(1, 4);
+    let mut apart = step(4, 1, 500);
+    apart.max_per_worker = 1;
+    let id = world.submit(job("a", 1, apart));
+    world.run_for(100);
+    assert_eq!(world.workers_of(&id).len(), 4);
+    world.assert_sound();
+}
+
+#[test]
+fn task_that_fails_as_often_as_it_may_fails_its_job() {
+    let mut world = World::new(1, 2);
+    for worker in world.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    let id = world.submit(job("a", 1, step(1, 1, 500)));
+    world.run_until(10_000, |world| world.state(&id) == JobState::Failed);
+    assert_eq!(world.starts.len(), 3);
+    world.assert_sound();
+}
+
+#[test]
+fn cancelled_job_leaves_its_workers() {
+    let mut world = World::new(1, 1);
+    let id = world.submit(job("a", 1, step(4, 1, 60_000)));
+    world.run_for(200);
+    world.cancel(&id);
+    world.run_for(500);
+    assert_eq!((world.state(&id), world.engine.stats().running), (JobState::Cancelled, 0));
+    world.assert_sound();
+}
+
+#[test]
+fn urgent_job_takes_the_room_of_later_ones() {
+    let mut world = World::new(1, 2);
+    let long = world.submit(job("a", 2, step(2, 8, 60_000)));
+    world.run_for(500);
+    let mut urgent = job("b", 0, step(1, 8, 500));
+    urgent.objective_ms = 250;
+    let id = world.submit(urgent);
+    let elapsed_ms = world.run_until(2_000, |world| !world.workers_of(&id).is_empty());
+    assert!(elapsed_ms < 500, "{elapsed_ms}");
+    world.run_until(2_000, |world| world.state(&id) == JobState::Done);
+    world.run_until(2_000, |world| world.workers_of(&long).len() == 2);
+    world.assert_sound();
+}
--- /dev/null
+++ b/crates/domain/tests/engine/takeover.rs
@@ -0,0 +1,62 @@
+//! A new holder that knows only the store and the workers.
+
+use domain::JobState;
+
+use crate::world::{World, job, step};
+
+/// Guards against a successor that takes runs for unknown because workers answer before the rows are read: it stopped
+/// them, and placed new work on capacity that they still occupied.
+#[test]
+fn successor_adopts_what_runs() {
+    let mut world = World::new(1, 2);
+    let id = world.submit(job("a", 1, step(4, 4, 5_000)));
+    world.run_for(1_000);
+    assert_eq!(world.engine.stats().running, 4);
+    world.take_over();
+    world.run_until(6_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+    assert_eq!(world.starts.len(), 4, "{:?}", world.starts);
+}
+
+/// Guards against new work on the capacity of a job that ended just before the takeover and whose runs still stop.
+#[test]
+fn runs_of_final_jobs_occupy_their_worker_until_they_end() {
+    let mut world = World::new(1, 1);
+    let old = world.submit(job("a", 1, step(2, 4, 60_000)));
+    world.run_for(500);
+    world.cancel(&old);
+    world.run_until(100, |world| world.state(&old) == JobState::Cancelled);
+    let new = world.submit(job("b", 1, step(2, 4, 500)));
+    world.take_over();
+    world.run_until(3_000, |world| world.state(&new) == JobState::Done);
+    world.assert_sound();
+}
+
+/// Guards against a second run of a task that still runs on a worker which the successor cannot reach.
+#[test]
+fn work_on_silent_workers_waits_for_its_lease() {
+    let mut world = World::new(1, 2);
+    let id = world.submit(job("a", 1, step(2, 8, 3_000)));
+    world.run_for(300);
+    let silent = world.workers_of(&id)[0].clone();
+    world.workers.get_mut(&silent).unwrap().is_silent = true;
+    world.take_over();
+    world.run_until(20_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
+
+/// Guards against a gang that goes on in parts after a takeover.
+#[test]
+fn gang_that_is_not_found_whole_starts_again() {
+    let mut world = World::new(1, 4);
+    let mut gang = step(3, 8, 4_000);
+    gang.is_gang = true;
+    let id = world.submit(job("a", 1, gang));
+    world.run_for(500);
+    let gone = world.workers_of(&id)[0].clone();
+    let now_ms = world.now_ms;
+    world.workers.get_mut(&gone).unwrap().restart(now_ms);
+    world.take_over();
+    world.run_until(20_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
--- /dev/null
+++ b/crates/node/src/desk.rs
@@ -0,0 +1,542 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use compact_str::CompactString;
+use domain::{Config, Job, JobState, Progress, Route, Step};
+use thiserror::Error;
+
+use crate::clock::{boot_ms, unix_ms};
+use crate::ports::{Condition, Store, StoreError, Txn, TxnConflict, TxnError};
+use crate::rows::{EPOCH_KEY, EpochRow, JOBS, LEASE, PROGRESS, QUEUED, cancel_key, get, put, queued_key, queued_range};
+use crate::shared::SharedRef;
+
+/// Call of a caller: where it goes and who sends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobRequest {
+    /// Host that the call names.
+    pub host: CompactString,
+    /// Path.
+    pub path: CompactString,
+    /// Key of the caller.
+    pub key: Option<CompactString>,
+    /// How long the caller waits.
+    pub deadline_ms: Option<u64>,
+}
+
+/// Job as submitted.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Submission {
+    /// Payload for the workers.
+    pub spec: String,
+    /// Steps.
+    pub steps: Vec<Step>,
+    /// Occurrences of a scheduled job; 0 for a job that runs once.
+    pub times: u32,
+    /// Due time of the first occurrence since 1970.
+    pub first_run_unix_ms: u64,
+    /// Time between occurrences.
+    pub interval_ms: u64,
+}
+
+/// Why a call is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Refused {
+    /// No configuration was read yet.
+    #[error("no configuration yet")]
+    NoConfig,
+    /// The configuration or the keys may be out of date.
+    #[error("the configuration may be out of date")]
+    StaleConfig,
+    /// No such queue.
+    #[error("no such queue")]
+    UnknownRoute,
+    /// The key is missing or unknown.
+    #[error("the key is missing or unknown")]
+    UnknownKey,
+    /// The request is malformed.
+    #[error("{0}")]
+    Invalid(&'static str),
+    /// The id belongs to a job of another queue or organisation.
+    #[error("the id is in use for another job")]
+    IdInUse,
+    /// No such job.
+    #[error("no such job")]
+    UnknownJob,
+    /// The store does not take calls; the job was not accepted.
+    #[error("the store is unavailable")]
+    StoreUnavailable,
+    /// The store did not reply: whether the call took effect is unknown.
+    #[error("the outcome is unknown")]
+    InDoubt,
+}
+
+impl Refused {
+    /// Returns a short name for logs and metrics.
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_config",
+            Self::StaleConfig => "stale_config",
+            Self::UnknownRoute => "unknown_route",
+            Self::UnknownKey => "unknown_key",
+            Self::Invalid(_) => "invalid",
+            Self::IdInUse => "id_in_use",
+            Self::UnknownJob => "unknown_job",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::InDoubt => "in_doubt",
+        }
+    }
+}
+
+/// Answer to a submission.
+pub type SubmitReply = Result<(), Refused>;
+
+/// Answer to a cancellation.
+pub type CancelReply = Result<(), Refused>;
+
+/// Caller's view of an instance: accepts, shows and cancels jobs.
+#[derive(Debug)]
+pub struct Desk<S, W> {
+    shared: SharedRef<S, W>,
+}
+
+impl<S, W> Clone for Desk<S, W> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Rc::clone(&self.shared),
+        }
+    }
+}
+
+/// Call that is not answered yet.
+#[derive(Debug)]
+pub struct OpenCall(Rc<std::cell::Cell<u64>>);
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Queue, owner and id of a call that is allowed.
+#[derive(Debug, Clone)]
+struct Allowed {
+    config: Rc<Config>,
+    route: Route,
+    organisation: CompactString,
+    id: CompactString,
+}
+
+impl<S: Store, W: 'static> Desk<S, W> {
+    /// Time for a call whose caller names none and whose queue has no limit.
+    const DEFAULT_BUDGET_MS: u64 = 3_000;
+
+    /// Part of the caller's time that is kept for the way back.
+    const REPLY_MARGIN_MS: u64 = 100;
+
+    /// Pause between two tries of a call to the store.
+    const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+    /// Tries of a call that the store refuses outright.
+    const REFUSED_TRIES: u32 = 3;
+
+    pub(crate) fn new(shared: SharedRef<S, W>) -> Self {
+        Self { shared }
+    }
+
+    /// Returns whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let view = self.shared.view.borrow();
+        !view.is_stopping && view.config.is_some() && !self.shared.is_store_lost() && self.is_config_checked()
+    }
+
+    /// Returns whether the instance is being stopped.
+    pub fn is_stopping(&self) -> bool {
+        self.shared.view.borrow().is_stopping
+    }
+
+    /// Counts a call as open until the returned value is dropped.
+    pub fn open_call(&self) -> OpenCall {
+        self.shared.open_calls.set(self.shared.open_calls.get() + 1);
+        OpenCall(Rc::clone(&self.shared.open_calls))
+    }
+
+    /// Returns the number of open calls.
+    pub fn open_calls(&self) -> u64 {
+        self.shared.open_calls.get()
+    }
+
+    /// Returns the largest request body, from the configuration.
+    pub fn max_body_bytes(&self) -> Option<u64> {
+        let view = self.shared.view.borrow();
+        view.config
+            .as_ref()
+            .map(|config| config.max_body_bytes)
+            .filter(|bytes| *bytes > 0)
+    }
+
+    /// Returns the metrics of the instance.
+    pub fn metrics(&self) -> &crate::Metrics {
+        &self.shared.metrics
+    }
+
+    /// Accepts a job. On success the job is durable and will run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refused`]; only [`Refused::InDoubt`] leaves open whether the job was accepted.
+    pub async fn submit(&self, request: &JobRequest, submission: &Submission) -> SubmitReply {
+        let began_ms = boot_ms();
+        let mut is_in_doubt = false;
+        let mut refused = 0;
+        loop {
+            // Keys are checked by the transaction itself: it takes effect only under the configuration checked here.
+            let allowed = match self.allowed(request) {
+                Ok(allowed) => allowed,
+                Err(_) if is_in_doubt => return Err(Refused::InDoubt),
+                Err(refusal) => return Err(refusal),
+            };
+            check(submission, &allowed.id)?;
+            if self.shared.is_store_lost() && !is_in_doubt {
+                return Err(Refused::StoreUnavailable);
+            }
+            if boot_ms() >= began_ms + self.budget_ms(request, &allowed.route) {
+                return Err(if is_in_doubt { Refused::InDoubt } else { Refused::StoreUnavailable });
+            }
+            let txn = self.insertion(&allowed, submission);
+            match self.transact(&txn).await {
+                Ok(version) => {
+                    spdlog::info!("job_accepted", kv: {
+                        job = allowed.id.as_str(), route = allowed.route.name.as_str(),
+                        organisation = allowed.organisation.as_str(), version,
+                        config = allowed.config.version, ms = boot_ms().saturating_sub(began_ms)
+                    });
+                    return Ok(());
+                }
+                Err(TxnError::Conflict(conflict)) => {
+                    if let Some(reply) = self.existing(&allowed, &conflict) {
+                        return reply;
+                    }
+                    self.learn(&conflict);
+                }
+                Err(TxnError::NotDone(_)) => {
+                    refused += 1;
+                    if refused >= Self::REFUSED_TRIES && !is_in_doubt {
+                        return Err(Refused::StoreUnavailable);
+                    }
+                    sleep(Self::RETRY_PAUSE).await;
+                }
+                Err(TxnError::Unknown) => {
+                    is_in_doubt = true;
+                    sleep(Self::RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Returns the state of a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refused`].
+    pub async fn state(&self, request: &JobRequest) -> Result<JobState, Refused> {
+        let (_, progress) = self.find(request).await?;
+        Ok(progress.state)
+    }
+
+    /// Returns the number of jobs of a queue of which no task has started.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refused`].
+    pub async fn pending(&self, request: &JobRequest) -> Result<u64, Refused> {
+        let allowed = self.allowed_now(request)?;
+        let (mut from, to) = queued_range(&allowed.route.name);
+        let mut count = 0;
+        loop {
+            let page = self.read(request, &allowed.route, QUEUED, &from, &to).await?;
+            count += page.items.len() as u64;
+            match page.items.last() {
+                Some(last) if page.has_more => from = format!("{}!", last.key),
+                _ => break,
+            }
+        }
+        self.allowed_now(request)?;
+        Ok(count)
+    }
+
+    /// Cancels a job. On success the wish is durable; a job that is final stays as it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refused`]; [`Refused::InDoubt`] leaves open whether the job will be cancelled.
+    pub async fn cancel(&self, request: &JobRequest) -> CancelReply {
+        let began_ms = boot_ms();
+        let (allowed, progress) = self.find(request).await?;
+        if progress.state.is_final() {
+            return Ok(());
+        }
+        let mut is_in_doubt = false;
+        loop {
+            if boot_ms() >= began_ms + self.budget_ms(request, &allowed.route) || self.shared.is_store_lost() {
+                return Err(if is_in_doubt { Refused::InDoubt } else { Refused::StoreUnavailable });
+            }
+            let txn = Txn {
+                config_row_version: Some(self.shared.view.borrow().config_row_version),
+                puts: vec![put(JOBS, cancel_key(&allowed.id), &unix_ms())],
+                ..Txn::default()
+            };
+            match self.transact(&txn).await {
+                Ok(version) => {
+                    spdlog::info!("cancel_accepted", kv: { job = allowed.id.as_str(), version });
+                    return Ok(());
+                }
+                Err(TxnError::Conflict(conflict)) => {
+                    self.learn(&conflict);
+                    self.allowed(request)?;
+                }
+                Err(TxnError::NotDone(_)) => sleep(Self::RETRY_PAUSE).await,
+                Err(TxnError::Unknown) => {
+                    is_in_doubt = true;
+                    sleep(Self::RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Finds the job of a call.
+    async fn find(&self, request: &JobRequest) -> Result<(Allowed, Progress), Refused> {
+        let allowed = self.allowed_now(request)?;
+        let to = format!("{}0", allowed.id);
+        let page = self
+            .read(request, &allowed.route, PROGRESS, &allowed.id, &to)
+            .await?;
+        // The key may have been revoked while the store was asked.
+        let allowed = self.allowed_now(request)?;
+        let row = page.items.iter().find(|row| row.key == allowed.id);
+        let Some(row) = row else { return Err(Refused::UnknownJob) };
+        let Some(progress) = get::<Progress>(row) else { return Err(Refused::StoreUnavailable) };
+        let is_own = progress.organisation == allowed.organisation || allowed.route.is_public;
+        if progress.route != allowed.route.name || !is_own {
+            return Err(Refused::UnknownJob);
+        }
+        Ok((allowed, progress))
+    }
+
+    async fn read(
+        &self,
+        request: &JobRequest,
+        route: &Route,
+        table: &'static str,
+        from: &str,
+        to: &str,
+    ) -> Result<crate::RowsPage, Refused> {
+        let until_ms = boot_ms() + self.budget_ms(request, route);
+        loop {
+            if self.shared.is_store_lost() {
+                return Err(Refused::StoreUnavailable);
+            }
+            let result = self.shared.store.read(table, from, to).await;
+            self.count("read", result.is_ok());
+            match result {
+                Ok(page) => {
+                    self.shared.store_heard();
+                    return Ok(page);
+                }
+                Err(error) => {
+                    if error == StoreError::NoReply {
+                        self.shared.store_failed();
+                    }
+                    if boot_ms() >= until_ms {
+                        return Err(Refused::StoreUnavailable);
+                    }
+                    sleep(Self::RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn transact(&self, txn: &Txn) -> Result<u64, TxnError> {
+        let result = self.shared.store.transact(txn).await;
+        self.count("write", result.is_ok());
+        match &result {
+            Ok(_) | Err(TxnError::Conflict(_)) => self.shared.store_heard(),
+            Err(_) => self.shared.store_failed(),
+        }
+        result
+    }
+
+    fn count(&self, operation: &str, is_ok: bool) {
+        let outcome = if is_ok { "ok" } else { "failed" };
+        self.shared
+            .metrics
+            .store_calls
+            .with_label_values(&[operation, outcome])
+            .inc();
+    }
+
+    fn budget_ms(&self, request: &JobRequest, route: &Route) -> u64 {
+        let limit = |limit_ms: u64| if limit_ms == 0 { Self::DEFAULT_BUDGET_MS } else { limit_ms };
+        let budget_ms = request
+            .deadline_ms
+            .map_or(Self::DEFAULT_BUDGET_MS, limit)
+            .min(limit(route.timeout_ms));
+        budget_ms.saturating_sub(Self::REPLY_MARGIN_MS)
+    }
+
+    fn is_config_checked(&self) -> bool {
+        let checked_ms = self.shared.view.borrow().config_checked_ms;
+        boot_ms() <= checked_ms + self.shared.settings.config_age_max_ms()
+    }
+
+    /// Checks a call that takes effect without a transaction: the configuration must be known to be the newest.
+    fn allowed_now(&self, request: &JobRequest) -> Result<Allowed, Refused> {
+        if !self.is_config_checked() {
+            return Err(if self.shared.view.borrow().config.is_none() {
+                Refused::NoConfig
+            } else {
+                Refused::StaleConfig
+            });
+        }
+        self.allowed(request)
+    }
+
+    /// Checks queue and key of a call.
+    fn allowed(&self, request: &JobRequest) -> Result<Allowed, Refused> {
+        let Some(config) = self.shared.view.borrow().config.clone() else {
+            return Err(Refused::NoConfig);
+        };
+        // Without a fresh configuration a queue or key that is missing here may exist.
+        let missing = |refusal| if self.is_config_checked() { refusal } else { Refused::StaleConfig };
+        let Some(route) = config.route(&request.host, &request.path).cloned() else {
+            return Err(missing(Refused::UnknownRoute));
+        };
+        let id = CompactString::from(&request.path[route.path_prefix.len()..]);
+        let organisation = request
+            .key
+            .as_ref()
+            .and_then(|key| config.organisation_of(key))
+            .map(|organisation| organisation.name.clone());
+        let organisation = match organisation {
+            Some(organisation) => organisation,
+            None if route.is_public => CompactString::default(),
+            None => return Err(missing(Refused::UnknownKey)),
+        };
+        Ok(Allowed {
+            config,
+            route,
+            organisation,
+            id,
+        })
+    }
+
+    /// Builds the insertion of a job: it takes effect only if the id is new, under the configuration that was checked
+    /// and in the epoch that the job names.
+    fn insertion(&self, allowed: &Allowed, submission: &Submission) -> Txn {
+        let view = self.shared.view.borrow();
+        let route = &allowed.route;
+        let job = Job {
+            id: allowed.id.clone(),
+            route: route.name.clone(),
+            service: route.service.clone(),
+            organisation: allowed.organisation.clone(),
+            priority: route.priority,
+            attempts: route.attempts.max(1),
+            objective_factor: route.objective_factor,
+            objective_ms: route.objective_ms,
+            spec: submission.spec.clone(),
+            steps: submission.steps.clone(),
+            times: submission.times,
+            first_run_unix_ms: submission.first_run_unix_ms,
+            interval_ms: submission.interval_ms,
+            accept_epoch: view.epoch,
+            accepted_unix_ms: unix_ms(),
+            needs_advice: route.needs_advice,
+        };
+        let progress = Progress {
+            route: route.name.clone(),
+            organisation: allowed.organisation.clone(),
+            ..Progress::default()
+        };
+        let id = &allowed.id;
+        Txn {
+            conditions: vec![
+                Condition {
+                    table: JOBS,
+                    key: id.clone(),
+                    version: 0,
+                },
+                Condition {
+                    table: LEASE,
+                    key: EPOCH_KEY.into(),
+                    version: view.epoch_row_version,
+                },
+            ],
+            config_row_version: Some(view.config_row_version),
+            puts: vec![
+                put(JOBS, id.clone(), &job),
+                put(PROGRESS, id.clone(), &progress),
+                put(QUEUED, queued_key(&route.name, id), &0),
+            ],
+            removes: Vec::new(),
+        }
+    }
+
+    /// Answers a repeated submission from the row that exists.
+    fn existing(&self, allowed: &Allowed, conflict: &TxnConflict) -> Option<SubmitReply> {
+        let row = conflict
+            .rows
+            .iter()
+            .find(|row| row.table == JOBS && row.key == allowed.id)?;
+        let job: Job = get(row)?;
+        let is_same = job.route == allowed.route.name && job.organisation == allowed.organisation;
+        Some(if is_same { Ok(()) } else { Err(Refused::IdInUse) })
+    }
+
+    /// Takes newer rows from a conflict.
+    fn learn(&self, conflict: &TxnConflict) {
+        let mut view = self.shared.view.borrow_mut();
+        if let Some((config, row_version)) = &conflict.config {
+            view.set_config(config.clone(), *row_version);
+        }
+        let epoch = conflict
+            .rows
+            .iter()
+            .find(|row| row.table == LEASE && row.key == EPOCH_KEY);
+        if let Some(row) = epoch
+            && row.version > view.epoch_row_version
+            && let Some(epoch) = get::<EpochRow>(row)
+        {
+            view.epoch = epoch.epoch;
+            view.epoch_row_version = row.version;
+        }
+    }
+}
+
+/// Most tasks of a job; its progress has to fit into one row.
+const MAX_TASKS: u32 = 5_000;
+
+/// Checks a job before anything is stored.
+fn check(submission: &Submission, id: &str) -> Result<(), Refused> {
+    const ID_LENGTH: usize = 16;
+    if id.len() != ID_LENGTH || !id.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(Refused::Invalid("the id must have 16 hexadecimal digits"));
+    }
+    if submission.steps.is_empty() {
+        return Err(Refused::Invalid("a job needs at least one step"));
+    }
+    let mut tasks = 0_u32;
+    for (number, step) in submission.steps.iter().enumerate() {
+        tasks = tasks.saturating_add(step.count);
+        if step.count == 0 {
+            return Err(Refused::Invalid("a step needs at least one task"));
+        }
+        if step.after.iter().any(|earlier| *earlier as usize >= number) {
+            return Err(Refused::Invalid("a step can only follow earlier steps"));
+        }
+    }
+    if tasks > MAX_TASKS {
+        return Err(Refused::Invalid("the job has too many tasks"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/holder.rs
@@ -0,0 +1,530 @@
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use actix_rt::time::sleep;
+use compact_str::CompactString;
+use domain::{Action, Commit, Engine, Job, Progress, StartOutcome, TaskRun, WorkerKey, WorkerReport};
+use timer::Tick;
+
+use crate::clock::{boot_ms, unix_ms};
+use crate::lease::{Deposed, LeaseKeeper};
+use crate::log;
+use crate::ports::{
+    Condition, FeedError, OwnRow, RenewError, Store, StoreError, Target, Txn, TxnError, WorkerChange, Workers,
+};
+use crate::rows::{EPOCH_KEY, JOBS, JobsKey, LEASE, PROGRESS, QUEUED, USED_WORKERS, get, put, queued_key};
+use crate::shared::SharedRef;
+
+/// Drives the scheduler while this instance holds the lease.
+pub(crate) struct Holder<S: Store, W: Workers> {
+    shared: SharedRef<S, W>,
+    keeper: Addr<LeaseKeeper<S, W>>,
+    engine: Engine,
+    epoch_row_version: u64,
+    /// When the newest confirmed renewal of the lease was sent.
+    confirmed_ms: Rc<Cell<u64>>,
+    config_version: u64,
+    routes: std::collections::HashMap<CompactString, CompactString>,
+    is_stopped: bool,
+}
+
+/// What happens to the holder.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) enum Input {
+    /// Workers that former holders used.
+    UsedWorkers(Vec<(CompactString, CompactString)>),
+    /// Jobs with their progress rows and the versions of these.
+    Jobs(Vec<(Job, Progress, u64)>),
+    /// Ids of jobs to cancel.
+    Cancels(Vec<CompactString>),
+    /// All rows were read.
+    Loaded,
+    /// Whole list of workers.
+    WorkerList(Vec<WorkerChange>),
+    /// Changes of the list of workers.
+    WorkerChanges(Vec<WorkerChange>),
+    /// Reply to a start.
+    Started(WorkerKey, TaskRun, StartOutcome),
+    /// Reply to a stop.
+    StopDone(TaskRun, bool),
+    /// Reply to a renewal.
+    Renewed(WorkerKey, Result<WorkerReport, RenewError>),
+    /// Reply to a write.
+    Committed(Box<Commit>, u64, Result<u64, TxnError>),
+    /// Time passed.
+    Wake,
+    /// Another instance holds the lease, or this one stops.
+    Stop,
+}
+
+impl<S: Store, W: Workers> Holder<S, W> {
+    /// Interval of the scheduler's clock.
+    pub const TICK: Duration = Duration::from_millis(25);
+
+    pub fn new(
+        shared: SharedRef<S, W>,
+        keeper: Addr<LeaseKeeper<S, W>>,
+        epoch: u64,
+        epoch_row_version: u64,
+        confirmed_ms: Rc<Cell<u64>>,
+    ) -> Self {
+        let engine = Engine::new(epoch, shared.settings.limits, boot_ms());
+        Self {
+            shared,
+            keeper,
+            engine,
+            epoch_row_version,
+            confirmed_ms,
+            config_version: 0,
+            routes: std::collections::HashMap::new(),
+            is_stopped: false,
+        }
+    }
+
+    /// Lets the scheduler act on what changed.
+    fn pump(&mut self, ctx: &mut Context<Self>) {
+        if self.is_stopped {
+            return;
+        }
+        let now_ms = boot_ms();
+        {
+            let view = self.shared.view.borrow();
+            if let Some(config) = &view.config
+                && config.version != self.config_version
+            {
+                self.config_version = config.version;
+                self.engine.set_config(config.as_ref().clone());
+            }
+            self.engine.set_out_of_service(view.out_of_service.clone());
+        }
+        let may_start = now_ms <= self.confirmed_ms.get() + self.shared.settings.limits.holdover_ms;
+        self.engine.tick(now_ms, unix_ms(), may_start);
+        log::notes(self.engine.epoch(), self.engine.take_notes());
+        for action in self.engine.take_actions() {
+            self.act(action, ctx);
+        }
+        if self.engine.is_fenced_off() {
+            self.is_stopped = true;
+            self.keeper.do_send(Deposed {
+                epoch: self.engine.epoch(),
+                cause: "fenced_by_worker",
+            });
+        }
+    }
+
+    fn target(&self, worker: WorkerKey) -> Option<Target> {
+        let (address, id) = self.engine.worker_target(worker)?;
+        Some(Target {
+            address,
+            worker: id,
+            epoch: self.engine.epoch(),
+        })
+    }
+
+    fn act(&mut self, action: Action, ctx: &mut Context<Self>) {
+        let shared = Rc::clone(&self.shared);
+        let holder = ctx.address();
+        match action {
+            Action::Start { worker, order } => {
+                let Some(target) = self.target(worker) else { return };
+                spdlog::info!("start", kv: {
+                    task = order.what.task.as_str(), run = order.what.run, worker = target.worker.as_str(),
+                    epoch = target.epoch
+                });
+                actix_rt::spawn(async move {
+                    let outcome = shared.workers.start(&target, &order).await;
+                    holder.do_send(Input::Started(worker, order.what, outcome));
+                });
+            }
+            Action::Stop { worker, what } => {
+                let Some(target) = self.target(worker) else { return };
+                spdlog::info!("stop", kv: {
+                    task = what.task.as_str(), run = what.run, worker = target.worker.as_str(), epoch = target.epoch
+                });
+                actix_rt::spawn(async move {
+                    let is_confirmed = shared.workers.stop(&target, &what).await;
+                    holder.do_send(Input::StopDone(what, is_confirmed));
+                });
+            }
+            Action::Renew {
+                worker,
+                lease_until_ms,
+                noted,
+                wait_ms,
+            } => {
+                let Some(target) = self.target(worker) else { return };
+                actix_rt::spawn(async move {
+                    let reply = shared.workers.renew(&target, lease_until_ms, noted, wait_ms).await;
+                    holder.do_send(Input::Renewed(worker, reply));
+                });
+            }
+            Action::Pace { worker, what, percent } => {
+                let Some(target) = self.target(worker) else { return };
+                actix_rt::spawn(async move {
+                    let _ = shared.workers.pace(&target, &what, percent).await;
+                });
+            }
+            Action::Commit(commit) => {
+                let txn = self.txn(&commit);
+                let sent_ms = boot_ms();
+                actix_rt::spawn(async move {
+                    let result = shared.store.transact(&txn).await;
+                    holder.do_send(Input::Committed(Box::new(commit), sent_ms, result));
+                });
+            }
+        }
+    }
+
+    /// Builds the write of a commit: it takes effect only in this epoch.
+    fn txn(&self, commit: &Commit) -> Txn {
+        let mut txn = Txn {
+            conditions: vec![Condition {
+                table: LEASE,
+                key: EPOCH_KEY.into(),
+                version: self.epoch_row_version,
+            }],
+            ..Txn::default()
+        };
+        for row in &commit.rows {
+            txn.conditions.push(Condition {
+                table: PROGRESS,
+                key: row.job.clone(),
+                version: row.expected_version,
+            });
+            txn.puts.push(put(PROGRESS, row.job.clone(), &row.progress));
+            if row.leaves_queue {
+                txn.removes.push((QUEUED, queued_key(&row.progress.route, &row.job)));
+            }
+        }
+        for (id, address) in &commit.add_workers {
+            txn.puts.push(put(USED_WORKERS, id.clone(), address));
+        }
+        for id in &commit.remove_workers {
+            txn.removes.push((USED_WORKERS, id.clone()));
+        }
+        txn
+    }
+
+    fn committed(&mut self, commit: &Commit, sent_ms: u64, result: Result<u64, TxnError>) {
+        let now_ms = boot_ms();
+        match result {
+            Ok(version) => {
+                self.shared.store_heard();
+                self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+                self.engine.committed(commit, version, now_ms);
+            }
+            Err(TxnError::Conflict(conflict)) => {
+                let epoch_row = conflict
+                    .rows
+                    .iter()
+                    .find(|row| row.table == LEASE && row.key == EPOCH_KEY);
+                if epoch_row.is_none_or(|row| row.version != self.epoch_row_version) {
+                    self.is_stopped = true;
+                    self.keeper.do_send(Deposed {
+                        epoch: self.engine.epoch(),
+                        cause: "write_rejected",
+                    });
+                    return;
+                }
+                let current: Vec<_> = conflict
+                    .rows
+                    .iter()
+                    .filter(|row| row.table == PROGRESS)
+                    .map(|row| (row.key.clone(), row.version))
+                    .collect();
+                spdlog::warn!("commit_conflict", kv: { rows = current.len() });
+                self.engine.commit_failed(&current, now_ms);
+            }
+            Err(error) => {
+                self.shared.store_failed();
+                spdlog::warn!("commit_failed", kv: { rows = commit.rows.len(), cause = error.to_string() });
+                self.engine.commit_failed(&[], now_ms);
+            }
+        }
+    }
+
+    fn worker_change(&mut self, change: WorkerChange, now_ms: u64) {
+        match change {
+            WorkerChange::Listed(entry) => self.engine.set_worker(*entry, now_ms),
+            WorkerChange::Unlisted(id) => self.engine.unlist_worker(&id, now_ms),
+        }
+    }
+
+    fn worker_list(&mut self, list: Vec<WorkerChange>, now_ms: u64) {
+        let listed: HashSet<CompactString> = list
+            .iter()
+            .filter_map(|change| match change {
+                WorkerChange::Listed(entry) => Some(entry.id.clone()),
+                WorkerChange::Unlisted(_) => None,
+            })
+            .collect();
+        for id in self.engine.listed_workers() {
+            if !listed.contains(&id) {
+                self.engine.unlist_worker(&id, now_ms);
+            }
+        }
+        for change in list {
+            self.worker_change(change, now_ms);
+        }
+    }
+
+    fn publish_stats(&self) {
+        let stats = self.engine.stats();
+        let set = |name: &str, value: u64| {
+            self.shared
+                .metrics
+                .scheduler
+                .with_label_values(&[name])
+                .set(value as i64);
+        };
+        set("starts", stats.starts);
+        set("rejected_starts", stats.rejected_starts);
+        set("unanswered_starts", stats.unanswered_starts);
+        set("stops", stats.stops);
+        set("done", stats.done);
+        set("failed", stats.failed);
+        set("broken", stats.broken);
+        set("preempted", stats.preempted);
+        set("wasted_core_ms", stats.wasted_core_ms);
+        set("running", stats.running);
+        set("workers", stats.workers);
+        set("open_jobs", stats.open_jobs);
+    }
+}
+
+impl<S: Store, W: Workers> Actor for Holder<S, W> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(4_096);
+        let holder = ctx.address();
+        let shared = Rc::clone(&self.shared);
+        actix_rt::spawn(load(shared, holder));
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Tick> for Holder<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, _tick: Tick, ctx: &mut Self::Context) {
+        self.pump(ctx);
+        self.publish_stats();
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Input> for Holder<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, input: Input, ctx: &mut Self::Context) {
+        let now_ms = boot_ms();
+        match input {
+            Input::UsedWorkers(workers) => {
+                for (id, address) in workers {
+                    self.engine.add_recorded_worker(&id, &address, now_ms);
+                }
+            }
+            Input::Jobs(jobs) => {
+                for (job, progress, version) in jobs {
+                    self.routes.insert(job.id.clone(), job.route.clone());
+                    self.engine.add_job(job, progress, version, now_ms, unix_ms());
+                }
+            }
+            Input::Cancels(ids) => {
+                for id in ids {
+                    self.engine.cancel(&id, now_ms);
+                }
+            }
+            Input::Loaded => self.engine.set_loaded(),
+            Input::WorkerList(list) => self.worker_list(list, now_ms),
+            Input::WorkerChanges(changes) => {
+                for change in changes {
+                    self.worker_change(change, now_ms);
+                }
+            }
+            Input::Started(worker, what, outcome) => self.engine.start_replied(worker, &what, outcome, now_ms),
+            Input::StopDone(what, is_confirmed) => self.engine.stop_replied(&what, is_confirmed, now_ms),
+            Input::Renewed(worker, Ok(report)) => self.engine.renewed(worker, &report, now_ms),
+            Input::Renewed(worker, Err(RenewError::Fenced)) => self.engine.renew_fenced(worker),
+            Input::Renewed(worker, Err(RenewError::OtherIncarnation)) => {
+                self.engine.renew_other_incarnation(worker, now_ms);
+            }
+            Input::Renewed(worker, Err(RenewError::NoReply)) => self.engine.renew_failed(worker, now_ms),
+            Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
+            Input::Wake => {}
+            Input::Stop => {
+                self.is_stopped = true;
+                ctx.stop();
+                return;
+            }
+        }
+        self.pump(ctx);
+    }
+}
+
+/// Pause before a read of the store is repeated.
+const RETRY: Duration = Duration::from_millis(60);
+
+/// Reads all rows of a table; returns them with the version after which changes have to be read.
+async fn read_all<S: Store, W: Workers>(
+    shared: &SharedRef<S, W>,
+    table: &'static str,
+) -> Result<(Vec<OwnRow>, u64), StoreError> {
+    let mut rows: Vec<OwnRow> = Vec::new();
+    let mut first_version = None;
+    let mut from = String::new();
+    loop {
+        let page = shared.store.read(table, &from, "").await?;
+        first_version.get_or_insert(page.version);
+        let has_more = page.has_more && !page.items.is_empty();
+        rows.extend(page.items);
+        match rows.last() {
+            Some(last) if has_more => from = format!("{}!", last.key),
+            _ => return Ok((rows, first_version.unwrap_or(0))),
+        }
+    }
+}
+
+/// Repeats a read until it succeeds or the holder is gone.
+async fn until_read<S: Store, W: Workers>(
+    shared: &SharedRef<S, W>,
+    holder: &Addr<Holder<S, W>>,
+    table: &'static str,
+) -> Option<(Vec<OwnRow>, u64)> {
+    while holder.connected() {
+        match read_all(shared, table).await {
+            Ok(read) => {
+                shared.store_heard();
+                return Some(read);
+            }
+            Err(_) => {
+                shared.store_failed();
+                sleep(RETRY).await;
+            }
+        }
+    }
+    None
+}
+
+/// Reads the rows that a new holder needs, then follows their changes.
+async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, holder: Addr<Holder<S, W>>) {
+    let Some((used, _)) = until_read(&shared, &holder, USED_WORKERS).await else { return };
+    let used = used
+        .iter()
+        .filter_map(|row| Some((row.key.clone(), get::<CompactString>(row)?)))
+        .collect();
+    holder.do_send(Input::UsedWorkers(used));
+    actix_rt::spawn(follow_workers(Rc::clone(&shared), holder.clone()));
+    let Some(after) = load_jobs(&shared, &holder).await else { return };
+    holder.do_send(Input::Loaded);
+    follow_jobs(shared, holder, after).await;
+}
+
+/// Reads jobs and progress; returns the version after which changes have to be read.
+async fn load_jobs<S: Store, W: Workers>(shared: &SharedRef<S, W>, holder: &Addr<Holder<S, W>>) -> Option<u64> {
+    let (rows, after) = until_read(shared, holder, JOBS).await?;
+    let (progress, _) = until_read(shared, holder, PROGRESS).await?;
+    let progress: std::collections::HashMap<_, _> = progress.iter().map(|row| (row.key.clone(), row)).collect();
+    let mut jobs = Vec::new();
+    let mut cancels = Vec::new();
+    for row in &rows {
+        match JobsKey::parse(&row.key) {
+            JobsKey::Cancel(id) => cancels.push(id),
+            JobsKey::Job(id) => {
+                let Some(row_of_progress) = progress.get(&id) else { continue };
+                let (Some(job), Some(state)) = (get::<Job>(row), get::<Progress>(row_of_progress)) else { continue };
+                jobs.push((job, state, row_of_progress.version));
+            }
+        }
+    }
+    spdlog::info!("rows_loaded", kv: { jobs = jobs.len(), cancels = cancels.len(), version = after });
+    holder.do_send(Input::Jobs(jobs));
+    holder.do_send(Input::Cancels(cancels));
+    Some(after)
+}
+
+/// Passes new jobs and cancellations to the holder.
+async fn follow_jobs<S: Store, W: Workers>(shared: SharedRef<S, W>, holder: Addr<Holder<S, W>>, mut after: u64) {
+    const WAIT_MS: u64 = 2_000;
+    // Jobs that arrive within this time share one call.
+    const GATHER: Duration = Duration::from_millis(15);
+    while holder.connected() {
+        match shared.store.changes(JOBS, after, WAIT_MS).await {
+            Ok(page) => {
+                shared.store_heard();
+                after = page.version;
+                if page.items.is_empty() {
+                    continue;
+                }
+                let mut jobs = Vec::new();
+                let mut cancels = Vec::new();
+                for row in &page.items {
+                    match JobsKey::parse(&row.key) {
+                        JobsKey::Cancel(id) => cancels.push(id),
+                        JobsKey::Job(_) => {
+                            // The progress row was inserted in the same transaction, so it has the same version.
+                            if let Some(job) = get::<Job>(row) {
+                                let progress = Progress {
+                                    route: job.route.clone(),
+                                    organisation: job.organisation.clone(),
+                                    ..Progress::default()
+                                };
+                                jobs.push((job, progress, row.version));
+                            }
+                        }
+                    }
+                }
+                holder.do_send(Input::Jobs(jobs));
+                holder.do_send(Input::Cancels(cancels));
+                sleep(GATHER).await;
+            }
+            Err(FeedError::HistoryLost) => {
+                spdlog::warn!("history_lost", kv: { table = JOBS, after });
+                if let Some(version) = load_jobs(&shared, &holder).await {
+                    after = version;
+                }
+            }
+            Err(FeedError::Store(_)) => {
+                shared.store_failed();
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Passes changes of the list of workers to the holder.
+async fn follow_workers<S: Store, W: Workers>(shared: SharedRef<S, W>, holder: Addr<Holder<S, W>>) {
+    const WAIT_MS: u64 = 1_000;
+    // Every worker writes its entry regularly; changes within this time share one call.
+    const GATHER: Duration = Duration::from_millis(250);
+    let mut after = None;
+    while holder.connected() {
+        let result = match after {
+            None => shared.store.worker_list().await.map_err(FeedError::Store),
+            Some(after) => shared.store.worker_changes(after, WAIT_MS).await,
+        };
+        match result {
+            Ok(page) => {
+                shared.store_heard();
+                holder.do_send(if after.is_none() {
+                    Input::WorkerList(page.items)
+                } else {
+                    Input::WorkerChanges(page.items)
+                });
+                after = Some(page.version);
+                sleep(GATHER).await;
+            }
+            Err(FeedError::HistoryLost) => {
+                spdlog::warn!("history_lost", kv: { table = "worker list" });
+                after = None;
+            }
+            Err(FeedError::Store(_)) => {
+                shared.store_failed();
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lease.rs
@@ -0,0 +1,477 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use actix_rt::time::sleep;
+use compact_str::CompactString;
+use rand::Rng;
+use timer::{Subscribe, Tick, Timer};
+
+use crate::clock::boot_ms;
+use crate::holder::{Holder, Input};
+use crate::ports::{Condition, FeedError, OwnRow, Store, Txn, TxnError, Workers};
+use crate::rows::{BEAT_KEY, BeatRow, EPOCH_KEY, EpochRow, LEASE, get, put};
+use crate::shared::SharedRef;
+
+/// Keeps the scheduling lease: watches it, takes it over when its holder is silent, and renews it while held.
+pub(crate) struct LeaseKeeper<S: Store, W: Workers> {
+    shared: SharedRef<S, W>,
+    timer: Addr<Timer>,
+    seen: Option<Seen>,
+    held: Option<Held<S, W>>,
+    is_taking: bool,
+    take_not_before_ms: u64,
+}
+
+/// Lease as the feed shows it.
+#[derive(Debug, Clone)]
+struct Seen {
+    epoch: Option<(EpochRow, u64)>,
+    beat: Option<(BeatRow, u64)>,
+    /// Own time of the last change, or of the first look after the feed was lost.
+    changed_ms: u64,
+    /// Own time of the newest reply of the feed.
+    heard_ms: u64,
+}
+
+/// Lease that this instance holds.
+struct Held<S: Store, W: Workers> {
+    epoch: u64,
+    epoch_row_version: u64,
+    confirmed_ms: Rc<Cell<u64>>,
+    beat: u64,
+    renew_due_ms: u64,
+    holder: Addr<Holder<S, W>>,
+}
+
+/// Rows of the lease as read or changed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct LeaseRows {
+    rows: Vec<OwnRow>,
+    /// The store was not heard before, or not for a while.
+    is_first_look: bool,
+}
+
+/// The feed of the lease failed: silence means nothing until it is back.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct FeedLost;
+
+/// Reply to a renewal.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Renewed {
+    epoch: u64,
+    sent_ms: u64,
+    result: Result<u64, TxnError>,
+}
+
+/// Reply to a takeover.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Taken {
+    epoch: u64,
+    sent_ms: u64,
+    result: Result<u64, TxnError>,
+}
+
+/// The scheduler found that a newer epoch exists.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Deposed {
+    pub epoch: u64,
+    pub cause: &'static str,
+}
+
+/// The instance stops: the lease is given up.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Release;
+
+impl<S: Store, W: Workers> LeaseKeeper<S, W> {
+    /// Interval of looking at the lease.
+    const TICK: Duration = Duration::from_millis(50);
+
+    /// Longest wait of the feed; a reply dates what the instance knows.
+    const FEED_WAIT_MS: u64 = 1_000;
+
+    /// Age of the feed's newest reply up to which silence of the holder is believed.
+    const FEED_FRESH_MS: u64 = Self::FEED_WAIT_MS + 500;
+
+    /// Spread of takeovers over the instances, so that they rarely collide.
+    const SPREAD_MS: u64 = 250;
+
+    /// Pause after a takeover that failed.
+    const RETAKE_MS: u64 = 200;
+
+    pub fn new(shared: SharedRef<S, W>, timer: Addr<Timer>) -> Self {
+        Self {
+            shared,
+            timer,
+            seen: None,
+            held: None,
+            is_taking: false,
+            take_not_before_ms: 0,
+        }
+    }
+
+    fn spread_ms() -> u64 {
+        rand::rng().random_range(0..Self::SPREAD_MS)
+    }
+
+    fn look(&mut self, ctx: &mut Context<Self>) {
+        let now_ms = boot_ms();
+        if self.held.is_some() {
+            self.renew(now_ms, ctx);
+        } else if self.may_take(now_ms) {
+            self.take(now_ms, ctx);
+        }
+    }
+
+    fn may_take(&self, now_ms: u64) -> bool {
+        let Some(seen) = &self.seen else { return false };
+        let has_config = self.shared.view.borrow().config.is_some();
+        if self.is_taking || self.shared.is_stopping.get() || !has_config || now_ms < self.take_not_before_ms {
+            return false;
+        }
+        if now_ms > seen.heard_ms + Self::FEED_FRESH_MS {
+            return false;
+        }
+        let is_free = seen.epoch.is_none() || seen.beat.as_ref().is_some_and(|(beat, _)| beat.is_released);
+        is_free || now_ms > seen.changed_ms + self.shared.settings.lease_ttl_ms
+    }
+
+    fn take(&mut self, now_ms: u64, ctx: &mut Context<Self>) {
+        let Some(seen) = &self.seen else { return };
+        let epoch = seen.epoch.as_ref().map_or(0, |(row, _)| row.epoch) + 1;
+        let version = |row: Option<u64>| row.unwrap_or(0);
+        let condition = |key: &str, version| Condition {
+            table: LEASE,
+            key: key.into(),
+            version,
+        };
+        let row = EpochRow {
+            epoch,
+            holder: self.shared.settings.instance.clone(),
+            holder_started_unix_ms: self.shared.started_unix_ms,
+        };
+        let beat = BeatRow {
+            epoch,
+            beat: 0,
+            is_released: false,
+        };
+        let txn = Txn {
+            conditions: vec![
+                condition(EPOCH_KEY, version(seen.epoch.as_ref().map(|(_, version)| *version))),
+                condition(BEAT_KEY, version(seen.beat.as_ref().map(|(_, version)| *version))),
+            ],
+            puts: vec![put(LEASE, EPOCH_KEY, &row), put(LEASE, BEAT_KEY, &beat)],
+            ..Txn::default()
+        };
+        let silence_ms = now_ms.saturating_sub(seen.changed_ms);
+        spdlog::info!("lease_taking", kv: { epoch, silence_ms });
+        self.is_taking = true;
+        let shared = Rc::clone(&self.shared);
+        let keeper = ctx.address();
+        actix_rt::spawn(async move {
+            let result = shared.store.transact(&txn).await;
+            keeper.do_send(Taken {
+                epoch,
+                sent_ms: now_ms,
+                result,
+            });
+        });
+    }
+
+    fn hold(&mut self, epoch: u64, epoch_row_version: u64, confirmed_ms: u64, ctx: &mut Context<Self>) {
+        let now_ms = boot_ms();
+        spdlog::info!("lease_held", kv: { epoch, since_ms = now_ms.saturating_sub(confirmed_ms) });
+        self.shared.metrics.lease_changes.with_label_values(&["held"]).inc();
+        let confirmed_ms = Rc::new(Cell::new(confirmed_ms));
+        let holder = Holder::new(
+            Rc::clone(&self.shared),
+            ctx.address(),
+            epoch,
+            epoch_row_version,
+            Rc::clone(&confirmed_ms),
+        )
+        .start();
+        self.timer
+            .do_send(Subscribe::every(Holder::<S, W>::TICK, holder.clone().recipient()));
+        self.held = Some(Held {
+            epoch,
+            epoch_row_version,
+            confirmed_ms,
+            beat: 0,
+            renew_due_ms: now_ms,
+            holder,
+        });
+    }
+
+    fn renew(&mut self, now_ms: u64, ctx: &mut Context<Self>) {
+        let interval_ms = self.shared.settings.renew_interval().as_millis() as u64;
+        let Some(held) = &mut self.held else { return };
+        if now_ms < held.renew_due_ms {
+            return;
+        }
+        held.renew_due_ms = now_ms + interval_ms;
+        held.beat += 1;
+        let txn = beat_txn(held.epoch, held.epoch_row_version, held.beat, false);
+        let epoch = held.epoch;
+        let shared = Rc::clone(&self.shared);
+        let keeper = ctx.address();
+        actix_rt::spawn(async move {
+            let result = shared.store.transact(&txn).await;
+            keeper.do_send(Renewed {
+                epoch,
+                sent_ms: now_ms,
+                result,
+            });
+        });
+    }
+
+    fn step_down(&mut self, cause: &str) {
+        let Some(held) = self.held.take() else { return };
+        held.holder.do_send(Input::Stop);
+        spdlog::warn!("lease_lost", kv: { epoch = held.epoch, cause });
+        self.shared.metrics.lease_changes.with_label_values(&["lost"]).inc();
+        self.take_not_before_ms = boot_ms() + Self::spread_ms();
+    }
+
+    fn take_row(&mut self, row: &OwnRow, now_ms: u64) {
+        let seen = self.seen.get_or_insert(Seen {
+            epoch: None,
+            beat: None,
+            changed_ms: now_ms,
+            heard_ms: now_ms,
+        });
+        if row.key == EPOCH_KEY {
+            if seen.epoch.as_ref().is_some_and(|(_, version)| *version >= row.version) {
+                return;
+            }
+            let Some(epoch) = get::<EpochRow>(row) else { return };
+            seen.changed_ms = now_ms;
+            seen.epoch = Some((epoch.clone(), row.version));
+            let mut view = self.shared.view.borrow_mut();
+            if row.version > view.epoch_row_version {
+                view.epoch = epoch.epoch;
+                view.epoch_row_version = row.version;
+            }
+            view.holder = epoch.holder;
+        } else if row.key == BEAT_KEY {
+            if seen.beat.as_ref().is_some_and(|(_, version)| *version >= row.version) {
+                return;
+            }
+            let Some(beat) = get::<BeatRow>(row) else { return };
+            seen.changed_ms = now_ms;
+            seen.beat = Some((beat, row.version));
+        }
+    }
+
+    /// Compares what the feed shows with what this instance holds.
+    fn check_held(&mut self, ctx: &mut Context<Self>) {
+        let Some((epoch, version)) = self.seen.as_ref().and_then(|seen| seen.epoch.clone()) else { return };
+        if let Some(held) = &self.held {
+            if epoch.epoch > held.epoch {
+                self.step_down("newer_epoch");
+            }
+            return;
+        }
+        let settings = &self.shared.settings;
+        let is_own =
+            epoch.holder == settings.instance && epoch.holder_started_unix_ms == self.shared.started_unix_ms;
+        let is_released = self
+            .seen
+            .as_ref()
+            .and_then(|seen| seen.beat.as_ref())
+            .is_some_and(|(beat, _)| beat.is_released);
+        if is_own && !is_released && !self.is_taking && !self.shared.is_stopping.get() {
+            // The reply to the takeover was lost. Nothing starts before a renewal confirms the lease.
+            self.hold(epoch.epoch, version, 0, ctx);
+        }
+    }
+}
+
+fn beat_txn(epoch: u64, epoch_row_version: u64, beat: u64, is_released: bool) -> Txn {
+    let row = BeatRow {
+        epoch,
+        beat,
+        is_released,
+    };
+    Txn {
+        conditions: vec![Condition {
+            table: LEASE,
+            key: EPOCH_KEY.into(),
+            version: epoch_row_version,
+        }],
+        puts: vec![put(LEASE, BEAT_KEY, &row)],
+        ..Txn::default()
+    }
+}
+
+/// Follows the rows of the lease for as long as the keeper lives.
+async fn follow<S: Store, W: Workers>(shared: SharedRef<S, W>, keeper: Addr<LeaseKeeper<S, W>>) {
+    const RETRY: Duration = Duration::from_millis(100);
+    let mut after = None;
+    let mut is_lost = true;
+    while keeper.connected() {
+        let result = match after {
+            None => shared.store.read(LEASE, "", "").await.map_err(FeedError::Store),
+            Some(after) => {
+                shared
+                    .store
+                    .changes(LEASE, after, LeaseKeeper::<S, W>::FEED_WAIT_MS)
+                    .await
+            }
+        };
+        match result {
+            Ok(page) => {
+                shared.store_heard();
+                after = Some(page.version);
+                keeper.do_send(LeaseRows {
+                    rows: page.items,
+                    is_first_look: std::mem::take(&mut is_lost),
+                });
+            }
+            Err(FeedError::HistoryLost) => after = None,
+            Err(FeedError::Store(_)) => {
+                shared.store_failed();
+                is_lost = true;
+                keeper.do_send(FeedLost);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+impl<S: Store, W: Workers> Actor for LeaseKeeper<S, W> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        self.take_not_before_ms = boot_ms() + Self::spread_ms();
+        self.timer
+            .do_send(Subscribe::every(Self::TICK, ctx.address().recipient()));
+        actix_rt::spawn(follow(Rc::clone(&self.shared), ctx.address()));
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Tick> for LeaseKeeper<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, _tick: Tick, ctx: &mut Self::Context) {
+        self.look(ctx);
+    }
+}
+
+impl<S: Store, W: Workers> Handler<LeaseRows> for LeaseKeeper<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, message: LeaseRows, ctx: &mut Self::Context) {
+        let now_ms = boot_ms();
+        for row in &message.rows {
+            self.take_row(row, now_ms);
+        }
+        let seen = self.seen.get_or_insert(Seen {
+            epoch: None,
+            beat: None,
+            changed_ms: now_ms,
+            heard_ms: now_ms,
+        });
+        seen.heard_ms = now_ms;
+        if message.is_first_look {
+            // The holder may have been as cut off as this instance; it gets time for a renewal.
+            let grace_ms = self.shared.settings.lease_ttl_ms / 2;
+            seen.changed_ms = seen.changed_ms.max(now_ms.saturating_sub(grace_ms));
+        }
+        self.check_held(ctx);
+        self.look(ctx);
+    }
+}
+
+impl<S: Store, W: Workers> Handler<FeedLost> for LeaseKeeper<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, _lost: FeedLost, _ctx: &mut Self::Context) {
+        if let Some(seen) = &mut self.seen {
+            seen.heard_ms = 0;
+        }
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Taken> for LeaseKeeper<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, taken: Taken, ctx: &mut Self::Context) {
+        self.is_taking = false;
+        self.take_not_before_ms = boot_ms() + Self::RETAKE_MS + Self::spread_ms();
+        match taken.result {
+            Ok(version) if self.held.is_none() => {
+                let mut view = self.shared.view.borrow_mut();
+                if version > view.epoch_row_version {
+                    view.epoch = taken.epoch;
+                    view.epoch_row_version = version;
+                }
+                drop(view);
+                self.hold(taken.epoch, version, taken.sent_ms, ctx);
+            }
+            Ok(_) => {}
+            Err(TxnError::Conflict(conflict)) => {
+                let now_ms = boot_ms();
+                for row in &conflict.rows {
+                    self.take_row(row, now_ms);
+                }
+            }
+            Err(error) => {
+                spdlog::warn!("lease_take_failed", kv: { epoch = taken.epoch, cause = error.to_string() });
+            }
+        }
+        self.check_held(ctx);
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Renewed> for LeaseKeeper<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, renewed: Renewed, _ctx: &mut Self::Context) {
+        let Some(held) = &self.held else { return };
+        if held.epoch != renewed.epoch {
+            return;
+        }
+        match renewed.result {
+            Ok(_) => {
+                held.confirmed_ms.set(held.confirmed_ms.get().max(renewed.sent_ms));
+                self.shared.store_heard();
+            }
+            Err(TxnError::Conflict(_)) => self.step_down("renewal_rejected"),
+            Err(_) => self.shared.store_failed(),
+        }
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Deposed> for LeaseKeeper<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, deposed: Deposed, _ctx: &mut Self::Context) {
+        if self.held.as_ref().is_some_and(|held| held.epoch == deposed.epoch) {
+            self.step_down(deposed.cause);
+        }
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Release> for LeaseKeeper<S, W> {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, _release: Release, _ctx: &mut Self::Context) -> Self::Result {
+        let Some(held) = self.held.take() else { return Box::pin(async {}) };
+        held.holder.do_send(Input::Stop);
+        let txn = beat_txn(held.epoch, held.epoch_row_version, held.beat + 1, true);
+        let shared = Rc::clone(&self.shared);
+        Box::pin(async move {
+            let result = shared.store.transact(&txn).await;
+            let outcome = result.map_or_else(|error| CompactString::from(error.to_string()), |_| "ok".into());
+            spdlog::info!("lease_released", kv: { epoch = held.epoch, outcome = outcome.as_str() });
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,78 @@
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+
+/// Counters and histograms of an instance.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Calls by method and status.
+    pub calls: IntCounterVec,
+    /// Seconds until a call was answered.
+    pub call_seconds: Histogram,
+    /// Calls to the store by operation and outcome.
+    pub store_calls: IntCounterVec,
+    /// Refused calls by cause.
+    pub refusals: IntCounterVec,
+    /// Changes of the scheduling lease by kind.
+    pub lease_changes: IntCounterVec,
+    /// Counters and gauges of the scheduler by name.
+    pub scheduler: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Creates all metrics at zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name is invalid or used twice, which is a programming error.
+    pub fn new() -> Self {
+        const BUCKETS_S: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 3.0];
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels).expect("names are valid")
+        };
+        let call_seconds = HistogramOpts::new("galenaspool_call_seconds", "Time until a call was answered")
+            .buckets(BUCKETS_S.to_vec());
+        let scheduler = Opts::new("galenaspool_scheduler", "Counters and gauges of the scheduler in this epoch");
+        let metrics = Self {
+            registry: Registry::new(),
+            calls: counter("galenaspool_calls_total", "Calls by method and status", &["method", "status"]),
+            call_seconds: Histogram::with_opts(call_seconds).expect("names are valid"),
+            store_calls: counter(
+                "galenaspool_store_calls_total",
+                "Calls to the store by operation and outcome",
+                &["operation", "outcome"],
+            ),
+            refusals: counter("galenaspool_refusals_total", "Refused calls by cause", &["cause"]),
+            lease_changes: counter(
+                "galenaspool_lease_changes_total",
+                "Changes of the scheduling lease",
+                &["kind"],
+            ),
+            scheduler: IntGaugeVec::new(scheduler, &["name"]).expect("names are valid"),
+        };
+        let register = |collector: Box<dyn prometheus::core::Collector>| {
+            metrics.registry.register(collector).expect("names are unique");
+        };
+        register(Box::new(metrics.calls.clone()));
+        register(Box::new(metrics.call_seconds.clone()));
+        register(Box::new(metrics.store_calls.clone()));
+        register(Box::new(metrics.refusals.clone()));
+        register(Box::new(metrics.lease_changes.clone()));
+        register(Box::new(metrics.scheduler.clone()));
+        metrics
+    }
+
+    /// Returns all metrics as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            return format!("# metrics cannot be encoded: {error}\n");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/node/src/node_handle.rs
@@ -0,0 +1,129 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use actix_rt::time::sleep;
+use timer::Timer;
+
+use crate::clock::{boot_ms, unix_ms};
+use crate::lease::{LeaseKeeper, Release};
+use crate::ports::{FeedError, OperatorChange, Store, Workers};
+use crate::shared::{Shared, SharedRef};
+use crate::{Desk, Metrics, NodeSettings, View};
+
+/// Running instance of a domain. It lives on the thread that started it, which must run an actix system.
+pub struct Node<S: Store, W: Workers> {
+    shared: SharedRef<S, W>,
+    keeper: Addr<LeaseKeeper<S, W>>,
+}
+
+impl<S: Store, W: Workers> std::fmt::Debug for Node<S, W> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Node").finish_non_exhaustive()
+    }
+}
+
+impl<S: Store, W: Workers> Node<S, W> {
+    /// Starts all parts. Neither the store nor workers need to be reachable.
+    pub fn start(settings: NodeSettings, store: S, workers: W) -> Self {
+        spdlog::info!("node_started", kv: {
+            instance = settings.instance.as_str(), data_centre = settings.data_centre.as_str(),
+            lease_ttl_ms = settings.lease_ttl_ms
+        });
+        let shared = Rc::new(Shared {
+            settings,
+            store,
+            workers,
+            view: RefCell::new(View {
+                store_heard_ms: boot_ms(),
+                ..View::default()
+            }),
+            metrics: Metrics::new(),
+            is_stopping: Cell::new(false),
+            open_calls: Rc::new(Cell::new(0)),
+            started_unix_ms: unix_ms(),
+        });
+        let timer = Timer::default().start();
+        let keeper = LeaseKeeper::new(Rc::clone(&shared), timer).start();
+        actix_rt::spawn(follow_operators(Rc::clone(&shared)));
+        Self { shared, keeper }
+    }
+
+    /// Returns the callers' view of the instance.
+    pub fn desk(&self) -> Desk<S, W> {
+        Desk::new(Rc::clone(&self.shared))
+    }
+
+    /// Begins a planned stop: readiness fails and the scheduling lease is given up, while calls are still served.
+    pub async fn begin_stop(&self) {
+        spdlog::info!("node_stopping", kv: { instance = self.shared.settings.instance.as_str() });
+        self.shared.is_stopping.set(true);
+        self.shared.view.borrow_mut().is_stopping = true;
+        if let Err(error) = self.keeper.send(Release).await {
+            spdlog::warn!("lease_release_failed", kv: { cause = error.to_string() });
+        }
+    }
+}
+
+/// Follows what the operators want.
+async fn follow_operators<S: Store, W: Workers>(shared: SharedRef<S, W>) {
+    // A reply dates the configuration; keys are refused when it grows too old.
+    const WAIT_MS: u64 = 1_000;
+    const RETRY: Duration = Duration::from_millis(100);
+    let mut after = None;
+    loop {
+        let sent_ms = boot_ms();
+        let result = match after {
+            None => shared.store.operator_state().await.map_err(FeedError::Store),
+            Some(after) => shared.store.operator_changes(after, WAIT_MS).await,
+        };
+        match result {
+            Ok(page) => {
+                shared.store_heard();
+                if after.is_none() {
+                    shared.view.borrow_mut().out_of_service.clear();
+                }
+                let has_more = page.has_more;
+                after = Some(page.version);
+                for change in page.items {
+                    apply(&shared, change);
+                }
+                if !has_more {
+                    // Changes after the call was sent may be missing, so the configuration is as old as the call.
+                    shared.view.borrow_mut().config_checked_ms = sent_ms;
+                }
+            }
+            Err(FeedError::HistoryLost) => {
+                spdlog::warn!("history_lost", kv: { table = "operators" });
+                after = None;
+            }
+            Err(FeedError::Store(_)) => {
+                shared.store_failed();
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+fn apply<S, W>(shared: &SharedRef<S, W>, change: OperatorChange) {
+    let mut view = shared.view.borrow_mut();
+    match change {
+        OperatorChange::Config(config, row_version) => {
+            let (version, routes) = (config.version, config.routes.len());
+            if view.set_config(*config, row_version) {
+                spdlog::info!("config_in_force", kv: { version, row_version, routes });
+            }
+        }
+        OperatorChange::UnreadableConfig => spdlog::error!("config_unreadable"),
+        OperatorChange::DataCentre { name, is_out } => {
+            spdlog::info!("data_centre_changed", kv: { data_centre = name.as_str(), is_out });
+            if is_out {
+                view.out_of_service.insert(name);
+            } else {
+                view.out_of_service.remove(&name);
+            }
+        }
+        OperatorChange::Other(key) => spdlog::debug!("operator_row", kv: { key = key.as_str() }),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,39 @@
+use std::time::Duration;
+
+use compact_str::CompactString;
+use domain::Limits;
+
+/// Settings of an instance of a domain.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    /// Name of this instance.
+    pub instance: CompactString,
+    /// Data centre of this instance.
+    pub data_centre: CompactString,
+    /// Limits of the deployment.
+    pub limits: Limits,
+    /// Time after which a caller's revoked key must not work any more.
+    pub revoke_ms: u64,
+    /// Time within which a configuration must be in force.
+    pub config_deadline_ms: u64,
+    /// Time from the request to stop until the process is killed.
+    pub stop_grace_ms: u64,
+    /// Silence of the holder after which another instance takes over.
+    pub lease_ttl_ms: u64,
+}
+
+impl NodeSettings {
+    /// Renewals within one time to live; two may be lost without a change of holder.
+    const RENEWALS_PER_TTL: u64 = 3;
+
+    /// Returns the interval of renewing the scheduling lease.
+    pub const fn renew_interval(&self) -> Duration {
+        Duration::from_millis(self.lease_ttl_ms / Self::RENEWALS_PER_TTL)
+    }
+
+    /// Returns the age of the configuration up to which keys are accepted: the bound less a fifth for the time between
+    /// the check and the effect.
+    pub const fn config_age_max_ms(&self) -> u64 {
+        self.revoke_ms * 4 / 5
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -36,7 +36,9 @@
 pub use expected::Expected;
 pub use listed::{ListedEntry, ListedState, ListedWorker, Listing};
 pub use objects::Objects;
-pub use platform::{ConflictBody, PlatformClient, PlatformClientOptions, PlatformClientStats, TxnReply};
+pub use platform::{
+    ConflictBody, NoReply, PlatformClient, PlatformClientOptions, PlatformClientStats, Reply, Transport, TxnReply,
+};
 pub use put::Put;
 pub use resolved::Resolved;
 pub use row::Row;
--- a/crates/store/src/platform/transport.rs
+++ b/crates/store/src/platform/transport.rs
@@ -7,15 +7,18 @@
 use awc::{Client, ClientRequest, Connector, SendClientRequest};
 use bytes::Bytes;
 
-/// Whole reply of the platform.
-pub(super) struct Reply {
+/// Whole reply.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status.
     pub status: StatusCode,
+    /// Body.
     pub body: Bytes,
 }
 
 /// Why there is no whole reply.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum NoReply {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoReply {
     /// No connection; the request was not sent.
     NotSent,
     /// The request was sent and may have taken effect.
@@ -23,7 +26,7 @@
 }
 
 /// Sends requests over pooled connections and replaces silent ones.
-pub(super) struct Transport {
+pub struct Transport {
     client: RefCell<Client>,
     connect_timeout: Duration,
     timeout: Duration,
@@ -31,9 +34,19 @@
     replaced: Cell<u64>,
 }
 
+impl std::fmt::Debug for Transport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Transport")
+            .field("timeout", &self.timeout)
+            .field("replaced", &self.replaced)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Transport {
     const MAX_BODY_BYTES: usize = 256 << 20;
 
+    /// Creates a transport without connections.
     pub fn new(connect_timeout: Duration, timeout: Duration) -> Self {
         Self {
             client: RefCell::new(connect(connect_timeout)),
@@ -44,19 +57,39 @@
         }
     }
 
+    /// Returns how often silent connections were replaced.
     pub const fn replaced(&self) -> u64 {
         self.replaced.get()
     }
 
+    /// Returns the time since the newest whole reply.
     pub fn silence(&self) -> Duration {
         self.heard_at.get().elapsed()
     }
 
     /// Sends the request that `build` makes and reads the whole reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoReply`]; only [`NoReply::Lost`] leaves open whether the request took effect.
     pub async fn send(
         &self,
         build: impl FnOnce(&Client) -> ClientRequest,
         send: impl FnOnce(ClientRequest) -> SendClientRequest,
+    ) -> Result<Reply, NoReply> {
+        self.send_within(self.timeout, build, send).await
+    }
+
+    /// Sends a request whose reply may take another time than usual, such as a long poll.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoReply`]; only [`NoReply::Lost`] leaves open whether the request took effect.
+    pub async fn send_within(
+        &self,
+        limit: Duration,
+        build: impl FnOnce(&Client) -> ClientRequest,
+        send: impl FnOnce(ClientRequest) -> SendClientRequest,
     ) -> Result<Reply, NoReply> {
         let client = self.client.borrow().clone();
         let generation = self.replaced.get();
@@ -78,7 +111,7 @@
             })
         };
         // Dropping the exchange at the bound closes its connection. The connector bounds the connection by itself.
-        if let Ok(result) = timeout(self.connect_timeout + self.timeout, exchange).await {
+        if let Ok(result) = timeout(self.connect_timeout + limit, exchange).await {
             if result.is_ok() {
                 self.heard_at.set(Instant::now());
             }
