--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -29,8 +29,8 @@
 mod sheet_fault;
 
 pub use change::{Change, ChangeKind};
-pub use domain_settings::DomainSettings;
 pub use column::Column;
+pub use domain_settings::DomainSettings;
 pub use peer_address::PeerAddress;
 pub use settings::Settings;
 pub use settings_error::SettingsError;
--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -3,8 +3,8 @@
 use node::NodeSettings;
 
 /// Silence of the holder until it is replaced, as a part of the time within which an instance counts as disturbed.
-/// Two takeovers in a row then fit into that time.
-const LEASE_PART_OF_CONTACT: u64 = 2;
+/// A second takeover still fits into that time if the first successor fails as well.
+const LEASE_PART_OF_CONTACT: u64 = 3;
 
 /// Time for which a holder goes on without the store, as parts of the longest lease. Longer bridges longer outages;
 /// it also delays the restart of work on workers that a successor cannot reach.
--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -28,7 +28,7 @@
             paced_ms: 0,
             is_foreign: true,
         };
-        if let Some((job, name)) = self.wanted(&what) {
+        if let Some((job, name)) = self.slot_of(&what) {
             let shape = &self.jobs[job].spec.steps[name.step as usize];
             run.need = shape.charged();
             run.job = job;
@@ -38,11 +38,16 @@
             run.is_foreign = false;
             let is_gang = shape.is_gang;
             let key = self.add_run(run, what.clone());
-            if let Some(state) = self.step_mut(job, name.occurrence, name.step) {
-                state.set_active(name.index, key);
-                state.last_run = state.last_run.max(what.run);
-                if is_gang {
-                    state.gang_run = Some(what.run);
+            let Some(state) = self.step_mut(job, name.occurrence, name.step) else {
+                return key;
+            };
+            state.set_active(name.index, key);
+            state.last_run = state.last_run.max(what.run);
+            if is_gang {
+                let is_other_run = state.gang_run.is_some_and(|run| run != what.run);
+                state.gang_run = Some(what.run);
+                if is_other_run || state.is_gang_ending {
+                    self.end_gang(job, name.occurrence, name.step, now_ms);
                 }
             }
             return key;
@@ -63,23 +68,19 @@
         Some(spec.steps.get(name.step as usize)?.charged())
     }
 
-    /// Returns the task of a run if it is needed: not done, not cancelled and without another run.
-    fn wanted(&self, what: &TaskRun) -> Option<(super::keys::JobKey, TaskName)> {
+    /// Returns the task of a run if it is not done and has no other run. The task must not start elsewhere before this
+    /// run has ended, even if the run is not wanted.
+    fn slot_of(&self, what: &TaskRun) -> Option<(super::keys::JobKey, TaskName)> {
         let name: TaskName = what.task.parse().ok()?;
         let key = *self.job_ids.get(&name.job)?;
         let job = &self.jobs[key];
         if job.is_final() {
             return None;
         }
-        let state = job
-            .occurrences
-            .get(&name.occurrence)?
-            .steps
-            .get(name.step as usize)?;
+        let state = job.occurrences.get(&name.occurrence)?.steps.get(name.step as usize)?;
         let index = name.index as usize;
-        let is_needed = index < state.done.len() && !state.done[index] && state.active[index].is_none();
-        let is_other_gang = state.gang_run.is_some_and(|run| run != what.run) || state.is_gang_ending;
-        (is_needed && !is_other_gang).then_some((key, name))
+        let is_free = index < state.done.len() && !state.done[index] && state.active[index].is_none();
+        is_free.then_some((key, name))
     }
 
     /// Ends adopted gangs whose members are not all found once all workers were heard or their leases have expired.
--- a/crates/domain/src/engine/cancel.rs
+++ b/crates/domain/src/engine/cancel.rs
@@ -6,7 +6,9 @@
 impl Engine {
     /// Cancels a job and stops its runs.
     pub fn cancel(&mut self, id: &str, now_ms: u64) {
-        let Some(key) = self.job_ids.get(id).copied() else { return };
+        let Some(key) = self.job_ids.get(id).copied() else {
+            return;
+        };
         if self.jobs[key].is_final() {
             return;
         }
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -75,7 +75,10 @@
             || has_unnoted
             || self.dirty.iter().any(|key| {
                 let job = &self.jobs[*key];
-                job.is_urgent || job.dirty_since_ms.is_some_and(|since| now_ms >= since + Self::LAZY_COMMIT_MS)
+                job.is_urgent
+                    || job
+                        .dirty_since_ms
+                        .is_some_and(|since| now_ms >= since + Self::LAZY_COMMIT_MS)
             });
         if is_due {
             self.start_commit();
@@ -154,7 +157,9 @@
 
     /// Notes that the write under way is durable.
     pub fn committed(&mut self, commit: &Commit, version: u64, now_ms: u64) {
-        let Some(write) = self.commit.in_flight.take() else { return };
+        let Some(write) = self.commit.in_flight.take() else {
+            return;
+        };
         self.commit.failures = 0;
         for id in &write.add_workers {
             self.commit.add_workers.shift_remove(id);
@@ -171,7 +176,9 @@
             }
         }
         for (key, born_unix_ms, noted) in &write.noted {
-            let Some(worker) = self.workers.get_mut(*key) else { continue };
+            let Some(worker) = self.workers.get_mut(*key) else {
+                continue;
+            };
             if worker.born_unix_ms == *born_unix_ms {
                 worker.noted = worker.noted.max(*noted);
                 worker.renew_due_ms = now_ms;
@@ -189,7 +196,9 @@
     /// Takes the failure of the write under way. `current` holds versions of progress rows that differ from the
     /// expected ones: an earlier write whose reply was lost took effect.
     pub fn commit_failed(&mut self, current: &[(CompactString, u64)], now_ms: u64) {
-        let Some(write) = self.commit.in_flight.take() else { return };
+        let Some(write) = self.commit.in_flight.take() else {
+            return;
+        };
         for key in write.jobs {
             if self.jobs.contains_key(key) {
                 self.jobs[key].is_urgent = true;
--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -28,8 +28,6 @@
     /// Version of its progress row.
     pub version: u64,
     pub occurrences: BTreeMap<u32, Occurrence>,
-    /// Occurrences whose tasks are all done and that are dropped from memory.
-    pub done_occurrences: u32,
     pub next_occurrence: u32,
     pub is_cancelled: bool,
     /// Own time when the scheduler first saw it.
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -31,10 +31,9 @@
             state: progress.state,
             version,
             occurrences: BTreeMap::new(),
-            done_occurrences: 0,
             next_occurrence: 0,
             is_cancelled: false,
-            seen_ms: now_ms.saturating_sub(0),
+            seen_ms: now_ms,
             is_urgent: false,
             loaded: Some(progress),
             is_in_queue,
@@ -160,9 +159,7 @@
                 .steps
                 .iter()
                 .enumerate()
-                .map(|(step, shape)| {
-                    StepState::new(shape.count, progress.and_then(|steps| steps.get(&(step as u32))))
-                })
+                .map(|(step, shape)| StepState::new(shape.count, progress.and_then(|steps| steps.get(&(step as u32)))))
                 .collect();
             let due_ms = if spec.times == 0 { job.seen_ms } else { now_ms };
             job.occurrences.insert(number, Occurrence { steps, due_ms });
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -27,8 +27,8 @@
 
 pub use job_entry::JobSummary;
 use job_entry::{JobEntry, Occurrence};
-use keys::{JobKey, RunKey};
 pub use keys::WorkerKey;
+use keys::{JobKey, RunKey};
 use run::{Run, RunState};
 pub use starts::{Rejection, StartOutcome};
 pub use stats::EngineStats;
@@ -55,6 +55,7 @@
     actions: Vec<Action>,
     dirty: IndexSet<JobKey>,
     commit: commits::CommitState,
+    claims: Vec<place::Claim>,
     is_loaded: bool,
     took_over_ms: u64,
     next_schedule_ms: u64,
@@ -91,6 +92,7 @@
             actions: Vec::new(),
             dirty: IndexSet::new(),
             commit: commits::CommitState::default(),
+            claims: Vec::new(),
             is_loaded: false,
             took_over_ms: now_ms,
             next_schedule_ms: now_ms,
--- a/crates/domain/src/engine/order.rs
+++ b/crates/domain/src/engine/order.rs
@@ -24,6 +24,24 @@
     pub due_ms: u64,
 }
 
+/// Step of an occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct UnitKey {
+    job: JobKey,
+    occurrence: u32,
+    step: u32,
+}
+
+impl Unit {
+    pub const fn key(&self) -> UnitKey {
+        UnitKey {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 /// Order of waiting work.
 impl Engine {
     /// Weight of the newest observation in a correction.
@@ -69,10 +87,12 @@
                     if state.idle_count() == 0 || !is_whole || now_ms < state.not_before_ms {
                         continue;
                     }
-                    let is_ready = shape
-                        .after
-                        .iter()
-                        .all(|earlier| occurrence.steps.get(*earlier as usize).is_some_and(super::StepState::is_done));
+                    let is_ready = shape.after.iter().all(|earlier| {
+                        occurrence
+                            .steps
+                            .get(*earlier as usize)
+                            .is_some_and(super::StepState::is_done)
+                    });
                     if !is_ready {
                         continue;
                     }
@@ -97,7 +117,15 @@
                 }
             }
         }
-        units.sort_by_key(|unit| (unit.priority, unit.lateness, unit.latest_start_ms, unit.due_ms, unit.step));
+        units.sort_by_key(|unit| {
+            (
+                unit.priority,
+                unit.lateness,
+                unit.latest_start_ms,
+                unit.due_ms,
+                unit.step,
+            )
+        });
         for unit in &units {
             if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
                 state.ready_since_ms.get_or_insert(now_ms);
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 
 use super::keys::WorkerKey;
-use super::order::Unit;
+use super::order::{Unit, UnitKey};
 use super::{Engine, Worker};
 use crate::{EntryState, Job, Resources, Step};
 
@@ -15,8 +15,23 @@
     pub capacity: Resources,
     pub rack: CompactString,
     pub service: CompactString,
-    /// Kept for wider work that comes first; later units must not use it.
-    pub is_reserved: bool,
+    /// Kept for this work; other units must not use it.
+    pub kept_for: Option<UnitKey>,
+}
+
+impl Spot {
+    /// Returns whether a unit may use the spot.
+    pub fn is_open_to(&self, unit: &Unit) -> bool {
+        self.kept_for.is_none_or(|owner| owner == unit.key())
+    }
+}
+
+/// Workers that are kept for a unit after others were stopped for it.
+#[derive(Debug, Clone)]
+pub(super) struct Claim {
+    pub unit: UnitKey,
+    pub workers: Vec<WorkerKey>,
+    pub until_ms: u64,
 }
 
 /// Tasks on one spot of a plan.
@@ -49,7 +64,8 @@
             && !self.out_of_service.contains(&worker.entry.data_centre)
     }
 
-    fn spots(&self, now_ms: u64) -> Vec<Spot> {
+    fn spots(&mut self, now_ms: u64) -> Vec<Spot> {
+        self.claims.retain(|claim| now_ms < claim.until_ms);
         self.workers
             .iter()
             .filter(|(_, worker)| self.is_usable(worker, now_ms))
@@ -59,7 +75,11 @@
                 capacity: worker.entry.capacity,
                 rack: worker.entry.rack.clone(),
                 service: worker.entry.service.clone(),
-                is_reserved: false,
+                kept_for: self
+                    .claims
+                    .iter()
+                    .find(|claim| claim.workers.contains(&key))
+                    .map(|claim| claim.unit),
             })
             .collect()
     }
@@ -74,9 +94,10 @@
         let mut reservations = 0;
         for unit in units.into_iter().take(Self::MAX_UNITS) {
             if self.place_unit(&unit, &mut spots, now_ms) {
+                self.claims.retain(|claim| claim.unit != unit.key());
                 continue;
             }
-            if unit.priority == 0 {
+            if unit.priority == 0 && !self.is_taking_over(now_ms) {
                 self.preempt_for(&unit, &spots, now_ms);
             }
             if reservations < Self::MAX_RESERVATIONS && self.reserve(&unit, &mut spots) {
@@ -85,16 +106,30 @@
         }
     }
 
+    /// Returns whether workers still have to answer a new scheduler, so that room may show without preemption.
+    fn is_taking_over(&self, now_ms: u64) -> bool {
+        const TAKEOVER_MS: u64 = 500;
+        now_ms < self.took_over_ms + TAKEOVER_MS
+            && self
+                .workers
+                .values()
+                .any(|worker| worker.is_listed && !worker.is_fenced)
+    }
+
     /// Starts what fits of a unit; returns whether nothing of it is left waiting.
     fn place_unit(&mut self, unit: &Unit, spots: &mut [Spot], now_ms: u64) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
         if shape.is_gang {
-            let Some(plan) = self.plan_gang(unit, &spec, shape, spots, now_ms) else { return false };
+            let Some(plan) = self.plan_gang(unit, &spec, shape, spots, now_ms) else {
+                return false;
+            };
             self.start_gang(unit, shape, &plan, spots, now_ms);
             return true;
         }
-        let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else { return true };
+        let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else {
+            return true;
+        };
         let idle: Vec<_> = state.idle().collect();
         let mut per_worker = self.tasks_per_worker(unit);
         let may_be_remote = self.may_be_remote(unit, &spec, shape, now_ms);
@@ -104,7 +139,7 @@
                 .iter()
                 .enumerate()
                 .filter(|(_, spot)| self.takes(spot, &spec, shape))
-                .filter(|(_, spot)| !spot.is_reserved && shape.charged().fits(&spot.free))
+                .filter(|(_, spot)| spot.is_open_to(unit) && shape.charged().fits(&spot.free))
                 .filter(|(_, spot)| has_share_left(shape, per_worker.get(&spot.worker)))
                 .filter(|(_, spot)| may_be_remote || shape.data_rack.as_ref().is_none_or(|rack| *rack == spot.rack))
                 .min_by_key(|(_, spot)| {
@@ -172,7 +207,7 @@
     /// Finds workers for a whole gang.
     fn plan_gang(&self, unit: &Unit, spec: &Job, shape: &Step, spots: &[Spot], now_ms: u64) -> Option<Vec<Share>> {
         let usable: Vec<_> = (0..spots.len())
-            .filter(|spot| !spots[*spot].is_reserved && self.takes(&spots[*spot], spec, shape))
+            .filter(|spot| spots[*spot].is_open_to(unit) && self.takes(&spots[*spot], spec, shape))
             .collect();
         if !shape.is_same_rack && shape.data_rack.is_none() {
             return pack(shape, &usable, spots);
@@ -212,7 +247,12 @@
             let spot = &mut spots[share.spot];
             for _ in 0..share.tasks {
                 spot.free = spot.free.minus(&shape.charged());
-                self.start_run((unit.job, unit.occurrence, unit.step, index), number, spot.worker, now_ms);
+                self.start_run(
+                    (unit.job, unit.occurrence, unit.step, index),
+                    number,
+                    spot.worker,
+                    now_ms,
+                );
                 index += 1;
             }
         }
@@ -226,7 +266,10 @@
             return false;
         }
         let mut racks: HashMap<CompactString, (u64, u64)> = HashMap::new();
-        for spot in spots.iter().filter(|spot| !spot.is_reserved && self.takes(spot, spec, shape)) {
+        for spot in spots
+            .iter()
+            .filter(|spot| spot.is_open_to(unit) && self.takes(spot, spec, shape))
+        {
             let (now, empty) = racks.entry(spot.rack.clone()).or_default();
             *now += share_of(shape, &spot.free);
             *empty += share_of(shape, &spot.capacity);
@@ -238,7 +281,7 @@
             .map(|(rack, _)| rack.clone());
         let Some(rack) = best else { return false };
         for spot in spots.iter_mut().filter(|spot| spot.rack == rack) {
-            spot.is_reserved = true;
+            spot.kept_for.get_or_insert(unit.key());
         }
         true
     }
@@ -250,7 +293,11 @@
 
 /// Returns how many tasks of a step fit into `room`.
 pub(super) fn share_of(shape: &Step, room: &Resources) -> u64 {
-    let most = if shape.max_per_worker == 0 { shape.count } else { shape.max_per_worker };
+    let most = if shape.max_per_worker == 0 {
+        shape.count
+    } else {
+        shape.max_per_worker
+    };
     shape.charged().times_in(room).min(u64::from(most))
 }
 
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -4,7 +4,7 @@
 
 use super::keys::{RunKey, WorkerKey};
 use super::order::Unit;
-use super::place::{Spot, share_of};
+use super::place::{Claim, Spot};
 use super::{Engine, RunState};
 use crate::{Resources, Step};
 
@@ -20,6 +20,7 @@
 /// Room on a worker once victims are stopped.
 #[derive(Debug, Clone)]
 struct Room {
+    worker: WorkerKey,
     rack: CompactString,
     /// Free now or as soon as stops under way are listed.
     free: Resources,
@@ -32,7 +33,7 @@
 impl Room {
     /// Returns the cost of one more task and the number of victims for it.
     fn next_cost(&self, shape: &Step) -> Option<(u64, usize)> {
-        if share_of(shape, &Resources { ..self.capacity_bound() }) <= self.tasks {
+        if shape.max_per_worker > 0 && self.tasks >= u64::from(shape.max_per_worker) {
             return None;
         }
         let mut free = self.free;
@@ -48,15 +49,6 @@
         None
     }
 
-    fn capacity_bound(&self) -> Resources {
-        // Tasks already planned are subtracted from `free`, so the bound on tasks per worker is all that counts here.
-        Resources {
-            cpu_milli: u64::MAX,
-            memory_mib: u64::MAX,
-            accelerators: u64::MAX,
-        }
-    }
-
     fn take(&mut self, shape: &Step, count: usize) {
         for victim in &self.victims[self.chosen..count] {
             self.free = self.free.plus(&victim.need);
@@ -72,6 +64,9 @@
     /// Shortest time between two preemptions for one step; stops need this long to show.
     const PREEMPT_PAUSE_MS: u64 = 400;
 
+    /// Time for which workers are kept for a unit that others were stopped for.
+    const CLAIM_MS: u64 = 1_000;
+
     /// Returns whether the open jobs of priority 0 of an organisation need no more than its guarantee.
     pub(super) fn is_within_guarantee(&self, organisation: &str) -> bool {
         let guaranteed = self
@@ -96,7 +91,9 @@
     pub(super) fn preempt_for(&mut self, unit: &Unit, spots: &[Spot], now_ms: u64) {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
-        let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else { return };
+        let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else {
+            return;
+        };
         let needed = u64::from(state.idle_count());
         if now_ms < state.preempted_ms + Self::PREEMPT_PAUSE_MS {
             return;
@@ -104,7 +101,7 @@
         state.preempted_ms = now_ms;
         let rooms: HashMap<WorkerKey, Room> = spots
             .iter()
-            .filter(|spot| self.takes(spot, &spec, shape))
+            .filter(|spot| spot.is_open_to(unit) && self.takes(spot, &spec, shape))
             .map(|spot| (spot.worker, self.room(spot, unit.priority, now_ms)))
             .collect();
         let victims = if shape.is_gang && shape.is_same_rack {
@@ -114,21 +111,33 @@
             racks
                 .iter()
                 .filter_map(|rack| choose(shape, needed, rooms.values().filter(|room| room.rack == *rack)))
-                .min_by_key(|(cost, _)| *cost)
+                .min_by_key(|choice| choice.cost)
         } else {
             choose(shape, needed, rooms.values())
         };
-        let Some((cost, victims)) = victims else { return };
-        if victims.is_empty() {
+        let Some(choice) = victims else { return };
+        let is_owed = self.is_within_guarantee(&spec.organisation);
+        if !is_owed && choice.cost > shape.work() {
+            // Stopping would lose more work than the unit is worth.
+            return;
+        }
+        self.claims.retain(|claim| claim.unit != unit.key());
+        self.claims.push(Claim {
+            unit: unit.key(),
+            workers: choice.workers,
+            until_ms: now_ms + Self::CLAIM_MS,
+        });
+        if choice.victims.is_empty() {
             return;
         }
         self.notes.push(format!(
-            "preempt job={} step={} victims={} cost_core_ms={cost}",
+            "preempt job={} step={} victims={} cost_core_ms={} is_owed={is_owed}",
             spec.id,
             unit.step,
-            victims.len()
+            choice.victims.len(),
+            choice.cost
         ));
-        for victim in victims {
+        for victim in choice.victims {
             self.stats.preempted += 1;
             self.give_up_run(victim, now_ms);
         }
@@ -152,6 +161,7 @@
         }
         victims.sort_by_key(|victim| victim.cost);
         Room {
+            worker: spot.worker,
             rack: spot.rack.clone(),
             free,
             victims,
@@ -172,13 +182,25 @@
         } else {
             now_ms.saturating_sub(run.ordered_ms) + SAVED_COST_MS
         };
-        let members = if shape.is_gang { u64::from(state.active_count.max(1)) } else { 1 };
+        let members = if shape.is_gang {
+            u64::from(state.active_count.max(1))
+        } else {
+            1
+        };
         members * run.need.weight_milli() * elapsed_ms / 1_000
     }
 }
 
+/// Victims for a unit, and the workers on which it then fits.
+#[derive(Debug)]
+struct Choice {
+    cost: u64,
+    victims: Vec<RunKey>,
+    workers: Vec<WorkerKey>,
+}
+
 /// Chooses the cheapest victims so that `needed` tasks fit into the given rooms.
-fn choose<'a>(shape: &Step, needed: u64, rooms: impl Iterator<Item = &'a Room>) -> Option<(u64, Vec<RunKey>)> {
+fn choose<'a>(shape: &Step, needed: u64, rooms: impl Iterator<Item = &'a Room>) -> Option<Choice> {
     let mut rooms: Vec<Room> = rooms.cloned().collect();
     let mut total = 0;
     for _ in 0..needed {
@@ -194,9 +216,13 @@
         rooms[index].take(shape, count);
         total += cost;
     }
-    let victims = rooms
-        .iter()
-        .flat_map(|room| room.victims[..room.chosen].iter().map(|victim| victim.run))
-        .collect();
-    Some((total, victims))
+    let used = rooms.iter().filter(|room| room.tasks > 0);
+    Some(Choice {
+        cost: total,
+        victims: used
+            .clone()
+            .flat_map(|room| room.victims[..room.chosen].iter().map(|victim| victim.run))
+            .collect(),
+        workers: used.map(|room| room.worker).collect(),
+    })
 }
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -13,7 +13,7 @@
     const RENEW_BUSY_MS: u64 = 400;
 
     /// Interval of asking a silent worker again.
-    const RENEW_SILENT_MS: u64 = 250;
+    const RENEW_SILENT_MS: u64 = 100;
 
     /// Sends the renewals that are due.
     pub(super) fn renew_due(&mut self, now_ms: u64, may_start: bool) {
@@ -36,7 +36,11 @@
                 .lease_until_ms(now_ms, limits.lease_max_ms, Limits::CLOCK_DRIFT)
                 .filter(|_| worker.silent_since_ms.is_none());
             let is_settled = worker.is_fenced && lease_until_ms.is_some();
-            let wait_ms = if has_unnoted || !is_settled { 0 } else { Self::RENEW_WAIT_MS };
+            let wait_ms = if has_unnoted || !is_settled {
+                0
+            } else {
+                Self::RENEW_WAIT_MS
+            };
             worker.renew_sent_ms = Some(now_ms);
             if lease_until_ms.is_some() {
                 worker.lapse_ms = worker.lapse_ms.max(now_ms + limits.lapse_ms());
@@ -53,7 +57,9 @@
 
     /// Takes the failure of a renewal: no reply, or a reply that is not a report.
     pub fn renew_failed(&mut self, key: WorkerKey, now_ms: u64) {
-        let Some(worker) = self.workers.get_mut(key) else { return };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
         let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
         if worker.silent_since_ms.is_none() {
             worker.silent_since_ms = Some(sent_ms);
@@ -81,8 +87,12 @@
 
     /// Takes the report of a worker.
     pub fn renewed(&mut self, key: WorkerKey, report: &WorkerReport, now_ms: u64) {
-        let Some(worker) = self.workers.get_mut(key) else { return };
-        let Some(sent_ms) = worker.renew_sent_ms.take() else { return };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let Some(sent_ms) = worker.renew_sent_ms.take() else {
+            return;
+        };
         let is_reborn = matches!((worker.born_unix_ms, report.born_unix_ms), (Some(old), Some(new)) if old != new);
         if is_reborn {
             self.worker_reborn(key, now_ms);
@@ -111,7 +121,11 @@
         }
         let worker = &mut self.workers[key];
         let has_unnoted = worker.seen > worker.noted;
-        worker.renew_due_ms = if has_unnoted { now_ms + Self::RENEW_BUSY_MS } else { now_ms };
+        worker.renew_due_ms = if has_unnoted {
+            now_ms + Self::RENEW_BUSY_MS
+        } else {
+            now_ms
+        };
         self.is_schedule_due |= !report.ends.is_empty();
     }
 
@@ -210,14 +224,18 @@
         now_ms: u64,
     ) {
         let spec = std::rc::Rc::clone(&self.jobs[job].spec);
-        let Some(shape) = spec.steps.get(name.step as usize) else { return };
+        let Some(shape) = spec.steps.get(name.step as usize) else {
+            return;
+        };
         if name.index >= shape.count {
             return;
         }
         let worker_id = self.workers[worker].entry.id.clone();
         let run = run_key.and_then(|key| self.runs.get(key)).cloned();
         let slot = if shape.is_gang { 0 } else { name.index as usize };
-        let Some(state) = self.step_mut(job, name.occurrence, name.step) else { return };
+        let Some(state) = self.step_mut(job, name.occurrence, name.step) else {
+            return;
+        };
         if end.checkpoint.is_some() {
             state.checkpoints[slot].clone_from(&end.checkpoint);
         }
@@ -307,7 +325,9 @@
 
     /// Handles a worker whose process is surely gone.
     pub(super) fn worker_gone(&mut self, key: WorkerKey, now_ms: u64) {
-        let Some(worker) = self.workers.get_mut(key) else { return };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
         self.notes.push(format!("worker_gone worker={}", worker.entry.id));
         worker.is_listed = false;
         self.drop_runs(key, now_ms);
@@ -328,7 +348,9 @@
 
     fn drop_runs(&mut self, key: WorkerKey, now_ms: u64) {
         for run_key in self.workers[key].runs.clone() {
-            let Some(run) = self.runs.get(run_key).cloned() else { continue };
+            let Some(run) = self.runs.get(run_key).cloned() else {
+                continue;
+            };
             self.stats.broken += 1;
             self.remove_run(run_key);
             let is_gang = !run.is_foreign
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -43,9 +43,3 @@
     /// Unknown to this scheduler; it is stopped.
     pub is_foreign: bool,
 }
-
-impl Run {
-    pub const fn is_active(&self) -> bool {
-        matches!(self.state, RunState::Starting | RunState::Running)
-    }
-}
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -146,12 +146,10 @@
         }
         self.run_keys.retain(|_, other| *other != key);
         if !run.is_foreign {
-            let is_gang_left = self
-                .step_mut(run.job, run.occurrence, run.step)
-                .is_some_and(|state| {
-                    state.clear_active(run.index, key);
-                    state.gang_run.is_some() && !state.is_done()
-                });
+            let is_gang_left = self.step_mut(run.job, run.occurrence, run.step).is_some_and(|state| {
+                state.clear_active(run.index, key);
+                state.gang_run.is_some() && !state.is_done()
+            });
             if is_gang_left {
                 self.end_gang(run.job, run.occurrence, run.step, run.ordered_ms);
             }
@@ -162,7 +160,9 @@
 
     /// Stops all members of a gang; it starts again as a whole.
     pub(super) fn end_gang(&mut self, job: JobKey, occurrence: u32, step: u32, now_ms: u64) {
-        let Some(state) = self.step_mut(job, occurrence, step) else { return };
+        let Some(state) = self.step_mut(job, occurrence, step) else {
+            return;
+        };
         if state.active_count == 0 {
             return;
         }
@@ -224,7 +224,9 @@
 
     /// Takes the reply to a start order.
     pub fn start_replied(&mut self, worker: WorkerKey, what: &TaskRun, outcome: StartOutcome, now_ms: u64) {
-        let Some(key) = self.run_keys.get(what).copied() else { return };
+        let Some(key) = self.run_keys.get(what).copied() else {
+            return;
+        };
         let Some(run) = self.runs.get_mut(key) else { return };
         match outcome {
             StartOutcome::Started => {
@@ -274,7 +276,9 @@
         if let Some(state) = self.step_mut(job, occurrence, step) {
             state.not_before_ms = now_ms + Self::REJECTED_PAUSE_MS;
         }
-        let Some(worker) = self.workers.get_mut(worker_key) else { return };
+        let Some(worker) = self.workers.get_mut(worker_key) else {
+            return;
+        };
         worker.renew_due_ms = now_ms;
         match rejection {
             Rejection::Fenced => worker.is_lost = true,
@@ -292,7 +296,9 @@
 
     /// Takes the reply to a stop order.
     pub fn stop_replied(&mut self, what: &TaskRun, is_confirmed: bool, now_ms: u64) {
-        let Some(key) = self.run_keys.get(what).copied() else { return };
+        let Some(key) = self.run_keys.get(what).copied() else {
+            return;
+        };
         let Some(run) = self.runs.get_mut(key) else { return };
         if is_confirmed {
             run.is_void = true;
@@ -307,7 +313,9 @@
 
     /// Returns the ids of the jobs that have a run on a worker, for the log.
     pub fn jobs_on(&self, worker: WorkerKey) -> Vec<CompactString> {
-        let Some(worker) = self.workers.get(worker) else { return Vec::new() };
+        let Some(worker) = self.workers.get(worker) else {
+            return Vec::new();
+        };
         worker
             .runs
             .iter()
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -37,8 +37,6 @@
     pub avoid_until_ms: u64,
     /// Length of the last exclusion; doubles while trouble goes on.
     pub avoid_for_ms: u64,
-    /// Its work rate against the declared one, smoothed; below 1 when slow.
-    pub speed: f64,
     /// Renewal was answered with a refusal of the epoch.
     pub is_lost: bool,
 }
@@ -65,7 +63,6 @@
             failed_jobs: Vec::new(),
             avoid_until_ms: 0,
             avoid_for_ms: 0,
-            speed: 1.0,
             is_lost: false,
         }
     }
--- a/crates/domain/tests/engine/faults.rs
+++ b/crates/domain/tests/engine/faults.rs
@@ -111,7 +111,12 @@
         world.run_for(100);
     }
     world.run_for(3_000);
-    assert!(world.store.values().all(|stored| stored.progress.state == JobState::Done));
+    assert!(
+        world
+            .store
+            .values()
+            .all(|stored| stored.progress.state == JobState::Done)
+    );
     let tries = world.starts.iter().filter(|(_, _, worker)| *worker == failing).count();
     assert!(tries <= 6, "{tries} starts on the failing worker");
     world.assert_sound();
--- a/crates/domain/tests/engine/jobs.rs
+++ b/crates/domain/tests/engine/jobs.rs
@@ -76,7 +76,10 @@
     world.run_for(200);
     world.cancel(&id);
     world.run_for(500);
-    assert_eq!((world.state(&id), world.engine.stats().running), (JobState::Cancelled, 0));
+    assert_eq!(
+        (world.state(&id), world.engine.stats().running),
+        (JobState::Cancelled, 0)
+    );
     world.assert_sound();
 }
 
@@ -94,3 +97,22 @@
     world.run_until(2_000, |world| world.workers_of(&long).len() == 2);
     world.assert_sound();
 }
+
+/// Guards against freed capacity that goes to waiting small work while stops for a wide urgent gang are still listed.
+#[test]
+fn wide_urgent_gang_keeps_the_room_made_for_it() {
+    let mut world = World::new(2, 8);
+    for number in 0..8 {
+        world.submit(job(&format!("{number}"), 2, step(40, 1, 3_000 + 700 * number)));
+    }
+    world.run_for(2_000);
+    let mut gang = step(6, 8, 500);
+    gang.is_gang = true;
+    gang.is_same_rack = true;
+    let mut urgent = job("abc", 0, gang);
+    urgent.objective_ms = 60_000;
+    let id = world.submit(urgent);
+    let elapsed_ms = world.run_until(2_700, |world| world.workers_of(&id).len() == 6);
+    assert!(elapsed_ms < 600, "{elapsed_ms}");
+    world.assert_sound();
+}
--- a/crates/domain/tests/engine/schedules.rs
+++ b/crates/domain/tests/engine/schedules.rs
@@ -9,7 +9,10 @@
 
 impl Dice {
     fn roll(&mut self, below: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         (self.0 >> 33) % below
     }
 }
--- a/crates/domain/tests/engine/takeover.rs
+++ b/crates/domain/tests/engine/takeover.rs
@@ -60,3 +60,27 @@
     world.run_until(20_000, |world| world.state(&id) == JobState::Done);
     world.assert_sound();
 }
+
+/// Guards against a second run of a gang's member: the successor had given the gang up for another member, so it took
+/// the run that answered late for a stranger and did not wait for its end.
+#[test]
+fn late_answer_of_a_gang_that_is_given_up_is_waited_for() {
+    for silence_ms in (2_600..3_300).step_by(20) {
+        let mut world = World::new(1, 3);
+        let mut gang = step(3, 4, 20_000);
+        gang.is_gang = true;
+        gang.max_per_worker = 1;
+        let id = world.submit(job("a", 1, gang));
+        world.run_for(500);
+        let workers = world.workers_of(&id);
+        let now_ms = world.now_ms;
+        world.workers.get_mut(&workers[0]).unwrap().restart(now_ms);
+        world.workers.get_mut(&workers[2]).unwrap().is_silent = true;
+        world.take_over();
+        world.run_for(silence_ms);
+        world.workers.get_mut(&workers[2]).unwrap().is_silent = false;
+        world.run_for(3_000);
+        world.assert_sound();
+        assert_eq!(world.workers_of(&id).len(), 3, "after {silence_ms} ms of silence");
+    }
+}
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -6,8 +6,8 @@
 
 use compact_str::CompactString;
 use domain::{
-    Action, Commit, Engine, EntryState, Job, JobState, Limits, Progress, Rejection, Resources, StartOutcome, Step,
-    TaskName, WorkerEntry, WorkerKey,
+    Action, Commit, Config, Engine, EntryState, Job, JobState, Limits, Organisation, Progress, Rejection, Resources,
+    StartOutcome, Step, TaskName, WorkerEntry, WorkerKey,
 };
 pub use fake_worker::FakeWorker;
 
@@ -141,6 +141,14 @@
         self.version += 1;
         self.renewals.clear();
         self.engine = Engine::new(self.epoch, Limits::default(), self.now_ms);
+        self.engine.set_config(Config {
+            organisations: vec![Organisation {
+                name: "clyde-koi".into(),
+                guaranteed_accelerators: 64,
+                ..Organisation::default()
+            }],
+            ..Config::default()
+        });
         for (id, address) in &self.used_workers {
             self.engine.add_recorded_worker(id, address, self.now_ms);
         }
@@ -220,7 +228,12 @@
     }
 
     pub fn assert_sound(&self) {
-        assert!(self.violations.is_empty(), "{:?}\n{}", self.violations, self.notes.join("\n"));
+        assert!(
+            self.violations.is_empty(),
+            "{:?}\n{}",
+            self.violations,
+            self.notes.join("\n")
+        );
     }
 
     /// Returns the workers that run a task of the job.
@@ -252,8 +265,12 @@
     fn tick(&mut self) {
         self.engine.tick(self.now_ms, self.now_ms, true);
         let now_ms = self.now_ms;
-        self.notes
-            .extend(self.engine.take_notes().into_iter().map(|note| format!("{now_ms} {note}")));
+        self.notes.extend(
+            self.engine
+                .take_notes()
+                .into_iter()
+                .map(|note| format!("{now_ms} {note}")),
+        );
         for action in self.engine.take_actions() {
             self.act(action);
         }
@@ -412,7 +429,8 @@
                     .push(format!("{} ms: {} is over its capacity", self.now_ms, worker.id));
             }
             if !worker.runs.is_empty() && !self.used_workers.contains_key(&worker.id) {
-                self.violations.push(format!("{} runs work but is not recorded", worker.id));
+                self.violations
+                    .push(format!("{} runs work but is not recorded", worker.id));
             }
             for run in &worker.runs {
                 *tasks.entry(run.what.task.clone()).or_default() += 1;
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -197,11 +197,12 @@
                 Err(refusal) => return Err(refusal),
             };
             check(submission, &allowed.id)?;
-            if self.shared.is_store_lost() && !is_in_doubt {
-                return Err(Refused::StoreUnavailable);
-            }
-            if boot_ms() >= began_ms + self.budget_ms(request, &allowed.route) {
-                return Err(if is_in_doubt { Refused::InDoubt } else { Refused::StoreUnavailable });
+            if self.shared.is_store_lost() || boot_ms() >= began_ms + Self::budget_ms(request, &allowed.route) {
+                return Err(if is_in_doubt {
+                    Refused::InDoubt
+                } else {
+                    Refused::StoreUnavailable
+                });
             }
             let txn = self.insertion(&allowed, submission);
             match self.transact(&txn).await {
@@ -214,7 +215,7 @@
                     return Ok(());
                 }
                 Err(TxnError::Conflict(conflict)) => {
-                    if let Some(reply) = self.existing(&allowed, &conflict) {
+                    if let Some(reply) = Self::existing(&allowed, &conflict) {
                         return reply;
                     }
                     self.learn(&conflict);
@@ -278,8 +279,12 @@
         }
         let mut is_in_doubt = false;
         loop {
-            if boot_ms() >= began_ms + self.budget_ms(request, &allowed.route) || self.shared.is_store_lost() {
-                return Err(if is_in_doubt { Refused::InDoubt } else { Refused::StoreUnavailable });
+            if boot_ms() >= began_ms + Self::budget_ms(request, &allowed.route) || self.shared.is_store_lost() {
+                return Err(if is_in_doubt {
+                    Refused::InDoubt
+                } else {
+                    Refused::StoreUnavailable
+                });
             }
             let txn = Txn {
                 config_row_version: Some(self.shared.view.borrow().config_row_version),
@@ -308,14 +313,16 @@
     async fn find(&self, request: &JobRequest) -> Result<(Allowed, Progress), Refused> {
         let allowed = self.allowed_now(request)?;
         let to = format!("{}0", allowed.id);
-        let page = self
-            .read(request, &allowed.route, PROGRESS, &allowed.id, &to)
-            .await?;
+        let page = self.read(request, &allowed.route, PROGRESS, &allowed.id, &to).await?;
         // The key may have been revoked while the store was asked.
         let allowed = self.allowed_now(request)?;
         let row = page.items.iter().find(|row| row.key == allowed.id);
-        let Some(row) = row else { return Err(Refused::UnknownJob) };
-        let Some(progress) = get::<Progress>(row) else { return Err(Refused::StoreUnavailable) };
+        let Some(row) = row else {
+            return Err(Refused::UnknownJob);
+        };
+        let Some(progress) = get::<Progress>(row) else {
+            return Err(Refused::StoreUnavailable);
+        };
         let is_own = progress.organisation == allowed.organisation || allowed.route.is_public;
         if progress.route != allowed.route.name || !is_own {
             return Err(Refused::UnknownJob);
@@ -331,52 +338,39 @@
         from: &str,
         to: &str,
     ) -> Result<crate::RowsPage, Refused> {
-        let until_ms = boot_ms() + self.budget_ms(request, route);
+        let until_ms = boot_ms() + Self::budget_ms(request, route);
         loop {
             if self.shared.is_store_lost() {
                 return Err(Refused::StoreUnavailable);
             }
-            let result = self.shared.store.read(table, from, to).await;
-            self.count("read", result.is_ok());
+            let result = tokio::select! {
+                result = self.shared.read(table, from, to) => result,
+                () = self.shared.store_lost() => Err(StoreError::NoReply),
+            };
             match result {
-                Ok(page) => {
-                    self.shared.store_heard();
-                    return Ok(page);
-                }
-                Err(error) => {
-                    if error == StoreError::NoReply {
-                        self.shared.store_failed();
-                    }
-                    if boot_ms() >= until_ms {
-                        return Err(Refused::StoreUnavailable);
-                    }
-                    sleep(Self::RETRY_PAUSE).await;
-                }
+                Ok(page) => return Ok(page),
+                Err(_) if boot_ms() >= until_ms => return Err(Refused::StoreUnavailable),
+                Err(_) => sleep(Self::RETRY_PAUSE).await,
             }
         }
     }
 
+    /// Commits a transaction; gives up waiting once the store counts as lost.
     async fn transact(&self, txn: &Txn) -> Result<u64, TxnError> {
-        let result = self.shared.store.transact(txn).await;
-        self.count("write", result.is_ok());
-        match &result {
-            Ok(_) | Err(TxnError::Conflict(_)) => self.shared.store_heard(),
-            Err(_) => self.shared.store_failed(),
+        tokio::select! {
+            result = self.shared.transact(txn) => result,
+            () = self.shared.store_lost() => Err(TxnError::Unknown),
         }
-        result
-    }
-
-    fn count(&self, operation: &str, is_ok: bool) {
-        let outcome = if is_ok { "ok" } else { "failed" };
-        self.shared
-            .metrics
-            .store_calls
-            .with_label_values(&[operation, outcome])
-            .inc();
     }
 
-    fn budget_ms(&self, request: &JobRequest, route: &Route) -> u64 {
-        let limit = |limit_ms: u64| if limit_ms == 0 { Self::DEFAULT_BUDGET_MS } else { limit_ms };
+    fn budget_ms(request: &JobRequest, route: &Route) -> u64 {
+        let limit = |limit_ms: u64| {
+            if limit_ms == 0 {
+                Self::DEFAULT_BUDGET_MS
+            } else {
+                limit_ms
+            }
+        };
         let budget_ms = request
             .deadline_ms
             .map_or(Self::DEFAULT_BUDGET_MS, limit)
@@ -407,7 +401,13 @@
             return Err(Refused::NoConfig);
         };
         // Without a fresh configuration a queue or key that is missing here may exist.
-        let missing = |refusal| if self.is_config_checked() { refusal } else { Refused::StaleConfig };
+        let missing = |refusal| {
+            if self.is_config_checked() {
+                refusal
+            } else {
+                Refused::StaleConfig
+            }
+        };
         let Some(route) = config.route(&request.host, &request.path).cloned() else {
             return Err(missing(Refused::UnknownRoute));
         };
@@ -483,7 +483,7 @@
     }
 
     /// Answers a repeated submission from the row that exists.
-    fn existing(&self, allowed: &Allowed, conflict: &TxnConflict) -> Option<SubmitReply> {
+    fn existing(allowed: &Allowed, conflict: &TxnConflict) -> Option<SubmitReply> {
         let row = conflict
             .rows
             .iter()
--- a/crates/node/src/holder.rs
+++ b/crates/node/src/holder.rs
@@ -6,7 +6,9 @@
 use actix::prelude::*;
 use actix_rt::time::sleep;
 use compact_str::CompactString;
-use domain::{Action, Commit, Engine, Job, Progress, StartOutcome, TaskRun, WorkerKey, WorkerReport};
+use domain::{
+    Action, Commit, Engine, Job, Progress, Rejection, StartOrder, StartOutcome, TaskRun, WorkerKey, WorkerReport,
+};
 use timer::Tick;
 
 use crate::clock::{boot_ms, unix_ms};
@@ -27,7 +29,6 @@
     /// When the newest confirmed renewal of the lease was sent.
     confirmed_ms: Rc<Cell<u64>>,
     config_version: u64,
-    routes: std::collections::HashMap<CompactString, CompactString>,
     is_stopped: bool,
 }
 
@@ -55,8 +56,6 @@
     Renewed(WorkerKey, Result<WorkerReport, RenewError>),
     /// Reply to a write.
     Committed(Box<Commit>, u64, Result<u64, TxnError>),
-    /// Time passed.
-    Wake,
     /// Another instance holds the lease, or this one stops.
     Stop,
 }
@@ -80,7 +79,6 @@
             epoch_row_version,
             confirmed_ms,
             config_version: 0,
-            routes: std::collections::HashMap::new(),
             is_stopped: false,
         }
     }
@@ -136,7 +134,7 @@
                     epoch = target.epoch
                 });
                 actix_rt::spawn(async move {
-                    let outcome = shared.workers.start(&target, &order).await;
+                    let outcome = start(&shared.workers, &target, &order).await;
                     holder.do_send(Input::Started(worker, order.what, outcome));
                 });
             }
@@ -146,7 +144,7 @@
                     task = what.task.as_str(), run = what.run, worker = target.worker.as_str(), epoch = target.epoch
                 });
                 actix_rt::spawn(async move {
-                    let is_confirmed = shared.workers.stop(&target, &what).await;
+                    let is_confirmed = shared.workers.stop(&target, &what, ORDER_LIMIT).await;
                     holder.do_send(Input::StopDone(what, is_confirmed));
                 });
             }
@@ -158,21 +156,24 @@
             } => {
                 let Some(target) = self.target(worker) else { return };
                 actix_rt::spawn(async move {
-                    let reply = shared.workers.renew(&target, lease_until_ms, noted, wait_ms).await;
+                    let reply = shared
+                        .workers
+                        .renew(&target, lease_until_ms, noted, wait_ms, RENEW_LIMIT)
+                        .await;
                     holder.do_send(Input::Renewed(worker, reply));
                 });
             }
             Action::Pace { worker, what, percent } => {
                 let Some(target) = self.target(worker) else { return };
                 actix_rt::spawn(async move {
-                    let _ = shared.workers.pace(&target, &what, percent).await;
+                    let _ = shared.workers.pace(&target, &what, percent, ORDER_LIMIT).await;
                 });
             }
             Action::Commit(commit) => {
                 let txn = self.txn(&commit);
                 let sent_ms = boot_ms();
                 actix_rt::spawn(async move {
-                    let result = shared.store.transact(&txn).await;
+                    let result = shared.transact(&txn).await;
                     holder.do_send(Input::Committed(Box::new(commit), sent_ms, result));
                 });
             }
@@ -213,7 +214,6 @@
         let now_ms = boot_ms();
         match result {
             Ok(version) => {
-                self.shared.store_heard();
                 self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
                 self.engine.committed(commit, version, now_ms);
             }
@@ -240,7 +240,6 @@
                 self.engine.commit_failed(&current, now_ms);
             }
             Err(error) => {
-                self.shared.store_failed();
                 spdlog::warn!("commit_failed", kv: { rows = commit.rows.len(), cause = error.to_string() });
                 self.engine.commit_failed(&[], now_ms);
             }
@@ -329,7 +328,6 @@
             }
             Input::Jobs(jobs) => {
                 for (job, progress, version) in jobs {
-                    self.routes.insert(job.id.clone(), job.route.clone());
                     self.engine.add_job(job, progress, version, now_ms, unix_ms());
                 }
             }
@@ -354,7 +352,6 @@
             }
             Input::Renewed(worker, Err(RenewError::NoReply)) => self.engine.renew_failed(worker, now_ms),
             Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
-            Input::Wake => {}
             Input::Stop => {
                 self.is_stopped = true;
                 ctx.stop();
@@ -365,6 +362,39 @@
     }
 }
 
+/// Time for the reply to an order; workers answer in a few round trips of some milliseconds.
+const ORDER_LIMIT: Duration = Duration::from_millis(200);
+
+/// Time for the reply to a renewal beyond the time that the worker may wait.
+const RENEW_LIMIT: Duration = Duration::from_millis(300);
+
+/// Tries of a start order. Repeating it is safe: a worker that has the run says so, and one that ended it rejects it.
+const START_TRIES: u32 = 3;
+
+/// Orders a start until there is a reply.
+async fn start<W: Workers>(workers: &W, target: &Target, order: &StartOrder) -> StartOutcome {
+    let mut outcome = StartOutcome::Unanswered;
+    for attempt in 0..START_TRIES {
+        outcome = match workers.start(target, order, ORDER_LIMIT).await {
+            // The worker did nothing for this try, but an earlier one may still take effect.
+            StartOutcome::Rejected(rejection) if attempt > 0 && !is_certain(rejection) => StartOutcome::Unanswered,
+            outcome => outcome,
+        };
+        if outcome != StartOutcome::Unanswered {
+            break;
+        }
+    }
+    outcome
+}
+
+/// Returns whether a rejection rules out that an earlier try of the same start takes effect.
+const fn is_certain(rejection: Rejection) -> bool {
+    matches!(
+        rejection,
+        Rejection::Fenced | Rejection::Old | Rejection::OtherIncarnation
+    )
+}
+
 /// Pause before a read of the store is repeated.
 const RETRY: Duration = Duration::from_millis(60);
 
@@ -377,7 +407,7 @@
     let mut first_version = None;
     let mut from = String::new();
     loop {
-        let page = shared.store.read(table, &from, "").await?;
+        let page = shared.read(table, &from, "").await?;
         first_version.get_or_insert(page.version);
         let has_more = page.has_more && !page.items.is_empty();
         rows.extend(page.items);
@@ -396,14 +426,8 @@
 ) -> Option<(Vec<OwnRow>, u64)> {
     while holder.connected() {
         match read_all(shared, table).await {
-            Ok(read) => {
-                shared.store_heard();
-                return Some(read);
-            }
-            Err(_) => {
-                shared.store_failed();
-                sleep(RETRY).await;
-            }
+            Ok(read) => return Some(read),
+            Err(_) => sleep(RETRY).await,
         }
     }
     None
@@ -411,14 +435,18 @@
 
 /// Reads the rows that a new holder needs, then follows their changes.
 async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, holder: Addr<Holder<S, W>>) {
-    let Some((used, _)) = until_read(&shared, &holder, USED_WORKERS).await else { return };
+    let Some((used, _)) = until_read(&shared, &holder, USED_WORKERS).await else {
+        return;
+    };
     let used = used
         .iter()
         .filter_map(|row| Some((row.key.clone(), get::<CompactString>(row)?)))
         .collect();
     holder.do_send(Input::UsedWorkers(used));
     actix_rt::spawn(follow_workers(Rc::clone(&shared), holder.clone()));
-    let Some(after) = load_jobs(&shared, &holder).await else { return };
+    let Some(after) = load_jobs(&shared, &holder).await else {
+        return;
+    };
     holder.do_send(Input::Loaded);
     follow_jobs(shared, holder, after).await;
 }
@@ -434,8 +462,12 @@
         match JobsKey::parse(&row.key) {
             JobsKey::Cancel(id) => cancels.push(id),
             JobsKey::Job(id) => {
-                let Some(row_of_progress) = progress.get(&id) else { continue };
-                let (Some(job), Some(state)) = (get::<Job>(row), get::<Progress>(row_of_progress)) else { continue };
+                let Some(row_of_progress) = progress.get(&id) else {
+                    continue;
+                };
+                let (Some(job), Some(state)) = (get::<Job>(row), get::<Progress>(row_of_progress)) else {
+                    continue;
+                };
                 jobs.push((job, state, row_of_progress.version));
             }
         }
@@ -452,9 +484,9 @@
     // Jobs that arrive within this time share one call.
     const GATHER: Duration = Duration::from_millis(15);
     while holder.connected() {
-        match shared.store.changes(JOBS, after, WAIT_MS).await {
+        let changes = shared.store.changes(JOBS, after, WAIT_MS);
+        match shared.feed(WAIT_MS, changes).await {
             Ok(page) => {
-                shared.store_heard();
                 after = page.version;
                 if page.items.is_empty() {
                     continue;
@@ -487,10 +519,7 @@
                     after = version;
                 }
             }
-            Err(FeedError::Store(_)) => {
-                shared.store_failed();
-                sleep(RETRY).await;
-            }
+            Err(FeedError::Store(_)) => sleep(RETRY).await,
         }
     }
 }
@@ -503,12 +532,14 @@
     let mut after = None;
     while holder.connected() {
         let result = match after {
-            None => shared.store.worker_list().await.map_err(FeedError::Store),
-            Some(after) => shared.store.worker_changes(after, WAIT_MS).await,
+            None => {
+                let list = async { shared.store.worker_list().await.map_err(FeedError::Store) };
+                shared.feed(0, list).await
+            }
+            Some(after) => shared.feed(WAIT_MS, shared.store.worker_changes(after, WAIT_MS)).await,
         };
         match result {
             Ok(page) => {
-                shared.store_heard();
                 holder.do_send(if after.is_none() {
                     Input::WorkerList(page.items)
                 } else {
@@ -521,10 +552,7 @@
                 spdlog::warn!("history_lost", kv: { table = "worker list" });
                 after = None;
             }
-            Err(FeedError::Store(_)) => {
-                shared.store_failed();
-                sleep(RETRY).await;
-            }
+            Err(FeedError::Store(_)) => sleep(RETRY).await,
         }
     }
 }
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -139,10 +139,19 @@
         if now_ms > seen.heard_ms + Self::FEED_FRESH_MS {
             return false;
         }
-        let is_free = seen.epoch.is_none() || seen.beat.as_ref().is_some_and(|(beat, _)| beat.is_released);
+        let is_released = seen.beat.as_ref().is_some_and(|(beat, _)| beat.is_released);
+        let is_free = seen
+            .epoch
+            .as_ref()
+            .is_none_or(|(epoch, _)| is_released || self.was_own(epoch));
         is_free || now_ms > seen.changed_ms + self.shared.settings.lease_ttl_ms
     }
 
+    /// Returns whether the lease was held by this instance before it was restarted, so that nobody holds it now.
+    fn was_own(&self, epoch: &EpochRow) -> bool {
+        epoch.holder == self.shared.settings.instance && epoch.holder_started_unix_ms != self.shared.started_unix_ms
+    }
+
     fn take(&mut self, now_ms: u64, ctx: &mut Context<Self>) {
         let Some(seen) = &self.seen else { return };
         let epoch = seen.epoch.as_ref().map_or(0, |(row, _)| row.epoch) + 1;
@@ -176,7 +185,7 @@
         let shared = Rc::clone(&self.shared);
         let keeper = ctx.address();
         actix_rt::spawn(async move {
-            let result = shared.store.transact(&txn).await;
+            let result = shared.transact(&txn).await;
             keeper.do_send(Taken {
                 epoch,
                 sent_ms: now_ms,
@@ -223,7 +232,7 @@
         let shared = Rc::clone(&self.shared);
         let keeper = ctx.address();
         actix_rt::spawn(async move {
-            let result = shared.store.transact(&txn).await;
+            let result = shared.transact(&txn).await;
             keeper.do_send(Renewed {
                 epoch,
                 sent_ms: now_ms,
@@ -272,7 +281,9 @@
 
     /// Compares what the feed shows with what this instance holds.
     fn check_held(&mut self, ctx: &mut Context<Self>) {
-        let Some((epoch, version)) = self.seen.as_ref().and_then(|seen| seen.epoch.clone()) else { return };
+        let Some((epoch, version)) = self.seen.as_ref().and_then(|seen| seen.epoch.clone()) else {
+            return;
+        };
         if let Some(held) = &self.held {
             if epoch.epoch > held.epoch {
                 self.step_down("newer_epoch");
@@ -280,8 +291,7 @@
             return;
         }
         let settings = &self.shared.settings;
-        let is_own =
-            epoch.holder == settings.instance && epoch.holder_started_unix_ms == self.shared.started_unix_ms;
+        let is_own = epoch.holder == settings.instance && epoch.holder_started_unix_ms == self.shared.started_unix_ms;
         let is_released = self
             .seen
             .as_ref()
@@ -318,17 +328,14 @@
     let mut is_lost = true;
     while keeper.connected() {
         let result = match after {
-            None => shared.store.read(LEASE, "", "").await.map_err(FeedError::Store),
+            None => shared.read(LEASE, "", "").await.map_err(FeedError::Store),
             Some(after) => {
-                shared
-                    .store
-                    .changes(LEASE, after, LeaseKeeper::<S, W>::FEED_WAIT_MS)
-                    .await
+                let wait_ms = LeaseKeeper::<S, W>::FEED_WAIT_MS;
+                shared.feed(wait_ms, shared.store.changes(LEASE, after, wait_ms)).await
             }
         };
         match result {
             Ok(page) => {
-                shared.store_heard();
                 after = Some(page.version);
                 keeper.do_send(LeaseRows {
                     rows: page.items,
@@ -337,7 +344,6 @@
             }
             Err(FeedError::HistoryLost) => after = None,
             Err(FeedError::Store(_)) => {
-                shared.store_failed();
                 is_lost = true;
                 keeper.do_send(FeedLost);
                 sleep(RETRY).await;
@@ -442,10 +448,9 @@
         match renewed.result {
             Ok(_) => {
                 held.confirmed_ms.set(held.confirmed_ms.get().max(renewed.sent_ms));
-                self.shared.store_heard();
             }
             Err(TxnError::Conflict(_)) => self.step_down("renewal_rejected"),
-            Err(_) => self.shared.store_failed(),
+            Err(TxnError::NotDone(_) | TxnError::Unknown) => {}
         }
     }
 }
@@ -464,12 +469,14 @@
     type Result = ResponseFuture<()>;
 
     fn handle(&mut self, _release: Release, _ctx: &mut Self::Context) -> Self::Result {
-        let Some(held) = self.held.take() else { return Box::pin(async {}) };
+        let Some(held) = self.held.take() else {
+            return Box::pin(async {});
+        };
         held.holder.do_send(Input::Stop);
         let txn = beat_txn(held.epoch, held.epoch_row_version, held.beat + 1, true);
         let shared = Rc::clone(&self.shared);
         Box::pin(async move {
-            let result = shared.store.transact(&txn).await;
+            let result = shared.transact(&txn).await;
             let outcome = result.map_or_else(|error| CompactString::from(error.to_string()), |_| "ok".into());
             spdlog::info!("lease_released", kv: { epoch = held.epoch, outcome = outcome.as_str() });
         })
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,10 +31,17 @@
         };
         let call_seconds = HistogramOpts::new("galenaspool_call_seconds", "Time until a call was answered")
             .buckets(BUCKETS_S.to_vec());
-        let scheduler = Opts::new("galenaspool_scheduler", "Counters and gauges of the scheduler in this epoch");
+        let scheduler = Opts::new(
+            "galenaspool_scheduler",
+            "Counters and gauges of the scheduler in this epoch",
+        );
         let metrics = Self {
             registry: Registry::new(),
-            calls: counter("galenaspool_calls_total", "Calls by method and status", &["method", "status"]),
+            calls: counter(
+                "galenaspool_calls_total",
+                "Calls by method and status",
+                &["method", "status"],
+            ),
             call_seconds: Histogram::with_opts(call_seconds).expect("names are valid"),
             store_calls: counter(
                 "galenaspool_store_calls_total",
--- a/crates/node/src/node_handle.rs
+++ b/crates/node/src/node_handle.rs
@@ -5,11 +5,12 @@
 use actix::prelude::*;
 use actix_rt::time::sleep;
 use timer::Timer;
+use tokio::sync::Notify;
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::lease::{LeaseKeeper, Release};
 use crate::ports::{FeedError, OperatorChange, Store, Workers};
-use crate::shared::{Shared, SharedRef};
+use crate::shared::{Shared, SharedRef, probe_store};
 use crate::{Desk, Metrics, NodeSettings, View};
 
 /// Running instance of a domain. It lives on the thread that started it, which must run an actix system.
@@ -43,10 +44,14 @@
             is_stopping: Cell::new(false),
             open_calls: Rc::new(Cell::new(0)),
             started_unix_ms: unix_ms(),
+            outstanding: RefCell::default(),
+            next_call: Cell::new(0),
+            regained: Notify::new(),
         });
         let timer = Timer::default().start();
         let keeper = LeaseKeeper::new(Rc::clone(&shared), timer).start();
         actix_rt::spawn(follow_operators(Rc::clone(&shared)));
+        actix_rt::spawn(probe_store(Rc::clone(&shared)));
         Self { shared, keeper }
     }
 
@@ -75,12 +80,18 @@
     loop {
         let sent_ms = boot_ms();
         let result = match after {
-            None => shared.store.operator_state().await.map_err(FeedError::Store),
-            Some(after) => shared.store.operator_changes(after, WAIT_MS).await,
+            None => {
+                let state = async { shared.store.operator_state().await.map_err(FeedError::Store) };
+                shared.feed(0, state).await
+            }
+            Some(after) => {
+                shared
+                    .feed(WAIT_MS, shared.store.operator_changes(after, WAIT_MS))
+                    .await
+            }
         };
         match result {
             Ok(page) => {
-                shared.store_heard();
                 if after.is_none() {
                     shared.view.borrow_mut().out_of_service.clear();
                 }
@@ -98,10 +109,7 @@
                 spdlog::warn!("history_lost", kv: { table = "operators" });
                 after = None;
             }
-            Err(FeedError::Store(_)) => {
-                shared.store_failed();
-                sleep(RETRY).await;
-            }
+            Err(FeedError::Store(_)) => sleep(RETRY).await,
         }
     }
 }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,4 +1,5 @@
 use std::collections::HashSet;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use domain::{Config, StartOrder, StartOutcome, TaskRun, WorkerEntry, WorkerReport};
@@ -154,6 +155,13 @@
     /// Returns [`TxnError`]; only [`TxnError::Unknown`] leaves open whether it took effect.
     async fn transact(&self, txn: &Txn) -> Result<u64, TxnError>;
 
+    /// Makes a short call on a fresh connection to see whether the store answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if it does not.
+    async fn probe(&self) -> Result<(), StoreError>;
+
     /// Reads own rows from `from` up to but excluding `to`; empty bounds are open.
     ///
     /// # Errors
@@ -225,13 +233,13 @@
 /// Orders to workers.
 #[expect(async_fn_in_trait, reason = "futures stay on the thread of the instance")]
 pub trait Workers: 'static {
-    /// Starts a run.
-    async fn start(&self, target: &Target, order: &StartOrder) -> StartOutcome;
+    /// Starts a run; waits at most `limit` for the reply.
+    async fn start(&self, target: &Target, order: &StartOrder, limit: Duration) -> StartOutcome;
 
-    /// Stops a run or voids its start; returns whether the worker confirmed.
-    async fn stop(&self, target: &Target, what: &TaskRun) -> bool;
+    /// Stops a run or voids its start; returns whether the worker confirmed within `limit`.
+    async fn stop(&self, target: &Target, what: &TaskRun, limit: Duration) -> bool;
 
-    /// Renews the lease of everything on the worker and returns its report.
+    /// Renews the lease of everything on the worker and returns its report, within `limit` beyond `wait_ms`.
     ///
     /// # Errors
     ///
@@ -242,10 +250,11 @@
         lease_until_ms: Option<u64>,
         noted: u64,
         wait_ms: u64,
+        limit: Duration,
     ) -> Result<WorkerReport, RenewError>;
 
-    /// Sets the share at which a run works; returns whether the worker confirmed.
-    async fn pace(&self, target: &Target, what: &TaskRun, percent: u32) -> bool;
+    /// Sets the share at which a run works; returns whether the worker confirmed within `limit`.
+    async fn pace(&self, target: &Target, what: &TaskRun, percent: u32, limit: Duration) -> bool;
 
     /// Closes channels to workers that are not among `addresses`.
     fn retain(&self, addresses: &HashSet<CompactString>);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,14 @@
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use tokio::sync::Notify;
 
 use crate::clock::boot_ms;
+use crate::ports::{FeedError, Page, RowsPage, Store, StoreError, Txn, TxnError};
 use crate::{Metrics, NodeSettings, View};
 
 /// State that all parts of an instance share; they run on one thread.
@@ -15,15 +22,34 @@
     pub is_stopping: Cell<bool>,
     pub open_calls: Rc<Cell<u64>>,
     pub started_unix_ms: u64,
+    /// Time by which each outstanding call to the store should have its reply.
+    pub outstanding: RefCell<BTreeMap<u64, u64>>,
+    pub next_call: Cell<u64>,
+    /// Wakes feeds when the store answers again.
+    pub regained: Notify,
 }
 
 pub(crate) type SharedRef<S, W> = Rc<Shared<S, W>>;
 
+/// Call to the store that has no reply yet.
+#[derive(Debug)]
+pub(crate) struct Outstanding<'a> {
+    calls: &'a RefCell<BTreeMap<u64, u64>>,
+    id: u64,
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        self.calls.borrow_mut().remove(&self.id);
+    }
+}
+
 impl<S, W> Shared<S, W> {
-    /// Silence of the store after which calls are refused at once; shorter gaps are bridged by retries.
-    const STORE_LOST_MS: u64 = 800;
+    /// Silence of the store on a call after which it counts as lost. It answers in milliseconds, and in a quarter of a
+    /// second when it is slow.
+    const STORE_LOST_MS: u64 = 450;
 
-    /// Notes a reply of the store to a call that was sent at `sent_ms`.
+    /// Notes a reply of the store.
     pub fn store_heard(&self) {
         let mut view = self.view.borrow_mut();
         let now_ms = boot_ms();
@@ -32,11 +58,12 @@
             let lost_ms = now_ms.saturating_sub(since_ms);
             if lost_ms > Self::STORE_LOST_MS {
                 spdlog::info!("store_regained", kv: { lost_ms });
+                self.regained.notify_waiters();
             }
         }
     }
 
-    /// Notes a call to the store that failed.
+    /// Notes a call to the store that failed or is overdue.
     pub fn store_failed(&self) {
         let mut view = self.view.borrow_mut();
         let now_ms = boot_ms();
@@ -47,11 +74,108 @@
         }
     }
 
-    /// Returns whether the store has not replied for so long that calls are refused at once.
+    /// Returns whether the store does not answer: calls are refused at once until it does.
     pub fn is_store_lost(&self) -> bool {
-        let view = self.view.borrow();
         let now_ms = boot_ms();
-        view.store_failing_ms
-            .is_some_and(|since| now_ms > since + Self::STORE_LOST_MS && now_ms > view.store_heard_ms + Self::STORE_LOST_MS)
+        let heard_ms = self.view.borrow().store_heard_ms;
+        if let Some(due_ms) = self.outstanding.borrow().values().min().copied()
+            && now_ms > due_ms + Self::STORE_LOST_MS
+            && heard_ms <= due_ms
+        {
+            return true;
+        }
+        let failing_ms = self.view.borrow().store_failing_ms;
+        failing_ms.is_some_and(|since| now_ms > since + Self::STORE_LOST_MS && heard_ms <= since)
+    }
+
+    /// Notes a call whose reply may take `wait_ms` longer than usual.
+    pub fn call_begins(&self, wait_ms: u64) -> Outstanding<'_> {
+        let id = self.next_call.get();
+        self.next_call.set(id + 1);
+        self.outstanding.borrow_mut().insert(id, boot_ms() + wait_ms);
+        Outstanding {
+            calls: &self.outstanding,
+            id,
+        }
+    }
+}
+
+impl<S: Store, W> Shared<S, W> {
+    /// Commits a transaction and notes what the outcome says of the store.
+    pub async fn transact(&self, txn: &Txn) -> Result<u64, TxnError> {
+        let call = self.call_begins(0);
+        let result = self.store.transact(txn).await;
+        drop(call);
+        self.count("write", result.is_ok());
+        match &result {
+            Ok(_) | Err(TxnError::Conflict(_)) => self.store_heard(),
+            Err(_) => self.store_failed(),
+        }
+        result
+    }
+
+    /// Reads rows and notes what the outcome says of the store.
+    pub async fn read(&self, table: &'static str, from: &str, to: &str) -> Result<RowsPage, StoreError> {
+        let call = self.call_begins(0);
+        let result = self.store.read(table, from, to).await;
+        drop(call);
+        self.count("read", result.is_ok());
+        self.note(result.is_ok());
+        result
+    }
+
+    /// Runs a call that waits for changes; ends early when the store is back after it was lost.
+    pub async fn feed<T>(
+        &self,
+        wait_ms: u64,
+        call: impl Future<Output = Result<Page<T>, FeedError>>,
+    ) -> Result<Page<T>, FeedError> {
+        let outstanding = self.call_begins(wait_ms);
+        let result = tokio::select! {
+            result = call => result,
+            () = self.regained.notified() => Err(FeedError::Store(StoreError::NoReply)),
+        };
+        drop(outstanding);
+        self.count("feed", result.is_ok());
+        self.note(!matches!(result, Err(FeedError::Store(_))));
+        result
+    }
+
+    fn note(&self, is_heard: bool) {
+        if is_heard {
+            self.store_heard();
+        } else {
+            self.store_failed();
+        }
+    }
+
+    fn count(&self, operation: &str, is_ok: bool) {
+        let outcome = if is_ok { "ok" } else { "failed" };
+        self.metrics.store_calls.with_label_values(&[operation, outcome]).inc();
+    }
+
+    /// Returns once the store counts as lost.
+    pub async fn store_lost(&self) {
+        const LOOK: Duration = Duration::from_millis(50);
+        while !self.is_store_lost() {
+            sleep(LOOK).await;
+        }
+    }
+}
+
+/// Probes the store while it does not answer, on fresh connections: those in use may stay silent for good.
+pub(crate) async fn probe_store<S: Store, W>(shared: SharedRef<S, W>) {
+    const LOOK: Duration = Duration::from_millis(100);
+    const PAUSE: Duration = Duration::from_millis(150);
+    loop {
+        sleep(LOOK).await;
+        while shared.is_store_lost() {
+            shared.store_failed();
+            if shared.store.probe().await.is_ok() {
+                shared.store_heard();
+            } else {
+                sleep(PAUSE).await;
+            }
+        }
     }
 }
