fix(domain): keep transactions within the store's entries

Ruled out: load of the holder (0.10 of a core at most), the size of the instance (same failure on 0.5 of a core). Change: Commit counts its entries, conditions included, and is filled up to the limit; test many_jobs_that_start_together_fit_into_transactions. The lease goes to large instances first.

--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -8,6 +8,8 @@
 pub struct DomainSettings {
     /// Address of readiness and metrics.
     pub ready_address: SocketAddr,
+    /// Share of a core that the process may use.
+    pub cpu_share: f64,
     /// Longest lease that a worker grants.
     pub lease_max_ms: u64,
     /// Longest time that a worker takes to stop a run.
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -50,6 +50,24 @@
     pub remove_workers: Vec<CompactString>,
 }
 
+impl Commit {
+    /// Most entries in one transaction of the store: conditions, writes and removals together.
+    pub const MAX_ENTRIES: usize = 100;
+
+    /// Returns the entries of the transaction, the condition on the epoch included.
+    pub fn entries(&self) -> usize {
+        let rows: usize = self.rows.iter().map(CommitRow::entries).sum();
+        1 + rows + self.add_workers.len() + self.remove_workers.len()
+    }
+}
+
+impl CommitRow {
+    /// Returns the entries of the row: its condition, its write and the removal from the queue's index.
+    pub const fn entries(&self) -> usize {
+        2 + self.leaves_queue as usize
+    }
+}
+
 /// What the caller of the engine has to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -38,10 +38,7 @@
 
 /// Durable progress.
 impl Engine {
-    /// Most jobs in one write: two entries each, with room for workers, stay under the store's 100 entries.
-    const JOBS_PER_COMMIT: usize = 35;
-
-    /// Most workers in one write.
+    /// Most workers in one write, so that jobs are not kept waiting by a whole fleet that registers.
     const WORKERS_PER_COMMIT: usize = 20;
 
     /// Longest delay of changes that no caller waits for, so that several share a write.
@@ -107,54 +104,65 @@
     }
 
     fn start_commit(&mut self) {
-        let is_whole = self.dirty.len() <= Self::JOBS_PER_COMMIT;
-        let mut keys: Vec<_> = self.dirty.iter().copied().collect();
-        keys.sort_by_key(|key| !self.jobs[*key].is_urgent);
-        keys.truncate(Self::JOBS_PER_COMMIT);
+        let mut commit = Commit {
+            add_workers: self.take_added(),
+            remove_workers: self.take_removed(),
+            ..Commit::default()
+        };
         let mut write = InFlight {
-            jobs: keys.clone(),
+            add_workers: commit.add_workers.iter().map(|(id, _)| id.clone()).collect(),
             ..InFlight::default()
         };
-        let mut commit = Commit::default();
+        let mut keys: Vec<_> = self.dirty.iter().copied().collect();
+        keys.sort_by_key(|key| !self.jobs[*key].is_urgent);
         for key in keys {
+            let row = self.commit_row(key);
+            if commit.entries() + row.entries() > Commit::MAX_ENTRIES {
+                break;
+            }
+            if row.leaves_queue {
+                write.left_queue.push(key);
+            }
+            commit.rows.push(row);
+            write.jobs.push(key);
             self.dirty.shift_remove(&key);
             let job = &mut self.jobs[key];
             job.is_urgent = false;
             job.dirty_since_ms = None;
-            let leaves_queue = job.is_in_queue && job.state != crate::JobState::Queued;
-            if leaves_queue {
-                write.left_queue.push(key);
-            }
-            commit.rows.push(CommitRow {
-                job: job.spec.id.clone(),
-                expected_version: job.version,
-                progress: job.progress(),
-                leaves_queue,
-            });
         }
-        if is_whole {
-            let noted = |(key, worker): (WorkerKey, &super::Worker)| (key, worker.born_unix_ms, worker.seen);
+        if self.dirty.is_empty() {
+            // All that the ends changed is in this write.
             write.noted = self
                 .workers
                 .iter()
                 .filter(|(_, worker)| worker.seen > worker.noted)
-                .map(noted)
+                .map(|(key, worker)| (key, worker.born_unix_ms, worker.seen))
                 .collect();
         }
-        let added = self.commit.add_workers.iter().take(Self::WORKERS_PER_COMMIT);
-        commit.add_workers = added.map(|(id, address)| (id.clone(), address.clone())).collect();
-        write.add_workers = commit.add_workers.iter().map(|(id, _)| id.clone()).collect();
-        commit.remove_workers = self
-            .commit
-            .remove_workers
-            .iter()
-            .take(Self::WORKERS_PER_COMMIT / 2)
-            .cloned()
-            .collect();
         self.commit.in_flight = Some(write);
         self.actions.push(Action::Commit(commit));
     }
 
+    fn take_added(&self) -> Vec<(CompactString, CompactString)> {
+        let added = self.commit.add_workers.iter().take(Self::WORKERS_PER_COMMIT);
+        added.map(|(id, address)| (id.clone(), address.clone())).collect()
+    }
+
+    fn take_removed(&self) -> Vec<CompactString> {
+        let removed = self.commit.remove_workers.iter().take(Self::WORKERS_PER_COMMIT);
+        removed.cloned().collect()
+    }
+
+    fn commit_row(&self, key: JobKey) -> CommitRow {
+        let job = &self.jobs[key];
+        CommitRow {
+            job: job.spec.id.clone(),
+            expected_version: job.version,
+            progress: job.progress(),
+            leaves_queue: job.is_in_queue && job.state != crate::JobState::Queued,
+        }
+    }
+
     /// Notes that the write under way is durable.
     pub fn committed(&mut self, commit: &Commit, version: u64, now_ms: u64) {
         let Some(write) = self.commit.in_flight.take() else {
--- a/crates/domain/tests/engine/jobs.rs
+++ b/crates/domain/tests/engine/jobs.rs
@@ -116,3 +116,20 @@
     assert!(elapsed_ms < 600, "{elapsed_ms}");
     world.assert_sound();
 }
+
+/// Guards against a transaction with more entries than the store takes: it was refused for ever, and no end of any job
+/// became durable.
+#[test]
+fn many_jobs_that_start_together_fit_into_transactions() {
+    let mut world = World::new(8, 8);
+    for number in 0..60 {
+        world.submit(job(&format!("{number}"), 1, step(2, 1, 300)));
+    }
+    world.run_until(3_000, |world| {
+        world
+            .store
+            .values()
+            .all(|stored| stored.progress.state == JobState::Done)
+    });
+    world.assert_sound();
+}
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -381,6 +381,11 @@
     }
 
     fn commit(&mut self, commit: &Commit) {
+        if commit.entries() > Commit::MAX_ENTRIES {
+            // The store refuses the whole transaction.
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
         if self.is_store_down {
             self.engine.commit_failed(&[], self.now_ms);
             return;
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -101,7 +101,7 @@
     const FEED_FRESH_MS: u64 = Self::FEED_WAIT_MS + 500;
 
     /// Spread of takeovers over the instances, so that they rarely collide.
-    const SPREAD_MS: u64 = 250;
+    const SPREAD_MS: u64 = 100;
 
     /// Pause after a takeover that failed.
     const RETAKE_MS: u64 = 200;
@@ -144,7 +144,13 @@
             .epoch
             .as_ref()
             .is_none_or(|(epoch, _)| is_released || self.was_own(epoch));
-        is_free || now_ms > seen.changed_ms + self.shared.settings.lease_ttl_ms
+        let silence_ms = now_ms.saturating_sub(seen.changed_ms);
+        let delay_ms = self.shared.settings.takeover_delay_ms();
+        if is_free {
+            silence_ms >= delay_ms
+        } else {
+            silence_ms > self.shared.settings.lease_ttl_ms + delay_ms
+        }
     }
 
     /// Returns whether the lease was held by this instance before it was restarted, so that nobody holds it now.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,6 +18,8 @@
     pub config_deadline_ms: u64,
     /// Time from the request to stop until the process is killed.
     pub stop_grace_ms: u64,
+    /// Share of a core that the instance may use.
+    pub cpu_share: f64,
     /// Silence of the holder after which another instance takes over.
     pub lease_ttl_ms: u64,
 }
@@ -31,6 +33,14 @@
         Duration::from_millis(self.lease_ttl_ms / Self::RENEWALS_PER_TTL)
     }
 
+    /// Returns the extra time that a small instance leaves larger ones to take the lease over.
+    pub fn takeover_delay_ms(&self) -> u64 {
+        // Half a core schedules a thousand workers with room to spare; smaller instances come later.
+        const AMPLE_CPU_SHARE: f64 = 0.5;
+        const LONGEST_DELAY_MS: f64 = 200.0;
+        ((1.0 - (self.cpu_share / AMPLE_CPU_SHARE).min(1.0)) * LONGEST_DELAY_MS) as u64
+    }
+
     /// Returns the age of the configuration up to which keys are accepted: the bound less a fifth for the time between
     /// the check and the effect.
     pub const fn config_age_max_ms(&self) -> u64 {
