feat(node): jobs spread over parts of the store; the lease is renewed by writes

Ruled out: the time limit of writes (raising it alone keeps callers longer). Change: jobs and progress lie in 8 parts by id, what only the holder writes in one of its own; a write of the scheduler renews the lease; waiting jobs are counted by the holder in one row a queue instead of an index. Acceptance no longer names the configuration's version: a key is checked under a configuration known to be newest within revoke_ms, and the request was sent before that check.

--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -8,6 +8,8 @@
 pub struct DomainSettings {
     /// Address of readiness and metrics.
     pub ready_address: SocketAddr,
+    /// Whether a transaction of the store may span several parts.
+    pub has_cross_part_txns: bool,
     /// Share of a core that the process may use.
     pub cpu_share: f64,
     /// Longest lease that a worker grants.
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -35,8 +35,6 @@
     pub expected_version: u64,
     /// New value.
     pub progress: Progress,
-    /// The job left the queue: its entry in the queue's index goes.
-    pub leaves_queue: bool,
 }
 
 /// Rows to write in one transaction under the scheduler's epoch.
@@ -48,23 +46,24 @@
     pub add_workers: Vec<(CompactString, CompactString)>,
     /// Workers that run nothing any more.
     pub remove_workers: Vec<CompactString>,
+    /// Jobs of which no task has started, by queue, where the count changed.
+    pub pending: Vec<(CompactString, u64)>,
 }
 
 impl Commit {
     /// Most entries in one transaction of the store: conditions, writes and removals together.
     pub const MAX_ENTRIES: usize = 100;
 
-    /// Returns the entries of the transaction, the condition on the epoch included.
-    pub fn entries(&self) -> usize {
-        let rows: usize = self.rows.iter().map(CommitRow::entries).sum();
-        1 + rows + self.add_workers.len() + self.remove_workers.len()
-    }
-}
+    /// Entries of a row: its condition and its write.
+    pub const ROW_ENTRIES: usize = 2;
 
-impl CommitRow {
-    /// Returns the entries of the row: its condition, its write and the removal from the queue's index.
-    pub const fn entries(&self) -> usize {
-        2 + self.leaves_queue as usize
+    /// Entries of every commit: the condition on the epoch and the heartbeat.
+    const BASE_ENTRIES: usize = 2;
+
+    /// Returns the entries of the transaction.
+    pub fn entries(&self) -> usize {
+        let others = self.add_workers.len() + self.remove_workers.len() + self.pending.len();
+        Self::BASE_ENTRIES + self.rows.len() * Self::ROW_ENTRIES + others
     }
 }
 
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -1,3 +1,5 @@
+use std::collections::HashMap;
+
 use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
 
@@ -12,7 +14,6 @@
     /// Newest end of each worker that the write makes durable, with the worker's incarnation.
     noted: Vec<(WorkerKey, Option<u64>, u64)>,
     add_workers: Vec<CompactString>,
-    left_queue: Vec<JobKey>,
 }
 
 /// What waits to be written, and the write under way.
@@ -23,6 +24,9 @@
     failures: u32,
     add_workers: IndexMap<CompactString, CompactString>,
     remove_workers: IndexSet<CompactString>,
+    /// Counts of waiting jobs as they are durable.
+    written_pending: HashMap<CompactString, u64>,
+    pending_due_ms: u64,
 }
 
 impl CommitState {
@@ -41,6 +45,12 @@
     /// Most workers in one write, so that jobs are not kept waiting by a whole fleet that registers.
     const WORKERS_PER_COMMIT: usize = 20;
 
+    /// Most counts of waiting jobs in one write.
+    const PENDING_PER_COMMIT: usize = 20;
+
+    /// Interval of writing the counts of waiting jobs, which may be 2 s old.
+    const PENDING_MS: u64 = 500;
+
     /// Longest delay of changes that no caller waits for, so that several share a write.
     const LAZY_COMMIT_MS: u64 = 100;
 
@@ -64,11 +74,16 @@
         self.queue_worker_rows();
         let has_workers = !self.commit.add_workers.is_empty() || !self.commit.remove_workers.is_empty();
         let has_unnoted = self.workers.values().any(|worker| worker.seen > worker.noted);
-        if self.dirty.is_empty() && !has_workers {
+        let is_pending_due = now_ms >= self.commit.pending_due_ms && {
+            self.commit.pending_due_ms = now_ms + Self::PENDING_MS;
+            !self.changed_pending().is_empty()
+        };
+        if self.dirty.is_empty() && !has_workers && !is_pending_due {
             self.note_ends_without_change(now_ms);
             return;
         }
         let is_due = has_workers
+            || is_pending_due
             || has_unnoted
             || self.dirty.iter().any(|key| {
                 let job = &self.jobs[*key];
@@ -82,6 +97,32 @@
         }
     }
 
+    /// Returns the counts of jobs of which no task has started where they differ from the durable ones.
+    fn changed_pending(&self) -> Vec<(CompactString, u64)> {
+        let mut counts: HashMap<&CompactString, u64> = self
+            .config
+            .routes
+            .iter()
+            .map(|route| (&route.name, 0))
+            .chain(self.commit.written_pending.keys().map(|route| (route, 0)))
+            .collect();
+        let waiting = self.jobs.values().filter(|job| job.state == crate::JobState::Queued);
+        for job in waiting {
+            *counts.entry(&job.spec.route).or_default() += 1;
+        }
+        counts
+            .into_iter()
+            .filter(|(route, count)| self.commit.written_pending.get(*route).copied().unwrap_or(0) != *count)
+            .map(|(route, count)| (route.clone(), count))
+            .take(Self::PENDING_PER_COMMIT)
+            .collect()
+    }
+
+    /// Takes a durable count of waiting jobs that a former scheduler wrote.
+    pub fn set_written_pending(&mut self, route: &str, count: u64) {
+        self.commit.written_pending.insert(route.into(), count);
+    }
+
     /// Ends that change no job need no write.
     fn note_ends_without_change(&mut self, now_ms: u64) {
         for worker in self.workers.values_mut() {
@@ -107,6 +148,7 @@
         let mut commit = Commit {
             add_workers: self.take_added(),
             remove_workers: self.take_removed(),
+            pending: self.changed_pending(),
             ..Commit::default()
         };
         let mut write = InFlight {
@@ -116,14 +158,10 @@
         let mut keys: Vec<_> = self.dirty.iter().copied().collect();
         keys.sort_by_key(|key| !self.jobs[*key].is_urgent);
         for key in keys {
-            let row = self.commit_row(key);
-            if commit.entries() + row.entries() > Commit::MAX_ENTRIES {
+            if commit.entries() + Commit::ROW_ENTRIES > Commit::MAX_ENTRIES {
                 break;
             }
-            if row.leaves_queue {
-                write.left_queue.push(key);
-            }
-            commit.rows.push(row);
+            commit.rows.push(self.commit_row(key));
             write.jobs.push(key);
             self.dirty.shift_remove(&key);
             let job = &mut self.jobs[key];
@@ -159,7 +197,6 @@
             job: job.spec.id.clone(),
             expected_version: job.version,
             progress: job.progress(),
-            leaves_queue: job.is_in_queue && job.state != crate::JobState::Queued,
         }
     }
 
@@ -178,10 +215,8 @@
         for id in &commit.remove_workers {
             self.commit.remove_workers.swap_remove(id);
         }
-        for key in &write.left_queue {
-            if let Some(job) = self.jobs.get_mut(*key) {
-                job.is_in_queue = false;
-            }
+        for (route, count) in &commit.pending {
+            self.commit.written_pending.insert(route.clone(), *count);
         }
         for (key, born_unix_ms, noted) in &write.noted {
             let Some(worker) = self.workers.get_mut(*key) else {
--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -36,8 +36,6 @@
     pub is_urgent: bool,
     /// Progress of occurrences that are not open in memory.
     pub loaded: Option<Progress>,
-    /// It has an entry in its queue's index.
-    pub is_in_queue: bool,
     pub dirty_since_ms: Option<u64>,
 }
 
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -7,7 +7,7 @@
 use super::step_state::StepState;
 use super::worker::Worker;
 use super::{Engine, RunState};
-use crate::{EntryState, Job, JobState, Progress, WorkerEntry};
+use crate::{EntryState, Job, Progress, WorkerEntry};
 
 /// Rows of the store.
 impl Engine {
@@ -25,7 +25,6 @@
             return;
         }
         let id = spec.id.clone();
-        let is_in_queue = progress.state == JobState::Queued;
         let entry = JobEntry {
             spec: Rc::new(spec),
             state: progress.state,
@@ -36,7 +35,6 @@
             seen_ms: now_ms,
             is_urgent: false,
             loaded: Some(progress),
-            is_in_queue,
             dirty_since_ms: None,
         };
         let age_ms = now_unix_ms
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -7,8 +7,8 @@
 use thiserror::Error;
 
 use crate::clock::{boot_ms, unix_ms};
-use crate::ports::{Condition, Store, StoreError, Txn, TxnConflict, TxnError};
-use crate::rows::{EPOCH_KEY, EpochRow, JOBS, LEASE, PROGRESS, QUEUED, cancel_key, get, put, queued_key, queued_range};
+use crate::ports::{Condition, OwnRow, Place, Store, StoreError, Txn, TxnError};
+use crate::rows::{JOBS, PENDING, PROGRESS, cancel_key, get, put};
 use crate::shared::SharedRef;
 
 /// Call of a caller: where it goes and who sends it.
@@ -190,8 +190,7 @@
         let mut is_in_doubt = false;
         let mut refused = 0;
         loop {
-            // Keys are checked by the transaction itself: it takes effect only under the configuration checked here.
-            let allowed = match self.allowed(request) {
+            let allowed = match self.allowed_now(request) {
                 Ok(allowed) => allowed,
                 Err(_) if is_in_doubt => return Err(Refused::InDoubt),
                 Err(refusal) => return Err(refusal),
@@ -214,11 +213,9 @@
                     });
                     return Ok(());
                 }
-                Err(TxnError::Conflict(conflict)) => {
-                    if let Some(reply) = Self::existing(&allowed, &conflict) {
-                        return reply;
-                    }
-                    self.learn(&conflict);
+                Err(TxnError::Conflict(rows)) => {
+                    // The only condition is that the id is new.
+                    return Self::existing(&allowed, &rows).unwrap_or(Err(Refused::InDoubt));
                 }
                 Err(TxnError::NotDone(_)) => {
                     refused += 1;
@@ -252,18 +249,12 @@
     /// Returns [`Refused`].
     pub async fn pending(&self, request: &JobRequest) -> Result<u64, Refused> {
         let allowed = self.allowed_now(request)?;
-        let (mut from, to) = queued_range(&allowed.route.name);
-        let mut count = 0;
-        loop {
-            let page = self.read(request, &allowed.route, QUEUED, &from, &to).await?;
-            count += page.items.len() as u64;
-            match page.items.last() {
-                Some(last) if page.has_more => from = format!("{}!", last.key),
-                _ => break,
-            }
-        }
+        let name = &allowed.route.name;
+        let place = self.shared.parts.of_holder(PENDING);
+        let page = self.read(request, &allowed.route, &place, name).await?;
         self.allowed_now(request)?;
-        Ok(count)
+        let row = page.items.iter().find(|row| row.key == *name);
+        Ok(row.and_then(get::<u64>).unwrap_or(0))
     }
 
     /// Cancels a job. On success the wish is durable; a job that is final stays as it is.
@@ -277,8 +268,10 @@
         if progress.state.is_final() {
             return Ok(());
         }
+        let place = self.shared.parts.of_job(JOBS, &allowed.id);
         let mut is_in_doubt = false;
         loop {
+            self.allowed_now(request)?;
             if boot_ms() >= began_ms + Self::budget_ms(request, &allowed.route) || self.shared.is_store_lost() {
                 return Err(if is_in_doubt {
                     Refused::InDoubt
@@ -287,8 +280,7 @@
                 });
             }
             let txn = Txn {
-                config_row_version: Some(self.shared.view.borrow().config_row_version),
-                puts: vec![put(JOBS, cancel_key(&allowed.id), &unix_ms())],
+                puts: vec![put(place.clone(), cancel_key(&allowed.id), &unix_ms())],
                 ..Txn::default()
             };
             match self.transact(&txn).await {
@@ -296,11 +288,7 @@
                     spdlog::info!("cancel_accepted", kv: { job = allowed.id.as_str(), version });
                     return Ok(());
                 }
-                Err(TxnError::Conflict(conflict)) => {
-                    self.learn(&conflict);
-                    self.allowed(request)?;
-                }
-                Err(TxnError::NotDone(_)) => sleep(Self::RETRY_PAUSE).await,
+                Err(TxnError::Conflict(_) | TxnError::NotDone(_)) => sleep(Self::RETRY_PAUSE).await,
                 Err(TxnError::Unknown) => {
                     is_in_doubt = true;
                     sleep(Self::RETRY_PAUSE).await;
@@ -312,8 +300,8 @@
     /// Finds the job of a call.
     async fn find(&self, request: &JobRequest) -> Result<(Allowed, Progress), Refused> {
         let allowed = self.allowed_now(request)?;
-        let to = format!("{}0", allowed.id);
-        let page = self.read(request, &allowed.route, PROGRESS, &allowed.id, &to).await?;
+        let place = self.shared.parts.of_job(PROGRESS, &allowed.id);
+        let page = self.read(request, &allowed.route, &place, &allowed.id).await?;
         // The key may have been revoked while the store was asked.
         let allowed = self.allowed_now(request)?;
         let row = page.items.iter().find(|row| row.key == allowed.id);
@@ -334,17 +322,18 @@
         &self,
         request: &JobRequest,
         route: &Route,
-        table: &'static str,
-        from: &str,
-        to: &str,
+        place: &Place,
+        key: &str,
     ) -> Result<crate::RowsPage, Refused> {
+        // The first key after this one: no key continues it with a character below `!`.
+        let to = format!("{key}!");
         let until_ms = boot_ms() + Self::budget_ms(request, route);
         loop {
             if self.shared.is_store_lost() {
                 return Err(Refused::StoreUnavailable);
             }
             let result = tokio::select! {
-                result = self.shared.read(table, from, to) => result,
+                result = self.shared.read(place, key, &to) => result,
                 () = self.shared.store_lost() => Err(StoreError::NoReply),
             };
             match result {
@@ -430,8 +419,8 @@
         })
     }
 
-    /// Builds the insertion of a job: it takes effect only if the id is new, under the configuration that was checked
-    /// and in the epoch that the job names.
+    /// Builds the insertion of a job: it takes effect only if the id is new. The epoch that the job names exists, so an
+    /// older scheduler leaves the job alone.
     fn insertion(&self, allowed: &Allowed, submission: &Submission) -> Txn {
         let view = self.shared.view.borrow();
         let route = &allowed.route;
@@ -460,57 +449,26 @@
         };
         let id = &allowed.id;
         Txn {
-            conditions: vec![
-                Condition {
-                    table: JOBS,
-                    key: id.clone(),
-                    version: 0,
-                },
-                Condition {
-                    table: LEASE,
-                    key: EPOCH_KEY.into(),
-                    version: view.epoch_row_version,
-                },
-            ],
-            config_row_version: Some(view.config_row_version),
+            conditions: vec![Condition {
+                place: self.shared.parts.of_job(JOBS, id),
+                key: id.clone(),
+                version: 0,
+            }],
             puts: vec![
-                put(JOBS, id.clone(), &job),
-                put(PROGRESS, id.clone(), &progress),
-                put(QUEUED, queued_key(&route.name, id), &0),
+                put(self.shared.parts.of_job(JOBS, id), id.clone(), &job),
+                put(self.shared.parts.of_job(PROGRESS, id), id.clone(), &progress),
             ],
             removes: Vec::new(),
         }
     }
 
     /// Answers a repeated submission from the row that exists.
-    fn existing(allowed: &Allowed, conflict: &TxnConflict) -> Option<SubmitReply> {
-        let row = conflict
-            .rows
-            .iter()
-            .find(|row| row.table == JOBS && row.key == allowed.id)?;
+    fn existing(allowed: &Allowed, rows: &[OwnRow]) -> Option<SubmitReply> {
+        let row = rows.iter().find(|row| row.table == JOBS && row.key == allowed.id)?;
         let job: Job = get(row)?;
         let is_same = job.route == allowed.route.name && job.organisation == allowed.organisation;
         Some(if is_same { Ok(()) } else { Err(Refused::IdInUse) })
     }
-
-    /// Takes newer rows from a conflict.
-    fn learn(&self, conflict: &TxnConflict) {
-        let mut view = self.shared.view.borrow_mut();
-        if let Some((config, row_version)) = &conflict.config {
-            view.set_config(config.clone(), *row_version);
-        }
-        let epoch = conflict
-            .rows
-            .iter()
-            .find(|row| row.table == LEASE && row.key == EPOCH_KEY);
-        if let Some(row) = epoch
-            && row.version > view.epoch_row_version
-            && let Some(epoch) = get::<EpochRow>(row)
-        {
-            view.epoch = epoch.epoch;
-            view.epoch_row_version = row.version;
-        }
-    }
 }
 
 /// Most tasks of a job; its progress has to fit into one row.
--- a/crates/node/src/holder.rs
+++ b/crates/node/src/holder.rs
@@ -15,9 +15,9 @@
 use crate::lease::{Deposed, LeaseKeeper};
 use crate::log;
 use crate::ports::{
-    Condition, FeedError, OwnRow, RenewError, Store, StoreError, Target, Txn, TxnError, WorkerChange, Workers,
+    Condition, FeedError, OwnRow, Place, RenewError, Store, StoreError, Target, Txn, TxnError, WorkerChange, Workers,
 };
-use crate::rows::{EPOCH_KEY, JOBS, JobsKey, LEASE, PROGRESS, QUEUED, USED_WORKERS, get, put, queued_key};
+use crate::rows::{BEAT_KEY, BeatRow, EPOCH_KEY, JOBS, JobsKey, LEASE, PENDING, PROGRESS, USED_WORKERS, get, put};
 use crate::shared::SharedRef;
 
 /// Drives the scheduler while this instance holds the lease.
@@ -29,6 +29,8 @@
     /// When the newest confirmed renewal of the lease was sent.
     confirmed_ms: Rc<Cell<u64>>,
     config_version: u64,
+    /// Heartbeats that went with writes.
+    beat: u64,
     is_stopped: bool,
 }
 
@@ -42,6 +44,8 @@
     Jobs(Vec<(Job, Progress, u64)>),
     /// Ids of jobs to cancel.
     Cancels(Vec<CompactString>),
+    /// Durable counts of waiting jobs by queue.
+    Pending(Vec<(CompactString, u64)>),
     /// All rows were read.
     Loaded,
     /// Whole list of workers.
@@ -79,6 +83,7 @@
             epoch_row_version,
             confirmed_ms,
             config_version: 0,
+            beat: 0,
             is_stopped: false,
         }
     }
@@ -181,32 +186,42 @@
     }
 
     /// Builds the write of a commit: it takes effect only in this epoch.
-    fn txn(&self, commit: &Commit) -> Txn {
+    fn txn(&mut self, commit: &Commit) -> Txn {
+        let parts = self.shared.parts;
         let mut txn = Txn {
             conditions: vec![Condition {
-                table: LEASE,
+                place: parts.of_holder(LEASE),
                 key: EPOCH_KEY.into(),
                 version: self.epoch_row_version,
             }],
             ..Txn::default()
         };
         for row in &commit.rows {
+            let place = parts.of_job(PROGRESS, &row.job);
             txn.conditions.push(Condition {
-                table: PROGRESS,
+                place: place.clone(),
                 key: row.job.clone(),
                 version: row.expected_version,
             });
-            txn.puts.push(put(PROGRESS, row.job.clone(), &row.progress));
-            if row.leaves_queue {
-                txn.removes.push((QUEUED, queued_key(&row.progress.route, &row.job)));
-            }
+            txn.puts.push(put(place, row.job.clone(), &row.progress));
         }
+        let workers = parts.of_holder(USED_WORKERS);
         for (id, address) in &commit.add_workers {
-            txn.puts.push(put(USED_WORKERS, id.clone(), address));
+            txn.puts.push(put(workers.clone(), id.clone(), address));
         }
         for id in &commit.remove_workers {
-            txn.removes.push((USED_WORKERS, id.clone()));
+            txn.removes.push((workers.clone(), id.clone()));
+        }
+        for (route, count) in &commit.pending {
+            txn.puts.push(put(parts.of_holder(PENDING), route.clone(), count));
         }
+        self.beat += 1;
+        let beat = BeatRow {
+            epoch: self.engine.epoch(),
+            beat: self.beat,
+            is_released: false,
+        };
+        txn.puts.push(put(parts.of_holder(LEASE), BEAT_KEY, &beat));
         txn
     }
 
@@ -218,10 +233,7 @@
                 self.engine.committed(commit, version, now_ms);
             }
             Err(TxnError::Conflict(conflict)) => {
-                let epoch_row = conflict
-                    .rows
-                    .iter()
-                    .find(|row| row.table == LEASE && row.key == EPOCH_KEY);
+                let epoch_row = conflict.iter().find(|row| row.table == LEASE && row.key == EPOCH_KEY);
                 if epoch_row.is_none_or(|row| row.version != self.epoch_row_version) {
                     self.is_stopped = true;
                     self.keeper.do_send(Deposed {
@@ -231,7 +243,6 @@
                     return;
                 }
                 let current: Vec<_> = conflict
-                    .rows
                     .iter()
                     .filter(|row| row.table == PROGRESS)
                     .map(|row| (row.key.clone(), row.version))
@@ -336,6 +347,11 @@
                     self.engine.cancel(&id, now_ms);
                 }
             }
+            Input::Pending(counts) => {
+                for (route, count) in counts {
+                    self.engine.set_written_pending(&route, count);
+                }
+            }
             Input::Loaded => self.engine.set_loaded(),
             Input::WorkerList(list) => self.worker_list(list, now_ms),
             Input::WorkerChanges(changes) => {
@@ -398,16 +414,16 @@
 /// Pause before a read of the store is repeated.
 const RETRY: Duration = Duration::from_millis(60);
 
-/// Reads all rows of a table; returns them with the version after which changes have to be read.
-async fn read_all<S: Store, W: Workers>(
+/// Reads all rows of a part; returns them with the version after which changes have to be read.
+async fn read_part<S: Store, W: Workers>(
     shared: &SharedRef<S, W>,
-    table: &'static str,
+    place: &Place,
 ) -> Result<(Vec<OwnRow>, u64), StoreError> {
     let mut rows: Vec<OwnRow> = Vec::new();
     let mut first_version = None;
     let mut from = String::new();
     loop {
-        let page = shared.read(table, &from, "").await?;
+        let page = shared.read(place, &from, "").await?;
         first_version.get_or_insert(page.version);
         let has_more = page.has_more && !page.items.is_empty();
         rows.extend(page.items);
@@ -418,15 +434,19 @@
     }
 }
 
-/// Repeats a read until it succeeds or the holder is gone.
+/// Repeats a read of all places until it succeeds or the holder is gone.
 async fn until_read<S: Store, W: Workers>(
     shared: &SharedRef<S, W>,
     holder: &Addr<Holder<S, W>>,
-    table: &'static str,
+    places: &[Place],
 ) -> Option<(Vec<OwnRow>, u64)> {
     while holder.connected() {
-        match read_all(shared, table).await {
-            Ok(read) => return Some(read),
+        let reads = places.iter().map(|place| read_part(shared, place));
+        match futures_util::future::try_join_all(reads).await {
+            Ok(parts) => {
+                let version = parts.iter().map(|(_, version)| *version).min().unwrap_or(0);
+                return Some((parts.into_iter().flat_map(|(rows, _)| rows).collect(), version));
+            }
             Err(_) => sleep(RETRY).await,
         }
     }
@@ -435,7 +455,7 @@
 
 /// Reads the rows that a new holder needs, then follows their changes.
 async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, holder: Addr<Holder<S, W>>) {
-    let Some((used, _)) = until_read(&shared, &holder, USED_WORKERS).await else {
+    let Some((used, _)) = until_read(&shared, &holder, &[shared.parts.of_holder(USED_WORKERS)]).await else {
         return;
     };
     let used = used
@@ -453,8 +473,8 @@
 
 /// Reads jobs and progress; returns the version after which changes have to be read.
 async fn load_jobs<S: Store, W: Workers>(shared: &SharedRef<S, W>, holder: &Addr<Holder<S, W>>) -> Option<u64> {
-    let (rows, after) = until_read(shared, holder, JOBS).await?;
-    let (progress, _) = until_read(shared, holder, PROGRESS).await?;
+    let (rows, after) = until_read(shared, holder, &shared.parts.of_jobs(JOBS)).await?;
+    let (progress, _) = until_read(shared, holder, &shared.parts.of_jobs(PROGRESS)).await?;
     let progress: std::collections::HashMap<_, _> = progress.iter().map(|row| (row.key.clone(), row)).collect();
     let mut jobs = Vec::new();
     let mut cancels = Vec::new();
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::boot_ms;
 use crate::holder::{Holder, Input};
-use crate::ports::{Condition, FeedError, OwnRow, Store, Txn, TxnError, Workers};
+use crate::ports::{Condition, FeedError, OwnRow, Place, Store, Txn, TxnError, Workers};
 use crate::rows::{BEAT_KEY, BeatRow, EPOCH_KEY, EpochRow, LEASE, get, put};
 use crate::shared::SharedRef;
 
@@ -162,8 +162,9 @@
         let Some(seen) = &self.seen else { return };
         let epoch = seen.epoch.as_ref().map_or(0, |(row, _)| row.epoch) + 1;
         let version = |row: Option<u64>| row.unwrap_or(0);
+        let place = self.shared.parts.of_holder(LEASE);
         let condition = |key: &str, version| Condition {
-            table: LEASE,
+            place: place.clone(),
             key: key.into(),
             version,
         };
@@ -182,7 +183,7 @@
                 condition(EPOCH_KEY, version(seen.epoch.as_ref().map(|(_, version)| *version))),
                 condition(BEAT_KEY, version(seen.beat.as_ref().map(|(_, version)| *version))),
             ],
-            puts: vec![put(LEASE, EPOCH_KEY, &row), put(LEASE, BEAT_KEY, &beat)],
+            puts: vec![put(place.clone(), EPOCH_KEY, &row), put(place.clone(), BEAT_KEY, &beat)],
             ..Txn::default()
         };
         let silence_ms = now_ms.saturating_sub(seen.changed_ms);
@@ -219,7 +220,7 @@
             epoch,
             epoch_row_version,
             confirmed_ms,
-            beat: 0,
+            beat: 1,
             renew_due_ms: now_ms,
             holder,
         });
@@ -228,12 +229,15 @@
     fn renew(&mut self, now_ms: u64, ctx: &mut Context<Self>) {
         let interval_ms = self.shared.settings.renew_interval().as_millis() as u64;
         let Some(held) = &mut self.held else { return };
-        if now_ms < held.renew_due_ms {
+        // A write of the scheduler renews the lease as well.
+        let is_renewed = held.confirmed_ms.get() + interval_ms > now_ms;
+        if now_ms < held.renew_due_ms || is_renewed {
             return;
         }
         held.renew_due_ms = now_ms + interval_ms;
         held.beat += 1;
-        let txn = beat_txn(held.epoch, held.epoch_row_version, held.beat, false);
+        let place = self.shared.parts.of_holder(LEASE);
+        let txn = beat_txn(&place, held.epoch, held.epoch_row_version, held.beat, false);
         let epoch = held.epoch;
         let shared = Rc::clone(&self.shared);
         let keeper = ctx.address();
@@ -310,7 +314,7 @@
     }
 }
 
-fn beat_txn(epoch: u64, epoch_row_version: u64, beat: u64, is_released: bool) -> Txn {
+fn beat_txn(place: &Place, epoch: u64, epoch_row_version: u64, beat: u64, is_released: bool) -> Txn {
     let row = BeatRow {
         epoch,
         beat,
@@ -318,11 +322,11 @@
     };
     Txn {
         conditions: vec![Condition {
-            table: LEASE,
+            place: place.clone(),
             key: EPOCH_KEY.into(),
             version: epoch_row_version,
         }],
-        puts: vec![put(LEASE, BEAT_KEY, &row)],
+        puts: vec![put(place.clone(), BEAT_KEY, &row)],
         ..Txn::default()
     }
 }
@@ -334,7 +338,10 @@
     let mut is_lost = true;
     while keeper.connected() {
         let result = match after {
-            None => shared.read(LEASE, "", "").await.map_err(FeedError::Store),
+            None => {
+                let place = shared.parts.of_holder(LEASE);
+                shared.read(&place, "", "").await.map_err(FeedError::Store)
+            }
             Some(after) => {
                 let wait_ms = LeaseKeeper::<S, W>::FEED_WAIT_MS;
                 shared.feed(wait_ms, shared.store.changes(LEASE, after, wait_ms)).await
@@ -431,7 +438,7 @@
             Ok(_) => {}
             Err(TxnError::Conflict(conflict)) => {
                 let now_ms = boot_ms();
-                for row in &conflict.rows {
+                for row in &conflict {
                     self.take_row(row, now_ms);
                 }
             }
@@ -479,7 +486,8 @@
             return Box::pin(async {});
         };
         held.holder.do_send(Input::Stop);
-        let txn = beat_txn(held.epoch, held.epoch_row_version, held.beat + 1, true);
+        let place = self.shared.parts.of_holder(LEASE);
+        let txn = beat_txn(&place, held.epoch, held.epoch_row_version, held.beat + 1, true);
         let shared = Rc::clone(&self.shared);
         Box::pin(async move {
             let result = shared.transact(&txn).await;
--- a/crates/node/src/node_handle.rs
+++ b/crates/node/src/node_handle.rs
@@ -10,6 +10,7 @@
 use crate::clock::{boot_ms, unix_ms};
 use crate::lease::{LeaseKeeper, Release};
 use crate::ports::{FeedError, OperatorChange, Store, Workers};
+use crate::rows::Parts;
 use crate::shared::{Shared, SharedRef, probe_store};
 use crate::{Desk, Metrics, NodeSettings, View};
 
@@ -32,7 +33,12 @@
             instance = settings.instance.as_str(), data_centre = settings.data_centre.as_str(),
             lease_ttl_ms = settings.lease_ttl_ms
         });
+        let parts = Parts {
+            is_split: settings.has_cross_part_txns,
+        };
         let shared = Rc::new(Shared {
+            parts,
+            call_ms: Cell::new(0.0),
             settings,
             store,
             workers,
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -10,6 +10,8 @@
 pub struct OwnRow {
     /// Table.
     pub table: CompactString,
+    /// Part of the table.
+    pub part: CompactString,
     /// Key.
     pub key: CompactString,
     /// Value; `None` for a row that was removed.
@@ -18,11 +20,20 @@
     pub version: u64,
 }
 
-/// Version that a row must have for a transaction to take effect; 0 means that it does not exist.
+/// Table and part of a row. The store serialises the transactions of a part.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Condition {
+pub struct Place {
     /// Table.
     pub table: &'static str,
+    /// Part of the table.
+    pub part: CompactString,
+}
+
+/// Version that a row must have for a transaction to take effect; 0 means that it does not exist.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Condition {
+    /// Place of the row.
+    pub place: Place,
     /// Key.
     pub key: CompactString,
     /// Version.
@@ -32,8 +43,8 @@
 /// Row to write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Put {
-    /// Table.
-    pub table: &'static str,
+    /// Place of the row.
+    pub place: Place,
     /// Key.
     pub key: CompactString,
     /// Value.
@@ -45,29 +56,30 @@
 pub struct Txn {
     /// Versions of own rows.
     pub conditions: Vec<Condition>,
-    /// Version of the row with the operators' configuration.
-    pub config_row_version: Option<u64>,
     /// Rows to write.
     pub puts: Vec<Put>,
     /// Rows to remove.
-    pub removes: Vec<(&'static str, CompactString)>,
+    pub removes: Vec<(Place, CompactString)>,
 }
 
-/// Rows as they are where a condition did not hold.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct TxnConflict {
-    /// Own rows named in conditions.
-    pub rows: Vec<OwnRow>,
-    /// Configuration and the version of its row, if it is named in the conditions.
-    pub config: Option<(Config, u64)>,
+impl Txn {
+    /// Returns whether the rows lie in more than one part.
+    pub fn spans_parts(&self) -> bool {
+        let conditions = self.conditions.iter().map(|condition| &condition.place.part);
+        let puts = self.puts.iter().map(|put| &put.place.part);
+        let removes = self.removes.iter().map(|(place, _)| &place.part);
+        let mut parts = conditions.chain(puts).chain(removes);
+        let first = parts.next();
+        parts.any(|part| Some(part) != first)
+    }
 }
 
 /// Failure of a transaction.
 #[derive(Debug, Clone, PartialEq, Error)]
 pub enum TxnError {
-    /// A condition does not hold; nothing was written.
+    /// A condition does not hold; nothing was written. Holds the rows of the conditions as they are.
     #[error("a condition does not hold")]
-    Conflict(Box<TxnConflict>),
+    Conflict(Vec<OwnRow>),
     /// Nothing was written.
     #[error("store refuses the write: {0}")]
     NotDone(CompactString),
@@ -162,14 +174,14 @@
     /// Returns [`StoreError`] if it does not.
     async fn probe(&self) -> Result<(), StoreError>;
 
-    /// Reads own rows from `from` up to but excluding `to`; empty bounds are open.
+    /// Reads own rows of a part from `from` up to but excluding `to`; empty bounds are open.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] if the store does not answer.
-    async fn read(&self, table: &'static str, from: &str, to: &str) -> Result<RowsPage, StoreError>;
+    async fn read(&self, place: &Place, from: &str, to: &str) -> Result<RowsPage, StoreError>;
 
-    /// Waits up to `wait_ms` for changes of own rows after a version.
+    /// Waits up to `wait_ms` for changes of own rows in all parts of a table after a version.
     ///
     /// # Errors
     ///
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,19 +1,78 @@
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
-use crate::ports::{OwnRow, Put};
+use crate::ports::{OwnRow, Place, Put};
 
-/// Jobs as accepted, and wishes to cancel them.
+/// Jobs as accepted, and wishes to cancel them. A job lies in the part of its id.
 pub(crate) const JOBS: &str = "jobs";
-/// Progress of jobs, written by the holder of the scheduling lease.
+/// Progress of jobs, written by the holder of the scheduling lease. Lies in the part of its job.
 pub(crate) const PROGRESS: &str = "progress";
-/// Index of the jobs of which no task has started, by queue.
-pub(crate) const QUEUED: &str = "queued";
+/// Jobs of which no task has started, counted by queue; written by the holder.
+pub(crate) const PENDING: &str = "pending";
 /// Workers that may run tasks, with their addresses.
 pub(crate) const USED_WORKERS: &str = "workers";
 /// Scheduling lease: its epoch and its heartbeat.
 pub(crate) const LEASE: &str = "lease";
 
+/// Parts of the tables with jobs, where the store allows transactions over several parts. A slow store runs few
+/// transactions a second in each part, so acceptances must not queue behind each other or behind the lease.
+const JOB_PARTS: u64 = 8;
+const LEASE_PART: &str = "lease";
+
+/// Parts of the product's tables.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Parts {
+    /// Whether transactions may span parts; without, everything lies in one.
+    pub is_split: bool,
+}
+
+impl Parts {
+    /// Returns the place of a job's rows.
+    pub fn of_job(self, table: &'static str, id: &str) -> Place {
+        let part = if self.is_split {
+            let sum = id
+                .bytes()
+                .fold(0_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte)));
+            Self::name(sum % JOB_PARTS)
+        } else {
+            CompactString::default()
+        };
+        Place { table, part }
+    }
+
+    /// Returns the places of all jobs' rows.
+    pub fn of_jobs(self, table: &'static str) -> Vec<Place> {
+        let count = if self.is_split { JOB_PARTS } else { 1 };
+        let part = |number| {
+            if self.is_split {
+                Self::name(number)
+            } else {
+                CompactString::default()
+            }
+        };
+        (0..count)
+            .map(|number| Place {
+                table,
+                part: part(number),
+            })
+            .collect()
+    }
+
+    /// Returns the place of rows that only the holder writes.
+    pub fn of_holder(self, table: &'static str) -> Place {
+        let part = if self.is_split {
+            LEASE_PART.into()
+        } else {
+            CompactString::default()
+        };
+        Place { table, part }
+    }
+
+    fn name(number: u64) -> CompactString {
+        format_compact!("j{number}")
+    }
+}
+
 /// Key of the row that changes with each epoch.
 pub(crate) const EPOCH_KEY: &str = "epoch";
 /// Key of the row that changes with each renewal.
@@ -59,19 +118,10 @@
     format_compact!("{id}{CANCEL_SUFFIX}")
 }
 
-pub(crate) fn queued_key(route: &str, id: &str) -> CompactString {
-    format_compact!("{route}/{id}")
-}
-
-/// Returns the bounds of a queue in its index; `0` is the byte after `/`.
-pub(crate) fn queued_range(route: &str) -> (String, String) {
-    (format!("{route}/"), format!("{route}0"))
-}
-
 /// Writes a value of the product's own types.
-pub(crate) fn put<T: Serialize>(table: &'static str, key: impl Into<CompactString>, value: &T) -> Put {
+pub(crate) fn put<T: Serialize>(place: Place, key: impl Into<CompactString>, value: &T) -> Put {
     Put {
-        table,
+        place,
         key: key.into(),
         value: serde_json::to_vec(value).expect("rows have string keys and finite numbers"),
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,6 +18,8 @@
     pub config_deadline_ms: u64,
     /// Time from the request to stop until the process is killed.
     pub stop_grace_ms: u64,
+    /// Whether a transaction of the store may span several parts.
+    pub has_cross_part_txns: bool,
     /// Share of a core that the instance may use.
     pub cpu_share: f64,
     /// Silence of the holder after which another instance takes over.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,7 +8,8 @@
 use tokio::sync::Notify;
 
 use crate::clock::boot_ms;
-use crate::ports::{FeedError, Page, RowsPage, Store, StoreError, Txn, TxnError};
+use crate::ports::{FeedError, Page, Place, RowsPage, Store, StoreError, Txn, TxnError};
+use crate::rows::Parts;
 use crate::{Metrics, NodeSettings, View};
 
 /// State that all parts of an instance share; they run on one thread.
@@ -25,6 +26,9 @@
     /// Time by which each outstanding call to the store should have its reply.
     pub outstanding: RefCell<BTreeMap<u64, u64>>,
     pub next_call: Cell<u64>,
+    /// Usual time of a short call to the store in ms, smoothed.
+    pub call_ms: Cell<f64>,
+    pub parts: Parts,
     /// Wakes feeds when the store answers again.
     pub regained: Notify,
 }
@@ -45,10 +49,30 @@
 }
 
 impl<S, W> Shared<S, W> {
-    /// Silence of the store on a call after which it counts as lost. It answers in milliseconds, and in a quarter of a
-    /// second when it is slow.
+    /// Least silence of the store on a call after which it counts as lost; it answers in milliseconds.
     const STORE_LOST_MS: u64 = 450;
 
+    /// Longest silence before a slow store counts as lost: below the time that callers wait.
+    const STORE_LOST_MAX_MS: u64 = 1_500;
+
+    /// Multiple of the usual time of a call after which silence counts.
+    const STORE_LOST_FACTOR: u64 = 4;
+
+    /// Returns the silence after which the store counts as lost, from the usual time of its calls.
+    fn store_lost_ms(&self) -> u64 {
+        (self.call_ms.get() as u64 * Self::STORE_LOST_FACTOR).clamp(Self::STORE_LOST_MS, Self::STORE_LOST_MAX_MS)
+    }
+
+    /// Notes how long a call took.
+    fn measure(&self, sent_ms: u64, is_answered: bool) {
+        const WEIGHT: f64 = 0.3;
+        if is_answered {
+            let took_ms = boot_ms().saturating_sub(sent_ms) as f64;
+            self.call_ms
+                .set(self.call_ms.get() + (took_ms - self.call_ms.get()) * WEIGHT);
+        }
+    }
+
     /// Notes a reply of the store.
     pub fn store_heard(&self) {
         let mut view = self.view.borrow_mut();
@@ -79,13 +103,13 @@
         let now_ms = boot_ms();
         let heard_ms = self.view.borrow().store_heard_ms;
         if let Some(due_ms) = self.outstanding.borrow().values().min().copied()
-            && now_ms > due_ms + Self::STORE_LOST_MS
+            && now_ms > due_ms + self.store_lost_ms()
             && heard_ms <= due_ms
         {
             return true;
         }
         let failing_ms = self.view.borrow().store_failing_ms;
-        failing_ms.is_some_and(|since| now_ms > since + Self::STORE_LOST_MS && heard_ms <= since)
+        failing_ms.is_some_and(|since| now_ms > since + self.store_lost_ms() && heard_ms <= since)
     }
 
     /// Notes a call whose reply may take `wait_ms` longer than usual.
@@ -104,7 +128,9 @@
     /// Commits a transaction and notes what the outcome says of the store.
     pub async fn transact(&self, txn: &Txn) -> Result<u64, TxnError> {
         let call = self.call_begins(0);
+        let sent_ms = boot_ms();
         let result = self.store.transact(txn).await;
+        self.measure(sent_ms, matches!(result, Ok(_) | Err(TxnError::Conflict(_))));
         drop(call);
         self.count("write", result.is_ok());
         match &result {
@@ -115,9 +141,11 @@
     }
 
     /// Reads rows and notes what the outcome says of the store.
-    pub async fn read(&self, table: &'static str, from: &str, to: &str) -> Result<RowsPage, StoreError> {
+    pub async fn read(&self, place: &Place, from: &str, to: &str) -> Result<RowsPage, StoreError> {
         let call = self.call_begins(0);
-        let result = self.store.read(table, from, to).await;
+        let sent_ms = boot_ms();
+        let result = self.store.read(place, from, to).await;
+        self.measure(sent_ms, result.is_ok());
         drop(call);
         self.count("read", result.is_ok());
         self.note(result.is_ok());
