feat(domain): move work off workers that slow down or stand still

Change: rates over 600 ms windows; a run is slow below 0.4 of its own rate or 0.2 of similar ones; a sound run vouches for its worker; work moves if that gains. The date of the configuration is renewed at once after an outage.

--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -1,4 +1,5 @@
 use super::keys::RunKey;
+use super::run_progress::RunProgress;
 use super::{Engine, Run, RunState, WorkerKey};
 use crate::{Resources, TaskName, TaskRun};
 
@@ -20,10 +21,9 @@
             is_void: false,
             stop_sent_ms: None,
             checkpoint: None,
-            percent: 0.0,
+            resumed: true,
             recent: 0.0,
-            progress_ms: now_ms,
-            first_seen: None,
+            progress: RunProgress::default(),
             pace_percent: 100,
             paced_ms: 0,
             is_foreign: true,
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -13,6 +13,8 @@
 mod preempt;
 mod renew;
 mod run;
+mod run_progress;
+mod slow;
 mod starts;
 mod stats;
 mod step_state;
@@ -60,6 +62,7 @@
     took_over_ms: u64,
     next_schedule_ms: u64,
     is_schedule_due: bool,
+    next_slow_check_ms: u64,
     corrections: HashMap<(CompactString, u32), order::Correction>,
     stats: EngineStats,
     notes: Vec<String>,
@@ -97,6 +100,7 @@
             took_over_ms: now_ms,
             next_schedule_ms: now_ms,
             is_schedule_due: true,
+            next_slow_check_ms: now_ms,
             corrections: HashMap::new(),
             stats: EngineStats::default(),
             notes: Vec::new(),
@@ -164,6 +168,7 @@
             self.is_schedule_due = false;
             self.next_schedule_ms = now_ms + Self::SCHEDULE_GAP_MS;
             self.check_health(now_ms);
+            self.move_slow_work(now_ms);
             self.place_all(now_ms);
             self.pace_fillers(now_ms);
         }
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -209,6 +209,24 @@
         let usable: Vec<_> = (0..spots.len())
             .filter(|spot| spots[*spot].is_open_to(unit) && self.takes(&spots[*spot], spec, shape))
             .collect();
+        // Workers on which it failed or was slow come last.
+        let failed_on = self.failed_on(unit);
+        if !failed_on.is_empty() {
+            let others: Vec<_> = usable
+                .iter()
+                .copied()
+                .filter(|spot| !failed_on.contains(&spots[*spot].worker))
+                .collect();
+            let is_bound = shape.is_same_rack || shape.data_rack.is_some();
+            let plan = if is_bound {
+                best_rack(shape, &others, spots)
+            } else {
+                pack(shape, &others, spots)
+            };
+            if plan.is_some() {
+                return plan;
+            }
+        }
         if !shape.is_same_rack && shape.data_rack.is_none() {
             return pack(shape, &usable, spots);
         }
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -146,11 +146,7 @@
         if run.state == RunState::Starting {
             run.state = RunState::Running;
         }
-        if run.percent != task.percent || run.first_seen.is_none() {
-            run.progress_ms = now_ms;
-            run.percent = task.percent;
-            run.first_seen.get_or_insert((now_ms, task.percent));
-        }
+        run.progress.observe(task.percent, now_ms);
         run.recent = task.recent;
         if task.checkpoint.is_some() && run.checkpoint != task.checkpoint {
             run.checkpoint.clone_from(&task.checkpoint);
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -1,6 +1,7 @@
 use compact_str::CompactString;
 
 use super::keys::{JobKey, WorkerKey};
+use super::run_progress::RunProgress;
 use crate::Resources;
 
 /// What the scheduler believes about a run.
@@ -32,12 +33,10 @@
     pub is_void: bool,
     pub stop_sent_ms: Option<u64>,
     pub checkpoint: Option<CompactString>,
-    pub percent: f64,
+    /// It began from a checkpoint, or before this epoch.
+    pub resumed: bool,
     pub recent: f64,
-    /// When `percent` last rose.
-    pub progress_ms: u64,
-    /// Percent at the start of this run, for the rate of progress.
-    pub first_seen: Option<(u64, f64)>,
+    pub progress: RunProgress,
     pub pace_percent: u32,
     pub paced_ms: u64,
     /// Unknown to this scheduler; it is stopped.
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -1,6 +1,7 @@
 use compact_str::CompactString;
 
 use super::keys::{JobKey, RunKey};
+use super::run_progress::RunProgress;
 use super::{Engine, Run, RunState, WorkerKey};
 use crate::{Action, Limits, StartOrder, TaskRun};
 
@@ -96,11 +97,10 @@
             settled_ms: None,
             is_void: false,
             stop_sent_ms: None,
+            resumed: checkpoint.is_some(),
             checkpoint: checkpoint.clone(),
-            percent: 0.0,
             recent: 0.0,
-            progress_ms: now_ms,
-            first_seen: None,
+            progress: RunProgress::default(),
             pace_percent: 100,
             paced_ms: 0,
             is_foreign: false,
@@ -233,7 +233,6 @@
                 run.settled_ms = Some(now_ms);
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
-                    run.progress_ms = now_ms;
                 }
                 self.note_job_running(key, now_ms);
             }
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -20,6 +20,8 @@
     timer: Addr<Timer>,
     seen: Option<Seen>,
     held: Option<Held<S, W>>,
+    /// Newest epoch that this instance gave up or lost.
+    left_epoch: u64,
     is_taking: bool,
     take_not_before_ms: u64,
 }
@@ -112,6 +114,7 @@
             timer,
             seen: None,
             held: None,
+            left_epoch: 0,
             is_taking: false,
             take_not_before_ms: 0,
         }
@@ -253,6 +256,7 @@
 
     fn step_down(&mut self, cause: &str) {
         let Some(held) = self.held.take() else { return };
+        self.left_epoch = held.epoch;
         held.holder.do_send(Input::Stop);
         spdlog::warn!("lease_lost", kv: { epoch = held.epoch, cause });
         self.shared.metrics.lease_changes.with_label_values(&["lost"]).inc();
@@ -307,7 +311,8 @@
             .as_ref()
             .and_then(|seen| seen.beat.as_ref())
             .is_some_and(|(beat, _)| beat.is_released);
-        if is_own && !is_released && !self.is_taking && !self.shared.is_stopping.get() {
+        let is_left = epoch.epoch <= self.left_epoch;
+        if is_own && !is_released && !is_left && !self.is_taking && !self.shared.is_stopping.get() {
             // The reply to the takeover was lost. Nothing starts before a renewal confirms the lease.
             self.hold(epoch.epoch, version, 0, ctx);
         }
--- a/crates/node/src/node_handle.rs
+++ b/crates/node/src/node_handle.rs
@@ -83,8 +83,11 @@
     const WAIT_MS: u64 = 1_000;
     const RETRY: Duration = Duration::from_millis(100);
     let mut after = None;
+    let mut is_dated = false;
     loop {
         let sent_ms = boot_ms();
+        // Without a recent date of the configuration the reply must not wait for a change.
+        let wait_ms = if is_dated { WAIT_MS } else { 0 };
         let result = match after {
             None => {
                 let state = async { shared.store.operator_state().await.map_err(FeedError::Store) };
@@ -92,10 +95,11 @@
             }
             Some(after) => {
                 shared
-                    .feed(WAIT_MS, shared.store.operator_changes(after, WAIT_MS))
+                    .feed(wait_ms, shared.store.operator_changes(after, wait_ms))
                     .await
             }
         };
+        is_dated = result.is_ok();
         match result {
             Ok(page) => {
                 if after.is_none() {
