feat(domain): empty leaving workers of what cannot end there in time

Ruled out: to take a refused connection for the end of the process (a cut zone refuses as well, and a task would run twice). Change: runs whose expected rest does not fit into the worker's remaining time are stopped, which saves a checkpoint, and start elsewhere; three tests.

--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -96,6 +96,9 @@
                 EntryState::Ready => worker.draining_since_ms = None,
                 EntryState::Draining { .. } => {}
             }
+            if let EntryState::Draining { remaining_ms } = entry.state {
+                worker.leaves_ms = now_ms + remaining_ms;
+            }
             worker.entry = entry;
             if is_reborn {
                 // A renewal tells for sure; until then nothing new is placed on the former incarnation.
@@ -105,8 +108,9 @@
         }
         let id = entry.id.clone();
         let mut worker = Worker::new(entry, true, now_ms);
-        if matches!(worker.entry.state, EntryState::Draining { .. }) {
+        if let EntryState::Draining { remaining_ms } = worker.entry.state {
             worker.draining_since_ms = Some(now_ms);
+            worker.leaves_ms = now_ms + remaining_ms;
         }
         let key = self.workers.insert(worker);
         self.worker_ids.insert(id, key);
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -169,6 +169,7 @@
             self.next_schedule_ms = now_ms + Self::SCHEDULE_GAP_MS;
             self.check_health(now_ms);
             self.move_slow_work(now_ms);
+            self.leave_draining(now_ms);
             self.place_all(now_ms);
             self.pace_fillers(now_ms);
         }
--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -65,6 +65,47 @@
         }
     }
 
+    /// Moves work off leaving workers that cannot end there in time. What saves checkpoints saves one when it is
+    /// stopped; the rest would be lost anyway, and starts again sooner.
+    pub(super) fn leave_draining(&mut self, now_ms: u64) {
+        /// Time for the end to be listed before the worker is gone.
+        const LISTING_MS: u64 = 150;
+        let mut late = Vec::new();
+        for worker in self
+            .workers
+            .values()
+            .filter(|worker| worker.draining_since_ms.is_some())
+        {
+            for key in &worker.runs {
+                let run = &self.runs[*key];
+                let is_movable = run.state == RunState::Running && !run.is_foreign;
+                if is_movable && now_ms + self.left_ms(run, now_ms) + LISTING_MS > worker.leaves_ms {
+                    late.push(*key);
+                }
+            }
+        }
+        for key in late {
+            let Some(run) = self.runs.get(key).filter(|run| run.state == RunState::Running) else {
+                continue;
+            };
+            let id = self.job_of(run).spec.id.clone();
+            self.notes
+                .push(format!("run_moved job={id} step={} cause=worker_leaves", run.step));
+            self.give_up_run(key, now_ms);
+        }
+    }
+
+    /// Returns the expected time until a run ends.
+    fn left_ms(&self, run: &Run, now_ms: u64) -> u64 {
+        match run.progress.rate.filter(|rate| *rate > 0.0) {
+            Some(rate) => run.progress.left_ms(rate) as u64,
+            None => {
+                let spec = &self.job_of(run).spec;
+                (self.expected_ms(spec, run.step) + run.ordered_ms).saturating_sub(now_ms)
+            }
+        }
+    }
+
     /// Returns the normal rate of each step at work: the best of its corrected estimate and the median of its tasks.
     fn normal_rates(&self) -> HashMap<(JobKey, u32, u32), f64> {
         /// Tasks of a step on different workers from which a median means something.
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -15,6 +15,8 @@
     pub is_fenced: bool,
     /// When its entry last changed to leaving.
     pub draining_since_ms: Option<u64>,
+    /// Least own time at which a leaving worker may be gone.
+    pub leaves_ms: u64,
     pub born_unix_ms: Option<u64>,
     /// Clock of the worker and own time of that reading.
     pub clock: Option<(u64, u64)>,
@@ -49,6 +51,7 @@
             is_recorded: false,
             is_fenced: false,
             draining_since_ms: None,
+            leaves_ms: 0,
             born_unix_ms: None,
             clock: None,
             renew_sent_ms: None,
--- a/crates/domain/tests/engine/faults.rs
+++ b/crates/domain/tests/engine/faults.rs
@@ -121,3 +121,54 @@
     assert!(tries <= 6, "{tries} starts on the failing worker");
     world.assert_sound();
 }
+
+/// Guards against work that is lost with a leaving worker, and noticed only when its lease has expired.
+#[rstest]
+#[case::saved(true)]
+#[case::not_saved(false)]
+fn work_that_cannot_end_in_time_moves_off_a_leaving_worker(#[case] saves: bool) {
+    let mut world = World::new(1, 2);
+    let mut long = step(1, 8, 9_000);
+    long.saves_checkpoints = saves;
+    let id = world.submit(job("a", 1, long));
+    world.run_for(4_000);
+    let leaving = world.workers_of(&id)[0].clone();
+    world.workers.get_mut(&leaving).unwrap().is_draining = true;
+    world.refresh_entries();
+    let elapsed_ms = world.run_until(1_000, |world| world.starts.len() == 2);
+    assert!(elapsed_ms < 400, "{elapsed_ms}");
+    let left_ms = world.run_until(10_000, |world| world.state(&id) == JobState::Done);
+    assert!(!saves || left_ms < 6_000, "{left_ms}");
+    world.assert_sound();
+}
+
+/// Guards against a leaving worker that is emptied although its work ends in time.
+#[test]
+fn work_that_ends_in_time_stays_on_a_leaving_worker() {
+    let mut world = World::new(1, 2);
+    let id = world.submit(job("a", 1, step(1, 8, 2_500)));
+    world.run_for(1_500);
+    let leaving = world.workers_of(&id)[0].clone();
+    world.workers.get_mut(&leaving).unwrap().is_draining = true;
+    world.refresh_entries();
+    world.run_until(1_500, |world| world.state(&id) == JobState::Done);
+    assert_eq!(world.starts.len(), 1);
+    world.assert_sound();
+}
+
+/// Guards against tasks that wait on a worker that stands still while others are free.
+#[test]
+fn work_moves_off_a_worker_that_stands_still() {
+    let mut world = World::new(1, 4);
+    for number in 0..10 {
+        world.submit(job(&format!("{number}"), 0, step(1, 2, 800)));
+        world.run_for(300);
+    }
+    let id = world.submit(job("abc", 0, step(1, 2, 2_000)));
+    world.run_for(900);
+    let standing = world.workers_of(&id)[0].clone();
+    world.workers.get_mut(&standing).unwrap().hangs = true;
+    let elapsed_ms = world.run_until(5_000, |world| world.state(&id) == JobState::Done);
+    assert!(elapsed_ms < 4_500, "{elapsed_ms}");
+    world.assert_sound();
+}
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -173,6 +173,13 @@
         self.engine.set_loaded();
     }
 
+    /// Shows the engine the entries of all listed workers as they are.
+    pub fn refresh_entries(&mut self) {
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            self.engine.set_worker(worker.entry(), self.now_ms);
+        }
+    }
+
     pub fn submit(&mut self, mut job: Job) -> CompactString {
         self.version += 1;
         job.accept_epoch = self.epoch;
