feat(domain): advice with tickets, upkeep in waves, pacing of fillers, lasting tasks

Ruled out: asking for advice on all workers at once (the service takes time for each and serves one call at a time); taking machines down without emptying them. Change: modules advice, waves and pace in the engine; Fleet port; wire types of machines, advice and waves. Tasks that last start again however they end and are never preempted. Tests in tests/engine/special.rs, each with a fake that enforces the rule. Moves of machines between pools are not built.

--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -8,6 +8,12 @@
 pub struct DomainSettings {
     /// Address of readiness and metrics.
     pub ready_address: SocketAddr,
+    /// Address of the interface of the workers' machines; empty if there is none.
+    #[serde(default)]
+    pub machines_address: String,
+    /// Address of the placement service; empty if there is none.
+    #[serde(default)]
+    pub advice_address: String,
     /// Whether a transaction of the store may span several parts.
     pub has_cross_part_txns: bool,
     /// Share of a core that the process may use.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use compact_str::CompactString;
 use conf::{DomainSettings, Settings};
 use daemon_error::DaemonError;
 use entry::{Entry, Listeners};
@@ -70,6 +71,11 @@
     })
 }
 
+/// Returns an address of the settings; an empty one means that there is none.
+fn address(text: &str) -> Option<CompactString> {
+    if text.is_empty() { None } else { Some(text.into()) }
+}
+
 /// Runs an instance of a scheduling domain on the users' platform.
 fn run_domain(path: &Path, settings: Settings, domain: &DomainSettings) -> Result<(), DaemonError> {
     actix_rt::System::new().block_on(async {
@@ -80,6 +86,8 @@
             front: settings.http_address,
             ready: domain.ready_address,
             store_url: settings.platform_url.clone(),
+            machines: address(&domain.machines_address),
+            advice: address(&domain.advice_address),
         };
         let instance = Instance::start(node_settings(&settings, domain), &addresses)?;
         stop.await;
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -48,6 +48,17 @@
     pub remove_workers: Vec<CompactString>,
     /// Jobs of which no task has started, by queue, where the count changed.
     pub pending: Vec<(CompactString, u64)>,
+    /// Waves of upkeep that run or are done.
+    pub waves: Vec<(u64, WaveProgress)>,
+}
+
+/// How far a wave of upkeep is, as its operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaveProgress {
+    /// Machines wait for their upkeep or have it.
+    Running,
+    /// Every machine that stays has had it.
+    Done,
 }
 
 impl Commit {
@@ -62,7 +73,7 @@
 
     /// Returns the entries of the transaction.
     pub fn entries(&self) -> usize {
-        let others = self.add_workers.len() + self.remove_workers.len() + self.pending.len();
+        let others = self.add_workers.len() + self.remove_workers.len() + self.pending.len() + self.waves.len();
         Self::BASE_ENTRIES + self.rows.len() * Self::ROW_ENTRIES + others
     }
 }
@@ -104,6 +115,22 @@
         /// Share.
         percent: u32,
     },
+    /// Ask the placement service which workers may run a step; at most one call is under way.
+    Advise {
+        /// Step: job, occurrence and number.
+        step: CompactString,
+        /// Ids of the workers to ask about.
+        workers: Vec<CompactString>,
+    },
+    /// Read the list of machines; at most one call is under way.
+    ListMachines,
+    /// Take a machine down for its upkeep.
+    Upkeep {
+        /// Machine.
+        machine: CompactString,
+        /// Wave.
+        wave: u64,
+    },
     /// Write rows; at most one commit is under way.
     Commit(Commit),
 }
--- a/crates/domain/src/config.rs
+++ b/crates/domain/src/config.rs
@@ -23,8 +23,8 @@
     pub timeout_ms: u64,
     /// Requests need no key.
     pub is_public: bool,
-    /// Whether the policy of the queue restricts the workers of a step.
-    pub needs_advice: bool,
+    /// How long advice on the workers of a step is valid, if the policy of the queue restricts them.
+    pub advice_validity_ms: Option<u64>,
 }
 
 /// Pool of workers.
@@ -72,6 +72,11 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns a queue by its name.
+    pub fn route_named(&self, name: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| route.name == name)
+    }
+
     /// Returns the owner of a key.
     pub fn organisation_of(&self, key: &str) -> Option<&Organisation> {
         let owns = |organisation: &&Organisation| organisation.keys.iter().any(|own| own == key);
--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -36,6 +36,10 @@
             run.step = name.step;
             run.index = name.index;
             run.is_foreign = false;
+            if shape.is_filler {
+                // The former scheduler may have paced it down; the next look raises it if it may work.
+                run.pace_percent = 0;
+            }
             let is_gang = shape.is_gang;
             let key = self.add_run(run, what.clone());
             let Some(state) = self.step_mut(job, name.occurrence, name.step) else {
--- a/crates/domain/src/engine/cancel.rs
+++ b/crates/domain/src/engine/cancel.rs
@@ -88,6 +88,7 @@
                 .all(|step| step.active_count == 0);
         if is_over && let Some(job) = self.jobs.remove(key) {
             self.job_ids.remove(&job.spec.id);
+            self.forget_advice();
         }
     }
 }
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -72,7 +72,9 @@
             return;
         }
         self.queue_worker_rows();
-        let has_workers = !self.commit.add_workers.is_empty() || !self.commit.remove_workers.is_empty();
+        let has_workers = !self.commit.add_workers.is_empty()
+            || !self.commit.remove_workers.is_empty()
+            || !self.waves.unwritten().is_empty();
         let has_unnoted = self.workers.values().any(|worker| worker.seen > worker.noted);
         let is_pending_due = now_ms >= self.commit.pending_due_ms && {
             self.commit.pending_due_ms = now_ms + Self::PENDING_MS;
@@ -149,6 +151,7 @@
             add_workers: self.take_added(),
             remove_workers: self.take_removed(),
             pending: self.changed_pending(),
+            waves: self.waves.unwritten(),
             ..Commit::default()
         };
         let mut write = InFlight {
@@ -215,6 +218,7 @@
         for id in &commit.remove_workers {
             self.commit.remove_workers.swap_remove(id);
         }
+        self.waves.written(&commit.waves);
         for (route, count) in &commit.pending {
             self.commit.written_pending.insert(route.clone(), *count);
         }
--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -47,8 +47,8 @@
     pub fn progress(&self) -> Progress {
         let mut progress = self.loaded.clone().unwrap_or_default();
         progress.state = self.state;
-        progress.route = self.spec.route.clone();
-        progress.organisation = self.spec.organisation.clone();
+        progress.route.clone_from(&self.spec.route);
+        progress.organisation.clone_from(&self.spec.organisation);
         if self.state.is_final() {
             progress.steps.clear();
             return progress;
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state machine.
 
 mod adopt;
+mod advice;
 mod cancel;
 mod commits;
 mod health;
@@ -18,6 +19,7 @@
 mod starts;
 mod stats;
 mod step_state;
+mod waves;
 mod worker;
 
 use std::collections::{HashMap, HashSet};
@@ -37,7 +39,7 @@
 use step_state::StepState;
 use worker::Worker;
 
-use crate::{Action, Config, Job, Limits, Resources, TaskName, TaskRun};
+use crate::{Action, Config, Job, Limits, TaskName, TaskRun};
 
 /// Scheduler of one domain.
 #[derive(Debug)]
@@ -58,6 +60,8 @@
     dirty: IndexSet<JobKey>,
     commit: commits::CommitState,
     claims: Vec<place::Claim>,
+    advice: advice::AdviceState,
+    waves: waves::WaveState,
     is_loaded: bool,
     took_over_ms: u64,
     next_schedule_ms: u64,
@@ -96,6 +100,8 @@
             dirty: IndexSet::new(),
             commit: commits::CommitState::default(),
             claims: Vec::new(),
+            advice: advice::AdviceState::default(),
+            waves: waves::WaveState::default(),
             is_loaded: false,
             took_over_ms: now_ms,
             next_schedule_ms: now_ms,
@@ -172,6 +178,7 @@
             self.leave_draining(now_ms);
             self.place_all(now_ms);
             self.pace_fillers(now_ms);
+            self.proceed_with_waves(now_ms);
         }
         self.commit_due(now_ms);
     }
@@ -198,10 +205,6 @@
             .get_mut(step as usize)
     }
 
-    fn free_of(&self, worker: &Worker) -> Resources {
-        worker.entry.capacity.minus(&worker.used)
-    }
-
     fn task_name(job: &Job, occurrence: u32, step: u32, index: u32) -> CompactString {
         let name = TaskName {
             job: job.id.clone(),
--- a/crates/domain/src/engine/order.rs
+++ b/crates/domain/src/engine/order.rs
@@ -41,13 +41,23 @@
 }
 
 /// Step of an occurrence of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct UnitKey {
     job: JobKey,
     occurrence: u32,
     step: u32,
 }
 
+impl UnitKey {
+    pub const fn new(job: JobKey, occurrence: u32, step: u32) -> Self {
+        Self { job, occurrence, step }
+    }
+
+    pub const fn job(self) -> JobKey {
+        self.job
+    }
+}
+
 impl Unit {
     pub const fn key(&self) -> UnitKey {
         UnitKey {
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -61,6 +61,7 @@
             && worker.silent_since_ms.is_none()
             && now_ms < worker.heard_ms + Self::FRESH_MS
             && now_ms >= worker.avoid_until_ms
+            && !self.waves.is_cordoned(&worker.entry.id)
             && !self.out_of_service.contains(&worker.entry.data_centre)
     }
 
@@ -71,7 +72,7 @@
             .filter(|(_, worker)| self.is_usable(worker, now_ms))
             .map(|(key, worker)| Spot {
                 worker: key,
-                free: self.free_of(worker),
+                free: worker.entry.capacity.minus(&worker.used),
                 capacity: worker.entry.capacity,
                 rack: worker.entry.rack.clone(),
                 service: worker.entry.service.clone(),
@@ -93,6 +94,9 @@
         let mut spots = self.spots(now_ms);
         let mut reservations = 0;
         for unit in units.into_iter().take(Self::MAX_UNITS) {
+            if self.needs_advice(&unit, &spots, now_ms) {
+                continue;
+            }
             if self.place_unit(&unit, &mut spots, now_ms) {
                 self.claims.retain(|claim| claim.unit != unit.key());
                 continue;
@@ -138,7 +142,7 @@
             let best = spots
                 .iter()
                 .enumerate()
-                .filter(|(_, spot)| self.takes(spot, &spec, shape))
+                .filter(|(_, spot)| self.takes(spot, &spec, shape) && self.is_permitted(unit, spot.worker, now_ms))
                 .filter(|(_, spot)| spot.is_open_to(unit) && shape.charged().fits(&spot.free))
                 .filter(|(_, spot)| has_share_left(shape, per_worker.get(&spot.worker)))
                 .filter(|(_, spot)| may_be_remote || shape.data_rack.as_ref().is_none_or(|rack| *rack == spot.rack))
@@ -172,7 +176,9 @@
                 .get(spot.worker)
                 .is_some_and(|worker| worker.entry.labels.contains(label))
         };
-        spot.service == spec.service && shape.required_label.as_ref().is_none_or(has_label)
+        spot.service == spec.service
+            && shape.required_label.as_ref().is_none_or(has_label)
+            && !(shape.is_filler && self.is_pressed(spot.worker))
     }
 
     fn failed_on(&self, unit: &Unit) -> Vec<WorkerKey> {
@@ -208,6 +214,7 @@
     fn plan_gang(&self, unit: &Unit, spec: &Job, shape: &Step, spots: &[Spot], now_ms: u64) -> Option<Vec<Share>> {
         let usable: Vec<_> = (0..spots.len())
             .filter(|spot| spots[*spot].is_open_to(unit) && self.takes(&spots[*spot], spec, shape))
+            .filter(|spot| self.is_permitted(unit, spots[*spot].worker, now_ms))
             .collect();
         // Workers on which it failed or was slow come last.
         let failed_on = self.failed_on(unit);
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -151,7 +151,7 @@
             let run = &self.runs[*key];
             if run.state == RunState::Stopping {
                 free = free.plus(&run.need);
-            } else if !run.is_foreign && self.job_of(run).spec.priority > priority {
+            } else if !run.is_foreign && self.is_victim(run, priority) {
                 victims.push(Victim {
                     run: *key,
                     need: run.need,
@@ -170,6 +170,11 @@
         }
     }
 
+    fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
+        let spec = &self.job_of(run).spec;
+        spec.priority > priority && !spec.steps[run.step as usize].is_bound_to_stay()
+    }
+
     /// Returns the work that stopping a run loses, with the other members of its gang, in core-milliseconds.
     pub(super) fn stop_cost(&self, key: RunKey, now_ms: u64) -> u64 {
         /// Lost work of a task that saves checkpoints: it saves once more when it is stopped.
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -237,6 +237,8 @@
         }
         let is_news = !state.done[name.index as usize];
         match end.kind {
+            // Tasks that last start again however they end.
+            EndKind::Done if shape.is_long_running => {}
             EndKind::Done => {
                 if shape.is_gang {
                     (0..shape.count as usize).for_each(|index| state.set_done(index));
--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -97,13 +97,11 @@
 
     /// Returns the expected time until a run ends.
     fn left_ms(&self, run: &Run, now_ms: u64) -> u64 {
-        match run.progress.rate.filter(|rate| *rate > 0.0) {
-            Some(rate) => run.progress.left_ms(rate) as u64,
-            None => {
-                let spec = &self.job_of(run).spec;
-                (self.expected_ms(spec, run.step) + run.ordered_ms).saturating_sub(now_ms)
-            }
+        if let Some(rate) = run.progress.rate.filter(|rate| *rate > 0.0) {
+            return run.progress.left_ms(rate) as u64;
         }
+        let spec = &self.job_of(run).spec;
+        (self.expected_ms(spec, run.step) + run.ordered_ms).saturating_sub(now_ms)
     }
 
     /// Returns the normal rate of each step at work: the best of its corrected estimate and the median of its tasks.
@@ -179,7 +177,7 @@
             }
             worker.avoid_until_ms = worker.avoid_until_ms.max(now_ms + Self::SLOW_AVOID_MS);
         }
-        if shape.is_long_running || delay_ms * Self::GAIN_MARGIN < lost_ms + Self::MOVE_MS {
+        if shape.is_bound_to_stay() || delay_ms * Self::GAIN_MARGIN < lost_ms + Self::MOVE_MS {
             return;
         }
         self.notes.push(format!(
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -1,6 +1,7 @@
 use compact_str::CompactString;
 
 use super::keys::{JobKey, RunKey};
+use super::order::UnitKey;
 use super::run_progress::RunProgress;
 use super::{Engine, Run, RunState, WorkerKey};
 use crate::{Action, Limits, StartOrder, TaskRun};
@@ -118,7 +119,7 @@
             spec: spec.spec.clone(),
             lease_until_ms,
             checkpoint,
-            ticket: None,
+            ticket: self.ticket_for(UnitKey::new(job, occurrence, step), worker_key, now_ms),
         };
         self.actions.push(Action::Start {
             worker: worker_key,
@@ -271,6 +272,9 @@
     fn start_rejected(&mut self, key: RunKey, worker_key: WorkerKey, rejection: Rejection, now_ms: u64) {
         let run = &self.runs[key];
         let (job, occurrence, step) = (run.job, run.occurrence, run.step);
+        if rejection == Rejection::NoTicket {
+            self.drop_ticket(UnitKey::new(job, occurrence, step), worker_key);
+        }
         self.remove_run(key);
         if let Some(state) = self.step_mut(job, occurrence, step) {
             state.not_before_ms = now_ms + Self::REJECTED_PAUSE_MS;
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -5,6 +5,7 @@
 
 /// What the scheduler knows of a worker.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
 pub(super) struct Worker {
     pub entry: WorkerEntry,
     /// It is in the platform's list.
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -39,9 +39,6 @@
     pub accept_epoch: u64,
     /// When the job was accepted, by the clock of the accepting instance.
     pub accepted_unix_ms: u64,
-    /// Whether a step needs the advice of the placement service.
-    #[serde(default)]
-    pub needs_advice: bool,
 }
 
 impl Job {
--- a/crates/domain/src/step.rs
+++ b/crates/domain/src/step.rs
@@ -7,6 +7,10 @@
 /// Step of a job: tasks of one shape.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent property that callers declare"
+)]
 pub struct Step {
     /// Number of tasks.
     pub count: u32,
@@ -51,6 +55,11 @@
         }
     }
 
+    /// Returns whether a task must not be stopped for the sake of other work: its users would miss it.
+    pub const fn is_bound_to_stay(&self) -> bool {
+        self.is_long_running || self.max_unavailable > 0
+    }
+
     /// Returns the declared work of the whole step in core-milliseconds, accelerators included.
     pub const fn work(&self) -> u64 {
         self.count as u64 * self.need.weight_milli() * self.estimate_ms / 1_000
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -3,5 +3,6 @@
 mod faults;
 mod jobs;
 mod schedules;
+mod special;
 mod takeover;
 mod world;
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -6,8 +6,8 @@
 
 use compact_str::CompactString;
 use domain::{
-    Action, Commit, Config, Engine, EntryState, Job, JobState, Limits, Organisation, Progress, Rejection, Resources,
-    StartOutcome, Step, TaskName, WorkerEntry, WorkerKey,
+    Action, Commit, Config, Engine, EntryState, Job, JobState, Limits, Machine, MachineState, Organisation, Progress,
+    Rejection, Resources, Route, StartOutcome, Step, TaskName, UpkeepReply, WaveProgress, WorkerEntry, WorkerKey,
 };
 pub use fake_worker::FakeWorker;
 
@@ -53,6 +53,14 @@
     pub lose_starts: u32,
     /// Replies to the next commits are lost after they took effect.
     pub lose_commits: u32,
+    /// Workers that the placement service permits; empty permits all.
+    pub permitted: Vec<CompactString>,
+    pub advice_calls: Vec<(CompactString, usize)>,
+    /// Most machines that were down for upkeep at once.
+    pub most_down: usize,
+    /// Runs that ended by an upkeep.
+    pub interrupted: usize,
+    pub waves: BTreeMap<u64, WaveProgress>,
     pub violations: Vec<String>,
     pub notes: Vec<String>,
     pub starts: Vec<(u64, CompactString, CompactString)>,
@@ -82,7 +90,6 @@
         interval_ms: 0,
         accept_epoch: 0,
         accepted_unix_ms: 0,
-        needs_advice: false,
     }
 }
 
@@ -122,6 +129,11 @@
             late_start_ms: None,
             lose_starts: 0,
             lose_commits: 0,
+            permitted: Vec::new(),
+            advice_calls: Vec::new(),
+            most_down: 0,
+            interrupted: 0,
+            waves: BTreeMap::new(),
             violations: Vec::new(),
             notes: Vec::new(),
             starts: Vec::new(),
@@ -147,6 +159,11 @@
                 guaranteed_accelerators: 64,
                 ..Organisation::default()
             }],
+            routes: vec![Route {
+                name: "route-advised".into(),
+                advice_validity_ms: Some(3_000),
+                ..Route::default()
+            }],
             ..Config::default()
         });
         for (id, address) in &self.used_workers {
@@ -254,8 +271,19 @@
     }
 
     fn step(&mut self) {
+        let mut returned = Vec::new();
         for worker in self.workers.values_mut() {
             worker.advance(self.now_ms);
+            if worker.end_upkeep(self.now_ms) {
+                returned.push(worker.id.clone());
+            }
+        }
+        for old in returned {
+            // A machine that returns has a worker with a new id.
+            let mut worker = self.workers.remove(&old).expect("the worker was just seen");
+            worker.id = format!("{old}n").into();
+            self.engine.set_worker(worker.entry(), self.now_ms);
+            self.workers.insert(worker.id.clone(), worker);
         }
         let due: Vec<_> = self.late.extract_if(.., |late| late.at_ms <= self.now_ms).collect();
         for late in due {
@@ -327,7 +355,49 @@
                     None => self.engine.renew_failed(worker, self.now_ms),
                 }
             }
-            Action::Pace { .. } => {}
+            Action::Pace { worker, what, percent } => {
+                let Some(id) = self.target(worker) else { return };
+                if let Some(run) = self.workers.get_mut(&id).and_then(|worker| worker.run_mut(&what)) {
+                    run.pace_percent = percent;
+                }
+            }
+            Action::Advise { step, workers } => {
+                self.advice_calls.push((step, workers.len()));
+                let is_good = |id: &&CompactString| self.permitted.is_empty() || self.permitted.contains(*id);
+                let good: Vec<_> = workers
+                    .iter()
+                    .filter(is_good)
+                    .map(|id| (id.clone(), format!("ticket-{id}").into()))
+                    .collect();
+                self.engine.advised(Some(&good), self.now_ms);
+            }
+            Action::ListMachines => {
+                let machines = self.workers.values().map(|worker| Machine {
+                    name: format!("m-{}", worker.machine).into(),
+                    state: if worker.is_in_upkeep {
+                        MachineState::Upkeep
+                    } else {
+                        MachineState::Up
+                    },
+                    worker: worker.id.clone(),
+                });
+                self.engine.set_machines(Some(machines.collect()), self.now_ms);
+            }
+            Action::Upkeep { machine, wave } => {
+                let down = self.workers.values().filter(|worker| worker.is_in_upkeep).count();
+                let is_named = |worker: &&mut FakeWorker| machine == format!("m-{}", worker.machine);
+                let Some(worker) = self.workers.values_mut().find(is_named) else {
+                    return;
+                };
+                if !worker.is_in_upkeep && !worker.had_upkeep {
+                    self.most_down = self.most_down.max(down + 1);
+                    self.interrupted += worker.runs.len();
+                    worker.begin_upkeep(self.now_ms);
+                    self.engine.unlist_worker(&worker.id.clone(), self.now_ms);
+                }
+                self.engine
+                    .upkeep_replied(wave, &machine, UpkeepReply::Begun, self.now_ms);
+            }
             Action::Commit(commit) => self.commit(&commit),
         }
     }
@@ -418,6 +488,7 @@
             stored.progress = row.progress.clone();
             stored.version = self.version;
         }
+        self.waves.extend(commit.waves.iter().copied());
         for (id, address) in &commit.add_workers {
             self.used_workers.insert(id.clone(), address.clone());
         }
--- a/crates/domain/tests/engine/world/fake_worker.rs
+++ b/crates/domain/tests/engine/world/fake_worker.rs
@@ -11,10 +11,14 @@
     pub done_ms: f64,
     pub saves: bool,
     pub stop_at_ms: Option<u64>,
+    pub pace_percent: u32,
+    pub target_ms: u64,
+    pub is_filler: bool,
 }
 
 /// Worker that keeps the platform's rules for orders.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "the faults are independent of each other")]
 pub struct FakeWorker {
     pub id: CompactString,
     pub rack: CompactString,
@@ -29,6 +33,10 @@
     pub hangs: bool,
     /// Rate of work.
     pub speed: f64,
+    pub machine: CompactString,
+    pub is_in_upkeep: bool,
+    pub had_upkeep: bool,
+    upkeep_until_ms: u64,
     pub born_unix_ms: u64,
     pub lease_until_ms: u64,
     clock_ahead_ms: u64,
@@ -44,6 +52,10 @@
 
     pub fn new(id: CompactString, rack: CompactString) -> Self {
         Self {
+            machine: id.clone(),
+            is_in_upkeep: false,
+            had_upkeep: false,
+            upkeep_until_ms: 0,
             id,
             rack,
             runs: Vec::new(),
@@ -125,6 +137,9 @@
                 .unwrap_or(0.0),
             saves: step.saves_checkpoints,
             stop_at_ms: None,
+            pace_percent: 100,
+            target_ms: step.target_ms,
+            is_filler: step.is_filler,
         });
         Ok(())
     }
@@ -170,13 +185,55 @@
                     run: run.what.run,
                     checkpoint: Self::checkpoint(run),
                     percent: (run.done_ms * 100.0 / run.work_ms.max(1) as f64).floor(),
-                    recent: 0.0,
+                    recent: self.recent(run),
                 })
                 .collect(),
             ends: self.ends.clone(),
         }
     }
 
+    pub fn run_mut(&mut self, what: &TaskRun) -> Option<&mut FakeRun> {
+        self.runs.iter_mut().find(|run| run.what == *what)
+    }
+
+    /// Tail of a serving task: each filler beside it adds to it by its share.
+    fn recent(&self, run: &FakeRun) -> f64 {
+        const OWN_MS: f64 = 20.0;
+        const PER_FILLER_MS: f64 = 50.0;
+        let fillers: f64 = self
+            .runs
+            .iter()
+            .filter(|other| other.is_filler)
+            .map(|other| f64::from(other.pace_percent) / 100.0)
+            .sum();
+        if run.target_ms > 0 {
+            OWN_MS + PER_FILLER_MS * fillers
+        } else {
+            0.0
+        }
+    }
+
+    pub fn begin_upkeep(&mut self, now_ms: u64) {
+        const UPKEEP_MS: u64 = 2_000;
+        self.restart(now_ms);
+        self.is_in_upkeep = true;
+        self.is_listed = false;
+        self.is_silent = true;
+        self.upkeep_until_ms = now_ms + UPKEEP_MS;
+    }
+
+    pub fn end_upkeep(&mut self, now_ms: u64) -> bool {
+        if !self.is_in_upkeep || now_ms < self.upkeep_until_ms {
+            return false;
+        }
+        self.is_in_upkeep = false;
+        self.had_upkeep = true;
+        self.is_listed = true;
+        self.is_silent = false;
+        self.born_unix_ms = now_ms;
+        true
+    }
+
     fn checkpoint(run: &FakeRun) -> Option<CompactString> {
         let is_worth = run.saves && run.done_ms >= 500.0;
         is_worth.then(|| format!("{}", (run.done_ms / 500.0).floor() * 500.0).into())
@@ -194,7 +251,7 @@
         }
         for run in &mut self.runs {
             if !self.hangs {
-                run.done_ms += elapsed_ms as f64 * self.speed;
+                run.done_ms += elapsed_ms as f64 * self.speed * f64::from(run.pace_percent) / 100.0;
             }
         }
         let mut over = Vec::new();
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -440,7 +440,6 @@
             interval_ms: submission.interval_ms,
             accept_epoch: view.epoch,
             accepted_unix_ms: unix_ms(),
-            needs_advice: route.needs_advice,
         };
         let progress = Progress {
             route: route.name.clone(),
@@ -458,7 +457,7 @@
                 put(self.shared.parts.of_job(JOBS, id), id.clone(), &job),
                 put(self.shared.parts.of_job(PROGRESS, id), id.clone(), &progress),
             ],
-            removes: Vec::new(),
+            ..Txn::default()
         }
     }
 
--- a/crates/node/src/holder.rs
+++ b/crates/node/src/holder.rs
@@ -1,5 +1,5 @@
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +7,8 @@
 use actix_rt::time::sleep;
 use compact_str::CompactString;
 use domain::{
-    Action, Commit, Engine, Job, Progress, Rejection, StartOrder, StartOutcome, TaskRun, WorkerKey, WorkerReport,
+    Action, Commit, Engine, Job, Machine, Progress, Rejection, StartOrder, StartOutcome, TaskRun, UpkeepReply,
+    WorkerKey, WorkerReport,
 };
 use timer::Tick;
 
@@ -29,6 +30,8 @@
     /// When the newest confirmed renewal of the lease was sent.
     confirmed_ms: Rc<Cell<u64>>,
     config_version: u64,
+    waves_revision: Option<u64>,
+    waves: BTreeSet<u64>,
     /// Heartbeats that went with writes.
     beat: u64,
     is_stopped: bool,
@@ -58,6 +61,12 @@
     StopDone(TaskRun, bool),
     /// Reply to a renewal.
     Renewed(WorkerKey, Result<WorkerReport, RenewError>),
+    /// Reply to a call for advice.
+    Advised(Option<Vec<(CompactString, CompactString)>>),
+    /// List of machines.
+    Machines(Option<Vec<Machine>>),
+    /// Reply to an upkeep order.
+    UpkeepDone(u64, CompactString, UpkeepReply),
     /// Reply to a write.
     Committed(Box<Commit>, u64, Result<u64, TxnError>),
     /// Another instance holds the lease, or this one stops.
@@ -83,6 +92,8 @@
             epoch_row_version,
             confirmed_ms,
             config_version: 0,
+            waves_revision: None,
+            waves: BTreeSet::new(),
             beat: 0,
             is_stopped: false,
         }
@@ -103,6 +114,16 @@
                 self.engine.set_config(config.as_ref().clone());
             }
             self.engine.set_out_of_service(view.out_of_service.clone());
+            if self.waves_revision != Some(view.waves_revision) {
+                self.waves_revision = Some(view.waves_revision);
+                for number in self.waves.iter().filter(|number| !view.waves.contains_key(number)) {
+                    self.engine.set_wave(*number, None, now_ms);
+                }
+                for (number, wave) in &view.waves {
+                    self.engine.set_wave(*number, Some(wave.clone()), now_ms);
+                }
+                self.waves = view.waves.keys().copied().collect();
+            }
         }
         let may_start = now_ms <= self.confirmed_ms.get() + self.shared.settings.limits.holdover_ms;
         self.engine.tick(now_ms, unix_ms(), may_start);
@@ -174,6 +195,27 @@
                     let _ = shared.workers.pace(&target, &what, percent, ORDER_LIMIT).await;
                 });
             }
+            Action::Advise { step, workers } => {
+                actix_rt::spawn(async move {
+                    let good = shared.workers.advise(&step, &workers).await;
+                    holder.do_send(Input::Advised(good));
+                });
+            }
+            Action::ListMachines => {
+                actix_rt::spawn(async move {
+                    let machines = shared.workers.machines().await;
+                    holder.do_send(Input::Machines(machines));
+                });
+            }
+            Action::Upkeep { machine, wave } => {
+                let epoch = self.engine.epoch();
+                spdlog::info!("upkeep", kv: { machine = machine.as_str(), wave, epoch });
+                actix_rt::spawn(async move {
+                    let instance = shared.settings.instance.clone();
+                    let reply = shared.workers.upkeep(&machine, wave, &instance, epoch).await;
+                    holder.do_send(Input::UpkeepDone(wave, machine, reply));
+                });
+            }
             Action::Commit(commit) => {
                 let txn = self.txn(&commit);
                 let sent_ms = boot_ms();
@@ -215,6 +257,7 @@
         for (route, count) in &commit.pending {
             txn.puts.push(put(parts.of_holder(PENDING), route.clone(), count));
         }
+        txn.waves.clone_from(&commit.waves);
         self.beat += 1;
         let beat = BeatRow {
             epoch: self.engine.epoch(),
@@ -367,6 +410,9 @@
                 self.engine.renew_other_incarnation(worker, now_ms);
             }
             Input::Renewed(worker, Err(RenewError::NoReply)) => self.engine.renew_failed(worker, now_ms),
+            Input::Advised(good) => self.engine.advised(good.as_deref(), now_ms),
+            Input::Machines(machines) => self.engine.set_machines(machines, now_ms),
+            Input::UpkeepDone(wave, machine, reply) => self.engine.upkeep_replied(wave, &machine, reply, now_ms),
             Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
             Input::Stop => {
                 self.is_stopped = true;
@@ -464,6 +510,15 @@
         .collect();
     holder.do_send(Input::UsedWorkers(used));
     actix_rt::spawn(follow_workers(Rc::clone(&shared), holder.clone()));
+    let place = shared.parts.of_holder(PENDING);
+    let Some((pending, _)) = until_read(&shared, &holder, &[place]).await else {
+        return;
+    };
+    let pending = pending
+        .iter()
+        .filter_map(|row| Some((row.key.clone(), get::<u64>(row)?)))
+        .collect();
+    holder.do_send(Input::Pending(pending));
     let Some(after) = load_jobs(&shared, &holder).await else {
         return;
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,7 +24,7 @@
 pub use metrics::Metrics;
 pub use node_handle::Node;
 pub use ports::{
-    Condition, FeedError, OperatorChange, OperatorPage, OwnRow, Page, Place, Put, RenewError, RowsPage, Store,
+    Condition, FeedError, Fleet, OperatorChange, OperatorPage, OwnRow, Page, Place, Put, RenewError, RowsPage, Store,
     StoreError, Target, Txn, TxnError, WorkerChange, WorkerPage, Workers,
 };
 pub use settings::NodeSettings;
--- a/crates/node/src/node_handle.rs
+++ b/crates/node/src/node_handle.rs
@@ -103,7 +103,10 @@
         match result {
             Ok(page) => {
                 if after.is_none() {
-                    shared.view.borrow_mut().out_of_service.clear();
+                    let mut view = shared.view.borrow_mut();
+                    view.out_of_service.clear();
+                    view.waves.clear();
+                    view.waves_revision += 1;
                 }
                 let has_more = page.has_more;
                 after = Some(page.version);
@@ -142,6 +145,14 @@
                 view.out_of_service.remove(&name);
             }
         }
+        OperatorChange::Wave(number, wave) => {
+            spdlog::info!("wave_changed", kv: { wave = number, is_open = wave.is_some() });
+            view.waves_revision += 1;
+            match wave {
+                Some(wave) => view.waves.insert(number, *wave),
+                None => view.waves.remove(&number),
+            };
+        }
         OperatorChange::Other(key) => spdlog::debug!("operator_row", kv: { key = key.as_str() }),
     }
 }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use domain::{Config, StartOrder, StartOutcome, TaskRun, WorkerEntry, WorkerReport};
+use domain::{
+    Config, Machine, StartOrder, StartOutcome, TaskRun, UpkeepReply, Wave, WaveProgress, WorkerEntry, WorkerReport,
+};
 use thiserror::Error;
 
 /// Row of one of the product's tables.
@@ -58,6 +60,8 @@
     pub conditions: Vec<Condition>,
     /// Rows to write.
     pub puts: Vec<Put>,
+    /// Waves of upkeep whose progress operators should see.
+    pub waves: Vec<(u64, WaveProgress)>,
     /// Rows to remove.
     pub removes: Vec<(Place, CompactString)>,
 }
@@ -70,7 +74,7 @@
         let removes = self.removes.iter().map(|(place, _)| &place.part);
         let mut parts = conditions.chain(puts).chain(removes);
         let first = parts.next();
-        parts.any(|part| Some(part) != first)
+        parts.any(|part| Some(part) != first) || !self.waves.is_empty()
     }
 }
 
@@ -138,6 +142,8 @@
         /// Out of service.
         is_out: bool,
     },
+    /// A wave of upkeep is asked for, or withdrawn.
+    Wave(u64, Option<Box<Wave>>),
     /// Row with another meaning.
     Other(CompactString),
 }
@@ -244,7 +250,7 @@
 
 /// Orders to workers.
 #[expect(async_fn_in_trait, reason = "futures stay on the thread of the instance")]
-pub trait Workers: 'static {
+pub trait Workers: Fleet {
     /// Starts a run; waits at most `limit` for the reply.
     async fn start(&self, target: &Target, order: &StartOrder, limit: Duration) -> StartOutcome;
 
@@ -271,3 +277,16 @@
     /// Closes channels to workers that are not among `addresses`.
     fn retain(&self, addresses: &HashSet<CompactString>);
 }
+
+/// Machines of the workers and the placement service.
+#[expect(async_fn_in_trait, reason = "futures stay on the thread of the instance")]
+pub trait Fleet: 'static {
+    /// Reads the list of machines; `None` if it cannot be read.
+    async fn machines(&self) -> Option<Vec<Machine>>;
+
+    /// Takes a machine down for its upkeep in a wave, in the name of the holder of an epoch.
+    async fn upkeep(&self, machine: &str, wave: u64, holder: &str, epoch: u64) -> UpkeepReply;
+
+    /// Asks which of the workers may run a step; returns them with their tickets, `None` without an answer.
+    async fn advise(&self, step: &str, workers: &[CompactString]) -> Option<Vec<(CompactString, CompactString)>>;
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,8 +1,8 @@
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use domain::Config;
+use domain::{Config, Wave};
 
 /// What an instance knows of the operators' wishes and of the scheduling lease.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +15,10 @@
     pub config_checked_ms: u64,
     /// Data centres that are out of service.
     pub out_of_service: HashSet<CompactString>,
+    /// Waves of upkeep that operators ask for, by number.
+    pub waves: BTreeMap<u64, Wave>,
+    /// Changes with each change of the waves.
+    pub waves_revision: u64,
     /// Epoch of the scheduling lease; 0 before the first.
     pub epoch: u64,
     /// Version of the epoch's row; 0 before the first.
