fix(domain): a step moves once; expensive preemption waits while it may

Ruled out: dropping the comparison with similar tasks (standing workers would be found only by runs that began before). Change: only a standing run moves a second time; estimates count from 6 observations; preemption that loses more than the unit's own work waits until objective or guarantee require it. A write carries the lease's beat about as often as the lease is renewed.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -59,7 +59,7 @@
         return Ok(());
     }
     if let Some(domain) = settings.domain.clone() {
-        return run_domain(path, settings, &domain);
+        return run_domain(path, &settings, &domain);
     }
     let listeners = Listeners::bind(&settings)?;
     actix_rt::System::new().block_on(async {
@@ -77,7 +77,7 @@
 }
 
 /// Runs an instance of a scheduling domain on the users' platform.
-fn run_domain(path: &Path, settings: Settings, domain: &DomainSettings) -> Result<(), DaemonError> {
+fn run_domain(path: &Path, settings: &Settings, domain: &DomainSettings) -> Result<(), DaemonError> {
     actix_rt::System::new().block_on(async {
         let stop = stop_signal()?;
         let reload = on_reload(path.to_owned(), settings.clone())?;
@@ -89,7 +89,7 @@
             machines: address(&domain.machines_address),
             advice: address(&domain.advice_address),
         };
-        let instance = Instance::start(node_settings(&settings, domain), &addresses)?;
+        let instance = Instance::start(node_settings(settings, domain), &addresses)?;
         stop.await;
         instance.stop().await;
         Ok(())
--- a/crates/domain/src/engine/order.rs
+++ b/crates/domain/src/engine/order.rs
@@ -15,7 +15,7 @@
 
 impl Correction {
     /// Observations after which a correction may be trusted.
-    const ENOUGH: u32 = 4;
+    const ENOUGH: u32 = 6;
 
     /// Spread up to which corrected estimates tell slow work from sound work.
     const NARROW: f64 = 0.3;
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -64,6 +64,12 @@
     /// Shortest time between two preemptions for one step; stops need this long to show.
     const PREEMPT_PAUSE_MS: u64 = 400;
 
+    /// Pause before room is looked for again without preemption.
+    const PREEMPT_LOOK_MS: u64 = 100;
+
+    /// Time until the end of a stopped run is listed and its room is given to the unit.
+    const STOP_LISTING_MS: u64 = 100;
+
     /// Time for which workers are kept for a unit that others were stopped for.
     const CLAIM_MS: u64 = 1_000;
 
@@ -117,9 +123,20 @@
         };
         let Some(choice) = victims else { return };
         let is_owed = self.is_within_guarantee(&spec.organisation);
-        if !is_owed && choice.cost > shape.work() {
-            // Stopping would lose more work than the unit is worth.
-            return;
+        if choice.cost > shape.work() {
+            // Stopping would lose more work than the unit needs. Unowed work waits for room; owed work waits as long as
+            // its objective and its guarantee allow.
+            let stops_ms = self.limits.stop_grace_ms + Self::CLAIM_MS;
+            let owed_ms = (unit.due_ms + self.limits.reclaim_ms).saturating_sub(stops_ms);
+            let useful_ms = unit
+                .latest_start_ms
+                .saturating_sub(self.limits.stop_grace_ms + Self::STOP_LISTING_MS);
+            if !is_owed || now_ms < owed_ms.min(useful_ms) {
+                if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
+                    state.preempted_ms = now_ms.saturating_sub(Self::PREEMPT_PAUSE_MS - Self::PREEMPT_LOOK_MS);
+                }
+                return;
+            }
         }
         self.claims.retain(|claim| claim.unit != unit.key());
         self.claims.push(Claim {
--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -177,6 +177,11 @@
             }
             worker.avoid_until_ms = worker.avoid_until_ms.max(now_ms + Self::SLOW_AVOID_MS);
         }
+        // A step that is slow again elsewhere has a wrong estimate; only a standing run moves a second time.
+        let has_moved = self.step_of(run).is_some_and(|state| state.has_moved);
+        if has_moved && rate > 0.0 {
+            return;
+        }
         if shape.is_bound_to_stay() || delay_ms * Self::GAIN_MARGIN < lost_ms + Self::MOVE_MS {
             return;
         }
@@ -207,6 +212,7 @@
             .map(|worker| worker.entry.id.clone())
             .collect();
         if let Some(state) = self.step_mut(job, occurrence, step) {
+            state.has_moved = true;
             for id in ids {
                 if !state.failed_on.contains(&id) {
                     state.failed_on.push(id);
--- a/crates/domain/src/engine/step_state.rs
+++ b/crates/domain/src/engine/step_state.rs
@@ -28,6 +28,8 @@
     /// When the step last asked others to make room.
     pub preempted_ms: u64,
     pub has_started: bool,
+    /// A run of it was moved because it seemed slow.
+    pub has_moved: bool,
 }
 
 impl StepState {
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -126,16 +126,15 @@
             .into_iter()
             .map(|machine| (machine.name.clone(), machine))
             .collect();
-        let machines = &self.waves.machines;
+        let known = &self.waves.machines;
         for open in self.waves.waves.values_mut() {
             for (name, stage) in &mut open.stages {
-                let state = machines.get(name).map(|machine| machine.state);
-                *stage = match (*stage, state) {
-                    (Stage::Done, _) | (_, None) => Stage::Done,
-                    (_, Some(MachineState::Upkeep)) => Stage::Begun,
-                    (Stage::Begun, Some(MachineState::Up)) => Stage::Done,
-                    (stage, _) => stage,
-                };
+                match known.get(name).map(|machine| machine.state) {
+                    None => *stage = Stage::Done,
+                    Some(MachineState::Upkeep) if *stage != Stage::Done => *stage = Stage::Begun,
+                    Some(MachineState::Up) if *stage == Stage::Begun => *stage = Stage::Done,
+                    Some(_) => {}
+                }
             }
         }
     }
--- a/crates/domain/tests/engine/special.rs
+++ b/crates/domain/tests/engine/special.rs
@@ -15,7 +15,7 @@
     world.run_for(200);
     let mut filler = step(4, 1, 4_000);
     filler.is_filler = true;
-    let filled = world.submit(job("b", 2, filler));
+    let background = world.submit(job("b", 2, filler));
     world.run_for(3_000);
     let tail = |world: &World| {
         let worker = world.workers.values().next().unwrap();
@@ -23,7 +23,7 @@
         report.running.iter().map(|run| run.recent).fold(0.0, f64::max)
     };
     assert!(tail(&world) < 100.0, "{}", tail(&world));
-    world.run_until(60_000, |world| world.state(&filled) == JobState::Done);
+    world.run_until(60_000, |world| world.state(&background) == JobState::Done);
     assert_eq!(world.state(&served), JobState::Running);
     world.assert_sound();
 }
--- a/crates/node/src/holder.rs
+++ b/crates/node/src/holder.rs
@@ -34,6 +34,7 @@
     waves: BTreeSet<u64>,
     /// Heartbeats that went with writes.
     beat: u64,
+    beat_ms: u64,
     is_stopped: bool,
 }
 
@@ -95,6 +96,7 @@
             waves_revision: None,
             waves: BTreeSet::new(),
             beat: 0,
+            beat_ms: 0,
             is_stopped: false,
         }
     }
@@ -258,13 +260,18 @@
             txn.puts.push(put(parts.of_holder(PENDING), route.clone(), count));
         }
         txn.waves.clone_from(&commit.waves);
-        self.beat += 1;
-        let beat = BeatRow {
-            epoch: self.engine.epoch(),
-            beat: self.beat,
-            is_released: false,
-        };
-        txn.puts.push(put(parts.of_holder(LEASE), BEAT_KEY, &beat));
+        // Every beat wakes all instances, so writes carry one only about as often as the lease is renewed.
+        let now_ms = boot_ms();
+        if now_ms >= self.beat_ms + self.shared.settings.renew_interval().as_millis() as u64 / 2 {
+            self.beat_ms = now_ms;
+            self.beat += 1;
+            let beat = BeatRow {
+                epoch: self.engine.epoch(),
+                beat: self.beat,
+                is_released: false,
+            };
+            txn.puts.push(put(parts.of_holder(LEASE), BEAT_KEY, &beat));
+        }
         txn
     }
 
