--- a/crates/fleet/src/fleet_process.rs
+++ b/crates/fleet/src/fleet_process.rs
@@ -73,6 +73,16 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Asks the process to read its settings again with `SIGHUP`.
+    pub fn reload(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Waits for the end of the process without blocking the other tasks.
     ///
     /// # Errors
