--- a/crates/daemon/src/daemon_error.rs
+++ b/crates/daemon/src/daemon_error.rs
@@ -18,6 +18,9 @@
     /// The instance of a domain cannot start.
     #[error(transparent)]
     Platform(#[from] platform::AdapterError),
+    /// The log cannot be written.
+    #[error("cannot log: {0}")]
+    Log(io::Error),
     /// Signals cannot be received.
     #[error("cannot receive signals: {0}")]
     Signals(io::Error),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
 use compact_str::CompactString;
@@ -11,6 +12,8 @@
 use node_settings::node_settings;
 use platform::{Addresses, Instance};
 use signals::{on_reload, stop_signal};
+use spdlog::Logger;
+use trace::BoundedSink;
 
 mod daemon_error;
 mod node_settings;
@@ -59,8 +62,10 @@
         return Ok(());
     }
     if let Some(domain) = settings.domain.clone() {
+        log_to_stdout()?;
         return run_domain(path, &settings, &domain);
     }
+    log_to_stdout()?;
     let listeners = Listeners::bind(&settings)?;
     actix_rt::System::new().block_on(async {
         let stop = stop_signal()?;
@@ -71,6 +76,16 @@
     })
 }
 
+/// Sends all log lines to standard output without ever waiting for it.
+fn log_to_stdout() -> Result<(), DaemonError> {
+    let sink = BoundedSink::new(std::io::stdout()).map_err(DaemonError::Log)?;
+    match Logger::builder().sink(Arc::new(sink)).build() {
+        Ok(logger) => spdlog::set_default_logger(Arc::new(logger)),
+        Err(error) => return Err(DaemonError::Log(std::io::Error::other(error))),
+    }
+    Ok(())
+}
+
 /// Returns an address of the settings; an empty one means that there is none.
 fn address(text: &str) -> Option<CompactString> {
     if text.is_empty() { None } else { Some(text.into()) }
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -155,6 +155,12 @@
             choice.cost
         ));
         for victim in choice.victims {
+            if let Some(what) = self.what_of(victim) {
+                self.notes.push(format!(
+                    "run_preempted task={} run={} for={}",
+                    what.task, what.run, spec.id
+                ));
+            }
             self.stats.preempted += 1;
             self.give_up_run(victim, now_ms);
         }
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -248,6 +248,8 @@
                 let other = state.active[name.index as usize];
                 self.workers[worker].failed_jobs.clear();
                 if is_news {
+                    self.notes
+                        .push(format!("run_done task={} run={} worker={worker_id}", end.task, end.run));
                     self.stats.done += 1;
                 }
                 if let Some(run) = &run {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -9,6 +9,7 @@
 //! # Ok::<(), model::InvalidId>(())
 //! ```
 
+mod bounded_sink;
 mod event;
 mod event_kind;
 mod merge;
@@ -18,6 +19,7 @@
 mod svg;
 mod text;
 
+pub use bounded_sink::BoundedSink;
 pub use event::Event;
 pub use event_kind::EventKind;
 pub use merge::merge;
