--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk/mod.rs
@@ -1,93 +1,25 @@
+//! The callers' view of an instance.
+
+mod job_request;
+mod refused;
+mod submission;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
 use compact_str::CompactString;
-use domain::{Config, Job, JobState, Progress, Route, Step};
-use thiserror::Error;
+use domain::{Config, Job, JobState, Progress, Route};
+pub use job_request::JobRequest;
+pub use refused::Refused;
+pub use submission::Submission;
+use submission::check;
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::ports::{Condition, OwnRow, Place, Store, StoreError, Txn, TxnError};
 use crate::rows::{JOBS, PENDING, PROGRESS, cancel_key, get, put};
 use crate::shared::SharedRef;
 
-/// Call of a caller: where it goes and who sends it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct JobRequest {
-    /// Host that the call names.
-    pub host: CompactString,
-    /// Path.
-    pub path: CompactString,
-    /// Key of the caller.
-    pub key: Option<CompactString>,
-    /// How long the caller waits.
-    pub deadline_ms: Option<u64>,
-}
-
-/// Job as submitted.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Submission {
-    /// Payload for the workers.
-    pub spec: String,
-    /// Steps.
-    pub steps: Vec<Step>,
-    /// Occurrences of a scheduled job; 0 for a job that runs once.
-    pub times: u32,
-    /// Due time of the first occurrence since 1970.
-    pub first_run_unix_ms: u64,
-    /// Time between occurrences.
-    pub interval_ms: u64,
-}
-
-/// Why a call is refused.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum Refused {
-    /// No configuration was read yet.
-    #[error("no configuration yet")]
-    NoConfig,
-    /// The configuration or the keys may be out of date.
-    #[error("the configuration may be out of date")]
-    StaleConfig,
-    /// No such queue.
-    #[error("no such queue")]
-    UnknownRoute,
-    /// The key is missing or unknown.
-    #[error("the key is missing or unknown")]
-    UnknownKey,
-    /// The request is malformed.
-    #[error("{0}")]
-    Invalid(&'static str),
-    /// The id belongs to a job of another queue or organisation.
-    #[error("the id is in use for another job")]
-    IdInUse,
-    /// No such job.
-    #[error("no such job")]
-    UnknownJob,
-    /// The store does not take calls; the job was not accepted.
-    #[error("the store is unavailable")]
-    StoreUnavailable,
-    /// The store did not reply: whether the call took effect is unknown.
-    #[error("the outcome is unknown")]
-    InDoubt,
-}
-
-impl Refused {
-    /// Returns a short name for logs and metrics.
-    pub const fn code(&self) -> &'static str {
-        match self {
-            Self::NoConfig => "no_config",
-            Self::StaleConfig => "stale_config",
-            Self::UnknownRoute => "unknown_route",
-            Self::UnknownKey => "unknown_key",
-            Self::Invalid(_) => "invalid",
-            Self::IdInUse => "id_in_use",
-            Self::UnknownJob => "unknown_job",
-            Self::StoreUnavailable => "store_unavailable",
-            Self::InDoubt => "in_doubt",
-        }
-    }
-}
-
 /// Answer to a submission.
 pub type SubmitReply = Result<(), Refused>;
 
@@ -469,31 +401,3 @@
         Some(if is_same { Ok(()) } else { Err(Refused::IdInUse) })
     }
 }
-
-/// Most tasks of a job; its progress has to fit into one row.
-const MAX_TASKS: u32 = 5_000;
-
-/// Checks a job before anything is stored.
-fn check(submission: &Submission, id: &str) -> Result<(), Refused> {
-    const ID_LENGTH: usize = 16;
-    if id.len() != ID_LENGTH || !id.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return Err(Refused::Invalid("the id must have 16 hexadecimal digits"));
-    }
-    if submission.steps.is_empty() {
-        return Err(Refused::Invalid("a job needs at least one step"));
-    }
-    let mut tasks = 0_u32;
-    for (number, step) in submission.steps.iter().enumerate() {
-        tasks = tasks.saturating_add(step.count);
-        if step.count == 0 {
-            return Err(Refused::Invalid("a step needs at least one task"));
-        }
-        if step.after.iter().any(|earlier| *earlier as usize >= number) {
-            return Err(Refused::Invalid("a step can only follow earlier steps"));
-        }
-    }
-    if tasks > MAX_TASKS {
-        return Err(Refused::Invalid("the job has too many tasks"));
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/node/src/desk/refused.rs
@@ -0,0 +1,50 @@
+use thiserror::Error;
+
+/// Why a call is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Refused {
+    /// No configuration was read yet.
+    #[error("no configuration yet")]
+    NoConfig,
+    /// The configuration or the keys may be out of date.
+    #[error("the configuration may be out of date")]
+    StaleConfig,
+    /// No such queue.
+    #[error("no such queue")]
+    UnknownRoute,
+    /// The key is missing or unknown.
+    #[error("the key is missing or unknown")]
+    UnknownKey,
+    /// The request is malformed.
+    #[error("{0}")]
+    Invalid(&'static str),
+    /// The id belongs to a job of another queue or organisation.
+    #[error("the id is in use for another job")]
+    IdInUse,
+    /// No such job.
+    #[error("no such job")]
+    UnknownJob,
+    /// The store does not take calls; the job was not accepted.
+    #[error("the store is unavailable")]
+    StoreUnavailable,
+    /// The store did not reply: whether the call took effect is unknown.
+    #[error("the outcome is unknown")]
+    InDoubt,
+}
+
+impl Refused {
+    /// Returns a short name for logs and metrics.
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_config",
+            Self::StaleConfig => "stale_config",
+            Self::UnknownRoute => "unknown_route",
+            Self::UnknownKey => "unknown_key",
+            Self::Invalid(_) => "invalid",
+            Self::IdInUse => "id_in_use",
+            Self::UnknownJob => "unknown_job",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::InDoubt => "in_doubt",
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/holder/mod.rs
@@ -0,0 +1,273 @@
+//! The scheduler's driver: rows, reports and time in, orders and writes out.
+
+mod actions;
+mod feeds;
+mod input;
+
+use std::cell::Cell;
+use std::collections::{BTreeSet, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use compact_str::CompactString;
+use domain::{Commit, Engine, WorkerKey};
+pub(crate) use input::Input;
+use timer::Tick;
+
+use crate::clock::{boot_ms, unix_ms};
+use crate::lease::{Deposed, LeaseKeeper};
+use crate::log;
+use crate::ports::{RenewError, Store, Target, TxnError, WorkerChange, Workers};
+use crate::rows::{EPOCH_KEY, LEASE, PROGRESS};
+use crate::shared::SharedRef;
+
+/// Drives the scheduler while this instance holds the lease.
+pub(crate) struct Holder<S: Store, W: Workers> {
+    shared: SharedRef<S, W>,
+    keeper: Addr<LeaseKeeper<S, W>>,
+    engine: Engine,
+    epoch_row_version: u64,
+    /// When the newest confirmed renewal of the lease was sent.
+    confirmed_ms: Rc<Cell<u64>>,
+    config_version: u64,
+    waves_revision: Option<u64>,
+    waves: BTreeSet<u64>,
+    /// Heartbeats that went with writes.
+    beat: u64,
+    beat_ms: u64,
+    is_stopped: bool,
+}
+
+impl<S: Store, W: Workers> Holder<S, W> {
+    /// Interval of the scheduler's clock.
+    pub const TICK: Duration = Duration::from_millis(25);
+
+    pub fn new(
+        shared: SharedRef<S, W>,
+        keeper: Addr<LeaseKeeper<S, W>>,
+        epoch: u64,
+        epoch_row_version: u64,
+        confirmed_ms: Rc<Cell<u64>>,
+    ) -> Self {
+        let engine = Engine::new(epoch, shared.settings.limits, boot_ms());
+        Self {
+            shared,
+            keeper,
+            engine,
+            epoch_row_version,
+            confirmed_ms,
+            config_version: 0,
+            waves_revision: None,
+            waves: BTreeSet::new(),
+            beat: 0,
+            beat_ms: 0,
+            is_stopped: false,
+        }
+    }
+
+    /// Lets the scheduler act on what changed.
+    fn pump(&mut self, ctx: &mut Context<Self>) {
+        if self.is_stopped {
+            return;
+        }
+        let now_ms = boot_ms();
+        {
+            let view = self.shared.view.borrow();
+            if let Some(config) = &view.config
+                && config.version != self.config_version
+            {
+                self.config_version = config.version;
+                self.engine.set_config(config.as_ref().clone());
+            }
+            self.engine.set_out_of_service(view.out_of_service.clone());
+            if self.waves_revision != Some(view.waves_revision) {
+                self.waves_revision = Some(view.waves_revision);
+                for number in self.waves.iter().filter(|number| !view.waves.contains_key(number)) {
+                    self.engine.set_wave(*number, None, now_ms);
+                }
+                for (number, wave) in &view.waves {
+                    self.engine.set_wave(*number, Some(wave.clone()), now_ms);
+                }
+                self.waves = view.waves.keys().copied().collect();
+            }
+        }
+        let may_start = now_ms <= self.confirmed_ms.get() + self.shared.settings.limits.holdover_ms;
+        self.engine.tick(now_ms, unix_ms(), may_start);
+        log::notes(self.engine.epoch(), self.engine.take_notes());
+        for action in self.engine.take_actions() {
+            self.act(action, ctx);
+        }
+        if self.engine.is_fenced_off() {
+            self.is_stopped = true;
+            self.keeper.do_send(Deposed {
+                epoch: self.engine.epoch(),
+                cause: "fenced_by_worker",
+            });
+        }
+    }
+
+    fn target(&self, worker: WorkerKey) -> Option<Target> {
+        let (address, id) = self.engine.worker_target(worker)?;
+        Some(Target {
+            address,
+            worker: id,
+            epoch: self.engine.epoch(),
+        })
+    }
+
+    fn committed(&mut self, commit: &Commit, sent_ms: u64, result: Result<u64, TxnError>) {
+        let now_ms = boot_ms();
+        match result {
+            Ok(version) => {
+                self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+                self.engine.committed(commit, version, now_ms);
+            }
+            Err(TxnError::Conflict(conflict)) => {
+                let epoch_row = conflict.iter().find(|row| row.table == LEASE && row.key == EPOCH_KEY);
+                if epoch_row.is_none_or(|row| row.version != self.epoch_row_version) {
+                    self.is_stopped = true;
+                    self.keeper.do_send(Deposed {
+                        epoch: self.engine.epoch(),
+                        cause: "write_rejected",
+                    });
+                    return;
+                }
+                let current: Vec<_> = conflict
+                    .iter()
+                    .filter(|row| row.table == PROGRESS)
+                    .map(|row| (row.key.clone(), row.version))
+                    .collect();
+                spdlog::warn!("commit_conflict", kv: { rows = current.len() });
+                self.engine.commit_failed(&current, now_ms);
+            }
+            Err(error) => {
+                spdlog::warn!("commit_failed", kv: { rows = commit.rows.len(), cause = error.to_string() });
+                self.engine.commit_failed(&[], now_ms);
+            }
+        }
+    }
+
+    fn worker_change(&mut self, change: WorkerChange, now_ms: u64) {
+        match change {
+            WorkerChange::Listed(entry) => self.engine.set_worker(*entry, now_ms),
+            WorkerChange::Unlisted(id) => self.engine.unlist_worker(&id, now_ms),
+        }
+    }
+
+    fn worker_list(&mut self, list: Vec<WorkerChange>, now_ms: u64) {
+        let listed: HashSet<CompactString> = list
+            .iter()
+            .filter_map(|change| match change {
+                WorkerChange::Listed(entry) => Some(entry.id.clone()),
+                WorkerChange::Unlisted(_) => None,
+            })
+            .collect();
+        for id in self.engine.listed_workers() {
+            if !listed.contains(&id) {
+                self.engine.unlist_worker(&id, now_ms);
+            }
+        }
+        for change in list {
+            self.worker_change(change, now_ms);
+        }
+    }
+
+    fn publish_stats(&self) {
+        let stats = self.engine.stats();
+        let set = |name: &str, value: u64| {
+            self.shared
+                .metrics
+                .scheduler
+                .with_label_values(&[name])
+                .set(value as i64);
+        };
+        set("starts", stats.starts);
+        set("rejected_starts", stats.rejected_starts);
+        set("unanswered_starts", stats.unanswered_starts);
+        set("stops", stats.stops);
+        set("done", stats.done);
+        set("failed", stats.failed);
+        set("broken", stats.broken);
+        set("preempted", stats.preempted);
+        set("wasted_core_ms", stats.wasted_core_ms);
+        set("running", stats.running);
+        set("workers", stats.workers);
+        set("open_jobs", stats.open_jobs);
+    }
+}
+
+impl<S: Store, W: Workers> Actor for Holder<S, W> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(4_096);
+        let holder = ctx.address();
+        let shared = Rc::clone(&self.shared);
+        actix_rt::spawn(feeds::load(shared, holder));
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Tick> for Holder<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, _tick: Tick, ctx: &mut Self::Context) {
+        self.pump(ctx);
+        self.publish_stats();
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Input> for Holder<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, input: Input, ctx: &mut Self::Context) {
+        let now_ms = boot_ms();
+        match input {
+            Input::UsedWorkers(workers) => {
+                for (id, address) in workers {
+                    self.engine.add_recorded_worker(&id, &address, now_ms);
+                }
+            }
+            Input::Jobs(jobs) => {
+                for (job, progress, version) in jobs {
+                    self.engine.add_job(job, progress, version, now_ms, unix_ms());
+                }
+            }
+            Input::Cancels(ids) => {
+                for id in ids {
+                    self.engine.cancel(&id, now_ms);
+                }
+            }
+            Input::Pending(counts) => {
+                for (route, count) in counts {
+                    self.engine.set_written_pending(&route, count);
+                }
+            }
+            Input::Loaded => self.engine.set_loaded(),
+            Input::WorkerList(list) => self.worker_list(list, now_ms),
+            Input::WorkerChanges(changes) => {
+                for change in changes {
+                    self.worker_change(change, now_ms);
+                }
+            }
+            Input::Started(worker, what, outcome) => self.engine.start_replied(worker, &what, outcome, now_ms),
+            Input::StopDone(what, is_confirmed) => self.engine.stop_replied(&what, is_confirmed, now_ms),
+            Input::Renewed(worker, Ok(report)) => self.engine.renewed(worker, &report, now_ms),
+            Input::Renewed(worker, Err(RenewError::Fenced)) => self.engine.renew_fenced(worker),
+            Input::Renewed(worker, Err(RenewError::OtherIncarnation)) => {
+                self.engine.renew_other_incarnation(worker, now_ms);
+            }
+            Input::Renewed(worker, Err(RenewError::NoReply)) => self.engine.renew_failed(worker, now_ms),
+            Input::Advised(good) => self.engine.advised(good.as_deref(), now_ms),
+            Input::Machines(machines) => self.engine.set_machines(machines, now_ms),
+            Input::UpkeepDone(wave, machine, reply) => self.engine.upkeep_replied(wave, &machine, reply, now_ms),
+            Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
+            Input::Stop => {
+                self.is_stopped = true;
+                ctx.stop();
+                return;
+            }
+        }
+        self.pump(ctx);
+    }
+}
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease/mod.rs
@@ -1,16 +1,23 @@
+//! The scheduling lease.
+
+mod follow;
+mod messages;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix::prelude::*;
-use actix_rt::time::sleep;
 use compact_str::CompactString;
+use follow::follow;
+pub(crate) use messages::{Deposed, Release};
+use messages::{FeedLost, LeaseRows, Renewed, Taken};
 use rand::Rng;
 use timer::{Subscribe, Tick, Timer};
 
 use crate::clock::boot_ms;
 use crate::holder::{Holder, Input};
-use crate::ports::{Condition, FeedError, OwnRow, Place, Store, Txn, TxnError, Workers};
+use crate::ports::{Condition, OwnRow, Place, Store, Txn, TxnError, Workers};
 use crate::rows::{BEAT_KEY, BeatRow, EPOCH_KEY, EpochRow, LEASE, get, put};
 use crate::shared::SharedRef;
 
@@ -47,57 +54,12 @@
     holder: Addr<Holder<S, W>>,
 }
 
-/// Rows of the lease as read or changed.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub(crate) struct LeaseRows {
-    rows: Vec<OwnRow>,
-    /// The store was not heard before, or not for a while.
-    is_first_look: bool,
-}
-
-/// The feed of the lease failed: silence means nothing until it is back.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct FeedLost;
-
-/// Reply to a renewal.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Renewed {
-    epoch: u64,
-    sent_ms: u64,
-    result: Result<u64, TxnError>,
-}
-
-/// Reply to a takeover.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Taken {
-    epoch: u64,
-    sent_ms: u64,
-    result: Result<u64, TxnError>,
-}
-
-/// The scheduler found that a newer epoch exists.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub(crate) struct Deposed {
-    pub epoch: u64,
-    pub cause: &'static str,
-}
-
-/// The instance stops: the lease is given up.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub(crate) struct Release;
-
 impl<S: Store, W: Workers> LeaseKeeper<S, W> {
     /// Interval of looking at the lease.
     const TICK: Duration = Duration::from_millis(50);
 
     /// Longest wait of the feed; a reply dates what the instance knows.
-    const FEED_WAIT_MS: u64 = 1_000;
+    pub(super) const FEED_WAIT_MS: u64 = 1_000;
 
     /// Age of the feed's newest reply up to which silence of the holder is believed.
     const FEED_FRESH_MS: u64 = Self::FEED_WAIT_MS + 500;
@@ -336,40 +298,6 @@
     }
 }
 
-/// Follows the rows of the lease for as long as the keeper lives.
-async fn follow<S: Store, W: Workers>(shared: SharedRef<S, W>, keeper: Addr<LeaseKeeper<S, W>>) {
-    const RETRY: Duration = Duration::from_millis(100);
-    let mut after = None;
-    let mut is_lost = true;
-    while keeper.connected() {
-        let result = match after {
-            None => {
-                let place = shared.parts.of_holder(LEASE);
-                shared.read(&place, "", "").await.map_err(FeedError::Store)
-            }
-            Some(after) => {
-                let wait_ms = LeaseKeeper::<S, W>::FEED_WAIT_MS;
-                shared.feed(wait_ms, shared.store.changes(LEASE, after, wait_ms)).await
-            }
-        };
-        match result {
-            Ok(page) => {
-                after = Some(page.version);
-                keeper.do_send(LeaseRows {
-                    rows: page.items,
-                    is_first_look: std::mem::take(&mut is_lost),
-                });
-            }
-            Err(FeedError::HistoryLost) => after = None,
-            Err(FeedError::Store(_)) => {
-                is_lost = true;
-                keeper.do_send(FeedLost);
-                sleep(RETRY).await;
-            }
-        }
-    }
-}
-
 impl<S: Store, W: Workers> Actor for LeaseKeeper<S, W> {
     type Context = Context<Self>;
 
