test(node): calls against a store that misbehaves; rows stay within the store's size

Ruled out: splitting progress over rows (no site needs it). Change: a job larger than a row is a 400 that stores nothing; progress that is too large leaves its checkpoints out and logs it. 19 tests with a fake store: lost, refused and silent writes, old keys, malformed jobs, cancellation.

--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -16,6 +16,8 @@
     pub advice_address: String,
     /// Whether a transaction of the store may span several parts.
     pub has_cross_part_txns: bool,
+    /// Largest value of a row of the store.
+    pub row_bytes: u64,
     /// Share of a core that the process may use.
     pub cpu_share: f64,
     /// Longest lease that a worker grants.
--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -29,6 +29,7 @@
         config_deadline_ms: domain.config_deadline_ms,
         stop_grace_ms: (domain.process_grace_s * 1_000.0) as u64,
         has_cross_part_txns: domain.has_cross_part_txns,
+        row_bytes: domain.row_bytes as usize,
         cpu_share: domain.cpu_share,
         lease_ttl_ms: domain.contact_ms / LEASE_PART_OF_CONTACT,
     }
--- a/crates/domain/src/progress.rs
+++ b/crates/domain/src/progress.rs
@@ -41,6 +41,17 @@
     pub checkpoints: BTreeMap<u32, CompactString>,
 }
 
+impl Progress {
+    /// Returns the progress without checkpoints, for a row that would be too large. Work then resumes from the start.
+    #[must_use]
+    pub fn without_checkpoints(mut self) -> Self {
+        for step in self.steps.values_mut().flat_map(BTreeMap::values_mut) {
+            step.checkpoints.clear();
+        }
+        self
+    }
+}
+
 /// Durable progress of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -136,6 +136,10 @@
                 });
             }
             let txn = self.insertion(&allowed, submission);
+            let bytes_max = self.shared.settings.value_bytes_max();
+            if txn.puts.iter().any(|put| put.value.len() > bytes_max) {
+                return Err(Refused::Invalid("the job is larger than a row of the store"));
+            }
             match self.transact(&txn).await {
                 Ok(version) => {
                     spdlog::info!("job_accepted", kv: {
--- a/crates/node/src/holder/actions.rs
+++ b/crates/node/src/holder/actions.rs
@@ -140,7 +140,12 @@
                 key: row.job.clone(),
                 version: row.expected_version,
             });
-            txn.puts.push(put(place, row.job.clone(), &row.progress));
+            let mut row_put = put(place.clone(), row.job.clone(), &row.progress);
+            if row_put.value.len() > self.shared.settings.value_bytes_max() {
+                spdlog::warn!("checkpoints_left_out", kv: { job = row.job.as_str(), bytes = row_put.value.len() });
+                row_put = put(place, row.job.clone(), &row.progress.clone().without_checkpoints());
+            }
+            txn.puts.push(row_put);
         }
         let workers = parts.of_holder(USED_WORKERS);
         for (id, address) in &commit.add_workers {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -20,6 +20,8 @@
     pub stop_grace_ms: u64,
     /// Whether a transaction of the store may span several parts.
     pub has_cross_part_txns: bool,
+    /// Largest value of a row of the store.
+    pub row_bytes: usize,
     /// Share of a core that the instance may use.
     pub cpu_share: f64,
     /// Silence of the holder after which another instance takes over.
@@ -35,6 +37,11 @@
         Duration::from_millis(self.lease_ttl_ms / Self::RENEWALS_PER_TTL)
     }
 
+    /// Returns the largest value that is written: a row may count its encoding, which takes a third more.
+    pub const fn value_bytes_max(&self) -> usize {
+        self.row_bytes * 3 / 4
+    }
+
     /// Returns the extra time that a small instance leaves larger ones to take the lease over.
     pub fn takeover_delay_ms(&self) -> u64 {
         // Half a core schedules a thousand workers with room to spare; smaller instances come later.
--- /dev/null
+++ b/crates/node/tests/desk.rs
@@ -0,0 +1,157 @@
+//! Calls of callers against a store that misbehaves.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use domain::{JobState, Step};
+use node::Refused;
+use rstest::rstest;
+use support::{FakeStore, ID, WriteFault, config, request, start, submission};
+
+fn store() -> FakeStore {
+    let store = FakeStore::default();
+    *store.0.config.borrow_mut() = Some(config(&["key"]));
+    store
+}
+
+/// Guards against jobs that are doubled, lost or refused because of lost replies.
+#[rstest]
+#[case::sound(&[])]
+#[case::reply_lost(&[WriteFault::ReplyLost])]
+#[case::write_lost(&[WriteFault::Lost])]
+#[case::both(&[WriteFault::Lost, WriteFault::ReplyLost, WriteFault::Refused])]
+#[actix_rt::test]
+async fn job_is_stored_once(#[case] faults: &[WriteFault]) {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    *store.0.faults.borrow_mut() = faults.to_vec();
+    assert_eq!(desk.submit(&request(ID, "key"), &submission()).await, Ok(()));
+    assert_eq!(desk.submit(&request(ID, "key"), &submission()).await, Ok(()));
+    assert_eq!(store.keys("jobs"), [ID]);
+    assert_eq!(desk.state(&request(ID, "key")).await, Ok(JobState::Queued));
+}
+
+/// Guards against a refusal that claims nothing was stored although a write is in doubt.
+#[actix_rt::test]
+async fn write_in_doubt_is_not_called_refused() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    *store.0.faults.borrow_mut() = vec![WriteFault::Lost; 100];
+    let reply = desk.submit(&request(ID, "key"), &submission()).await;
+    assert_eq!(reply, Err(Refused::InDoubt));
+}
+
+/// Guards against calls that wait for a store that refuses them.
+#[actix_rt::test]
+async fn store_that_refuses_is_told_at_once() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    *store.0.faults.borrow_mut() = vec![WriteFault::Refused; 100];
+    let begin = Instant::now();
+    let reply = desk.submit(&request(ID, "key"), &submission()).await;
+    assert_eq!(reply, Err(Refused::StoreUnavailable));
+    assert!(begin.elapsed() < Duration::from_millis(700), "{:?}", begin.elapsed());
+    assert!(store.keys("jobs").is_empty());
+}
+
+/// Guards against calls that are held until their deadline while the store is silent.
+#[actix_rt::test]
+async fn silent_store_is_noticed_before_callers_give_up() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    store.0.is_silent.set(true);
+    let begin = Instant::now();
+    let reply = desk.submit(&request(ID, "key"), &submission()).await;
+    assert_eq!(reply, Err(Refused::InDoubt));
+    assert!(begin.elapsed() < Duration::from_millis(900), "{:?}", begin.elapsed());
+    let begin = Instant::now();
+    let reply = desk.submit(&request("00000000000000aa", "key"), &submission()).await;
+    assert!(
+        matches!(reply, Err(Refused::StoreUnavailable | Refused::StaleConfig)),
+        "{reply:?}"
+    );
+    assert!(begin.elapsed() < Duration::from_millis(100), "{:?}", begin.elapsed());
+    assert!(!desk.is_ready());
+    store.0.is_silent.set(false);
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(desk.is_ready());
+    assert_eq!(desk.submit(&request(ID, "key"), &submission()).await, Ok(()));
+}
+
+/// Guards against calls with a key that was taken away while the instance could not know it.
+#[actix_rt::test]
+async fn old_configuration_admits_no_key() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    assert_eq!(desk.submit(&request(ID, "key"), &submission()).await, Ok(()));
+    store.0.is_silent.set(true);
+    sleep(Duration::from_millis(1_800)).await;
+    assert_eq!(desk.state(&request(ID, "key")).await, Err(Refused::StaleConfig));
+}
+
+#[rstest]
+#[case::revoked_key(ID, "other", Refused::UnknownKey)]
+#[case::short_id("5c0e", "key", Refused::Invalid("the id must have 16 hexadecimal digits"))]
+#[case::not_hexadecimal(
+    "5c0e7a21d94b36fx",
+    "key",
+    Refused::Invalid("the id must have 16 hexadecimal digits")
+)]
+#[actix_rt::test]
+async fn bad_calls_store_nothing(#[case] id: &str, #[case] key: &str, #[case] expected: Refused) {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    assert_eq!(desk.submit(&request(id, key), &submission()).await, Err(expected));
+    assert!(store.keys("jobs").is_empty());
+}
+
+#[rstest]
+#[case::no_steps(Vec::new())]
+#[case::no_tasks(vec![Step::default()])]
+#[case::later_step(vec![Step { count: 1, after: [0].into_iter().collect(), ..Step::default() }])]
+#[case::too_many_tasks(vec![Step { count: 6_000, ..Step::default() }])]
+#[case::larger_than_a_row(vec![Step { count: 1, image: "x".repeat(100).into(), ..Step::default() }; 400])]
+#[actix_rt::test]
+async fn malformed_jobs_store_nothing(#[case] steps: Vec<Step>) {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    let mut job = submission();
+    job.steps = steps;
+    let reply = desk.submit(&request(ID, "key"), &job).await;
+    assert!(matches!(reply, Err(Refused::Invalid(_))), "{reply:?}");
+    assert!(store.keys("jobs").is_empty());
+}
+
+#[actix_rt::test]
+async fn unknown_job_and_route_are_told_apart() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    assert_eq!(desk.state(&request(ID, "key")).await, Err(Refused::UnknownJob));
+    let mut elsewhere = request(ID, "key");
+    elsewhere.path = "/other/".into();
+    assert_eq!(desk.pending(&elsewhere).await, Err(Refused::UnknownRoute));
+}
+
+#[actix_rt::test]
+async fn without_a_configuration_nothing_is_accepted() {
+    let store = FakeStore::default();
+    let (_node, desk) = start(&store).await;
+    let reply = desk.submit(&request(ID, "key"), &submission()).await;
+    assert_eq!(reply, Err(Refused::NoConfig));
+    assert!(!desk.is_ready());
+}
+
+/// Guards against a cancellation that the caller was told of and that is not durable.
+#[actix_rt::test]
+async fn cancellation_is_durable_when_it_is_acknowledged() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    assert_eq!(desk.submit(&request(ID, "key"), &submission()).await, Ok(()));
+    *store.0.faults.borrow_mut() = vec![WriteFault::Lost, WriteFault::ReplyLost];
+    assert_eq!(desk.cancel(&request(ID, "key")).await, Ok(()));
+    assert!(store.keys("jobs").iter().any(|key| key.ends_with("/cancel")));
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(desk.state(&request(ID, "key")).await, Ok(JobState::Cancelled));
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,300 @@
+//! Fake store and workers behind the ports of a node.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use compact_str::CompactString;
+use domain::{
+    Config, Limits, Machine, Organisation, Route, StartOrder, StartOutcome, Step, TaskRun, UpkeepReply, WorkerReport,
+};
+use node::{
+    Desk, FeedError, Fleet, JobRequest, Node, NodeSettings, OperatorChange, OperatorPage, OwnRow, Page, Place,
+    RenewError, RowsPage, Store, StoreError, Submission, Target, Txn, TxnError, WorkerPage, Workers,
+};
+
+/// What becomes of a write.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum WriteFault {
+    #[default]
+    None,
+    /// It is refused; nothing was done.
+    Refused,
+    /// It takes effect, and its reply is lost.
+    ReplyLost,
+    /// It is lost before it takes effect.
+    Lost,
+}
+
+type RowKey = (CompactString, CompactString, CompactString);
+
+#[derive(Debug, Default)]
+pub struct State {
+    rows: RefCell<BTreeMap<RowKey, (Vec<u8>, u64)>>,
+    version: Cell<u64>,
+    pub config: RefCell<Option<Config>>,
+    /// Faults of the next writes to jobs, in order.
+    pub faults: RefCell<Vec<WriteFault>>,
+    /// The store answers no call.
+    pub is_silent: Cell<bool>,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct FakeStore(pub Rc<State>);
+
+impl FakeStore {
+    pub fn keys(&self, table: &str) -> Vec<CompactString> {
+        let rows = self.0.rows.borrow();
+        rows.keys()
+            .filter(|(known, _, _)| known == table)
+            .map(|(_, _, key)| key.clone())
+            .collect()
+    }
+
+    async fn answer(&self) -> Result<(), StoreError> {
+        const NO_REPLY: Duration = Duration::from_secs(1);
+        if self.0.is_silent.get() {
+            sleep(NO_REPLY).await;
+            return Err(StoreError::NoReply);
+        }
+        Ok(())
+    }
+
+    fn page<T>(&self, items: Vec<T>) -> Page<T> {
+        Page {
+            items,
+            has_more: false,
+            version: self.0.version.get(),
+        }
+    }
+
+    fn select(&self, table: &str, part: Option<&str>, after: u64) -> Vec<OwnRow> {
+        let rows = self.0.rows.borrow();
+        rows.iter()
+            .filter(|((known, in_part, _), (_, version))| {
+                known == table && part.is_none_or(|part| part == in_part) && *version > after
+            })
+            .map(|((table, part, key), (value, version))| OwnRow {
+                table: table.clone(),
+                part: part.clone(),
+                key: key.clone(),
+                value: Some(value.clone()),
+                version: *version,
+            })
+            .collect()
+    }
+
+    fn operator_changes_now(&self) -> Vec<OperatorChange> {
+        let config = self.0.config.borrow().clone();
+        config
+            .map(|config| OperatorChange::Config(Box::new(config), 1))
+            .into_iter()
+            .collect()
+    }
+}
+
+impl Store for FakeStore {
+    async fn transact(&self, txn: &Txn) -> Result<u64, TxnError> {
+        self.answer().await.map_err(|_| TxnError::Unknown)?;
+        let is_job = txn.puts.iter().any(|put| put.place.table == "jobs");
+        let has_fault = is_job && !self.0.faults.borrow().is_empty();
+        let fault = if has_fault {
+            self.0.faults.borrow_mut().remove(0)
+        } else {
+            WriteFault::None
+        };
+        match fault {
+            WriteFault::Refused => return Err(TxnError::NotDone("busy".into())),
+            WriteFault::Lost => return Err(TxnError::Unknown),
+            WriteFault::None | WriteFault::ReplyLost => {}
+        }
+        let key = |place: &Place, key: &CompactString| (place.table.into(), place.part.clone(), key.clone());
+        let mut rows = self.0.rows.borrow_mut();
+        let is_met = txn.conditions.iter().all(|condition| {
+            let version = rows
+                .get(&key(&condition.place, &condition.key))
+                .map_or(0, |(_, version)| *version);
+            version == condition.version
+        });
+        if !is_met {
+            drop(rows);
+            let current = txn.conditions.iter().flat_map(|condition| {
+                self.select(condition.place.table, Some(&condition.place.part), 0)
+                    .into_iter()
+                    .filter(|row| row.key == condition.key)
+            });
+            return Err(TxnError::Conflict(current.collect()));
+        }
+        let version = self.0.version.get() + 1;
+        self.0.version.set(version);
+        for put in &txn.puts {
+            rows.insert(key(&put.place, &put.key), (put.value.clone(), version));
+        }
+        for (place, removed) in &txn.removes {
+            rows.remove(&key(place, removed));
+        }
+        if fault == WriteFault::ReplyLost {
+            Err(TxnError::Unknown)
+        } else {
+            Ok(version)
+        }
+    }
+
+    async fn probe(&self) -> Result<(), StoreError> {
+        self.answer().await
+    }
+
+    async fn read(&self, place: &Place, from: &str, to: &str) -> Result<RowsPage, StoreError> {
+        self.answer().await?;
+        let mut rows = self.select(place.table, Some(&place.part), 0);
+        rows.retain(|row| row.key.as_str() >= from && (to.is_empty() || row.key.as_str() < to));
+        Ok(self.page(rows))
+    }
+
+    async fn changes(&self, table: &'static str, after: u64, wait_ms: u64) -> Result<RowsPage, FeedError> {
+        const LOOK: Duration = Duration::from_millis(5);
+        for _ in 0..wait_ms / 5 + 1 {
+            self.answer().await?;
+            let rows = self.select(table, None, after);
+            if !rows.is_empty() {
+                return Ok(self.page(rows));
+            }
+            sleep(LOOK).await;
+        }
+        Ok(self.page(Vec::new()))
+    }
+
+    async fn operator_state(&self) -> Result<OperatorPage, StoreError> {
+        self.answer().await?;
+        Ok(self.page(self.operator_changes_now()))
+    }
+
+    async fn operator_changes(&self, _after: u64, wait_ms: u64) -> Result<OperatorPage, FeedError> {
+        self.answer().await?;
+        sleep(Duration::from_millis(wait_ms.min(50))).await;
+        self.answer().await?;
+        Ok(self.page(self.operator_changes_now()))
+    }
+
+    async fn worker_list(&self) -> Result<WorkerPage, StoreError> {
+        self.answer().await?;
+        Ok(self.page(Vec::new()))
+    }
+
+    async fn worker_changes(&self, _after: u64, wait_ms: u64) -> Result<WorkerPage, FeedError> {
+        sleep(Duration::from_millis(wait_ms)).await;
+        Ok(self.page(Vec::new()))
+    }
+}
+
+/// Workers that answer nothing.
+#[derive(Debug, Default)]
+pub struct NoWorkers;
+
+impl Fleet for NoWorkers {
+    async fn machines(&self) -> Option<Vec<Machine>> {
+        None
+    }
+
+    async fn upkeep(&self, _machine: &str, _wave: u64, _holder: &str, _epoch: u64) -> UpkeepReply {
+        UpkeepReply::Refused
+    }
+
+    async fn advise(&self, _step: &str, _workers: &[CompactString]) -> Option<Vec<(CompactString, CompactString)>> {
+        None
+    }
+}
+
+impl Workers for NoWorkers {
+    async fn start(&self, _target: &Target, _order: &StartOrder, _limit: Duration) -> StartOutcome {
+        StartOutcome::Unanswered
+    }
+
+    async fn stop(&self, _target: &Target, _what: &TaskRun, _limit: Duration) -> bool {
+        false
+    }
+
+    async fn renew(
+        &self,
+        _target: &Target,
+        _lease_until_ms: Option<u64>,
+        _noted: u64,
+        _wait_ms: u64,
+        _limit: Duration,
+    ) -> Result<WorkerReport, RenewError> {
+        Err(RenewError::NoReply)
+    }
+
+    async fn pace(&self, _target: &Target, _what: &TaskRun, _percent: u32, _limit: Duration) -> bool {
+        false
+    }
+
+    fn retain(&self, _addresses: &HashSet<CompactString>) {}
+}
+
+pub const ID: &str = "5c0e7a21d94b36f8";
+
+pub fn config(keys: &[&str]) -> Config {
+    Config {
+        version: 1,
+        routes: vec![Route {
+            name: "quotes".into(),
+            host: "koi.example".into(),
+            path_prefix: "/quotes/".into(),
+            service: "valuation".into(),
+            attempts: 2,
+            objective_factor: 1.5,
+            timeout_ms: 1_500,
+            ..Route::default()
+        }],
+        organisations: vec![Organisation {
+            name: "clyde-koi".into(),
+            keys: keys.iter().map(|key| CompactString::from(*key)).collect(),
+            ..Organisation::default()
+        }],
+        ..Config::default()
+    }
+}
+
+pub fn request(id: &str, key: &str) -> JobRequest {
+    JobRequest {
+        host: "koi.example".into(),
+        path: format!("/quotes/{id}").into(),
+        key: Some(key.into()),
+        deadline_ms: Some(1_500),
+    }
+}
+
+pub fn submission() -> Submission {
+    Submission {
+        spec: "payload".into(),
+        steps: vec![Step {
+            count: 1,
+            estimate_ms: 100,
+            ..Step::default()
+        }],
+        ..Submission::default()
+    }
+}
+
+/// Starts a node on a store and waits until it knows the configuration, if there is one.
+pub async fn start(store: &FakeStore) -> (Node<FakeStore, NoWorkers>, Desk<FakeStore, NoWorkers>) {
+    let settings = NodeSettings {
+        instance: "entry-1".into(),
+        data_centre: "dc1".into(),
+        limits: Limits::default(),
+        revoke_ms: 2_000,
+        config_deadline_ms: 1_000,
+        stop_grace_ms: 1_000,
+        has_cross_part_txns: true,
+        row_bytes: 65_536,
+        cpu_share: 1.0,
+        lease_ttl_ms: 600,
+    };
+    let node = Node::start(settings, store.clone(), NoWorkers);
+    let desk = node.desk();
+    sleep(Duration::from_millis(100)).await;
+    (node, desk)
+}
