--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -155,7 +155,7 @@
 
     async fn changes(&self, table: &'static str, after: u64, wait_ms: u64) -> Result<RowsPage, FeedError> {
         const LOOK: Duration = Duration::from_millis(5);
-        for _ in 0..wait_ms / 5 + 1 {
+        for _ in 0..=(wait_ms / 5) {
             self.answer().await?;
             let rows = self.select(table, None, after);
             if !rows.is_empty() {
