fix(entry): wait for another grant when the first ones lie on a worker that refuses

Cause: request_succeeds_elsewhere::case_2 got 503 not_started although only one worker refuses. Ruled out: the retry budget (no refused retry was printed). Change: next_place tries here, then another instance, then waits for a grant until the deadline, as idempotent requests do. The test is unchanged.

--- a/crates/entry/src/urgent/desk.rs
+++ b/crates/entry/src/urgent/desk.rs
@@ -175,7 +175,7 @@
         waiting.iter().filter(|waiter| !waiter.is_closed()).count()
     }
 
-    async fn wait(&self, job: &UrgentJob) -> Result<(), Refusal> {
+    pub(super) async fn wait(&self, job: &UrgentJob) -> Result<(), Refusal> {
         let (sender, receiver) = oneshot::channel();
         {
             let mut waiting = self.waiting.borrow_mut();
--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -116,12 +116,13 @@
             if verdict == Verdict::NotStarted && self.may_retry(job, tries).await {
                 job.avoid.push(ticket.worker.clone());
                 tries += 1;
-                if let Some(next) = self.next_attempt(job, &mut row, &mut version).await {
-                    (ticket, task) = next;
-                    continue;
-                }
-                if let Some(outcome) = self.pass_on(job, &row, version).await {
-                    return outcome;
+                match self.next_place(job, &mut row, &mut version).await {
+                    NextPlace::Here(next) => {
+                        (ticket, task) = *next;
+                        continue;
+                    }
+                    NextPlace::Served(outcome) => return outcome,
+                    NextPlace::Nowhere => {}
                 }
             }
             let outcome = outcome_of(&verdict);
@@ -141,15 +142,43 @@
         }
     }
 
-    /// Records that the attempt did not start, and then passes the request to another instance.
-    ///
-    /// The receiver takes a job over only when its row proves that it did not run. Returns `None` if that was not written.
-    async fn pass_on(&self, job: &UrgentJob, row: &JobRow, version: u64) -> Option<Outcome> {
+    /// Finds a place for a job whose attempt proved not to have started: here, at another instance, or here as soon as
+    /// another grant comes. The first grants of an instance may all lie on the worker that refused.
+    async fn next_place(&self, job: &UrgentJob, row: &mut JobRow, version: &mut u64) -> NextPlace {
+        let mut is_closed = false;
+        loop {
+            if let Some(next) = self.next_attempt(job, row, version).await {
+                return NextPlace::Here(Box::new(next));
+            }
+            if !is_closed && !self.close_unstarted(row, version).await {
+                return NextPlace::Nowhere;
+            }
+            is_closed = true;
+            if let Some(outcome) = self.forward(job).await {
+                return NextPlace::Served(outcome);
+            }
+            if self.left_ms(job) == 0 || self.wait(job).await.is_err() {
+                return NextPlace::Nowhere;
+            }
+        }
+    }
+
+    /// Records that the attempt did not start: another instance takes the job over only when its row proves that it
+    /// did not run. Returns whether that was written.
+    async fn close_unstarted(&self, row: &mut JobRow, version: &mut u64) -> bool {
         let mut closed = row.clone();
         close(&mut closed, &Verdict::NotStarted, Self::RETRY_MS);
-        match self.job_write(closed, version).commit(&self.clients.store).await {
-            WriteOutcome::Done { .. } => Some(self.forward(job).await.unwrap_or_else(|| refused(not_started()))),
-            _ => None,
+        match self
+            .job_write(closed.clone(), *version)
+            .commit(&self.clients.store)
+            .await
+        {
+            WriteOutcome::Done { version: written } => {
+                *row = closed;
+                *version = written;
+                true
+            }
+            _ => false,
         }
     }
 
@@ -347,6 +376,16 @@
     }
 }
 
+/// Where a job goes whose attempt did not start.
+enum NextPlace {
+    /// A recorded attempt on another worker.
+    Here(Box<(Ticket, TaskId)>),
+    /// Another instance served it.
+    Served(Outcome),
+    /// Nobody takes it in time.
+    Nowhere,
+}
+
 /// Why nothing may be dispatched for a non-idempotent request.
 enum Unrecorded {
     Refused(Refusal),
