--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -30,12 +30,8 @@
     pub remote_factor: f64,
     /// Time within which guaranteed work must have started.
     pub reclaim_ms: u64,
-    /// Time after which a leaving worker must get no new work.
-    pub drain_ms: u64,
     /// Time after which a revoked key must not work any more.
     pub revoke_ms: u64,
-    /// Time within which a configuration must be in force.
-    pub config_deadline_ms: u64,
     /// Time without disruption after which time limits hold for an instance.
     pub contact_ms: u64,
     /// Time between the signal to stop and the kill.
--- a/crates/domain/src/engine/advice.rs
+++ b/crates/domain/src/engine/advice.rs
@@ -2,10 +2,10 @@
 
 use compact_str::{CompactString, format_compact};
 
+use super::Engine;
 use super::keys::WorkerKey;
 use super::order::{Unit, UnitKey};
 use super::place::{Spot, share_of};
-use super::{Engine, RunState};
 use crate::Action;
 
 /// Permission for a worker to run a step.
@@ -141,9 +141,4 @@
         let job = self.jobs.get(unit.job())?;
         self.config.route_named(&job.spec.route)?.advice_validity_ms
     }
-
-    /// Returns whether a step has a run that is starting, for tests and the log.
-    pub fn has_starting_runs(&self) -> bool {
-        self.runs.values().any(|run| run.state == RunState::Starting)
-    }
 }
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -265,9 +265,4 @@
             now_ms
         };
     }
-
-    /// Returns whether nothing waits to be written.
-    pub fn is_clean(&self) -> bool {
-        self.dirty.is_empty() && self.commit.in_flight.is_none()
-    }
 }
--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -1,8 +1,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use compact_str::CompactString;
-
 use super::step_state::StepState;
 use crate::{Job, JobState, Progress};
 
@@ -65,20 +63,3 @@
         progress
     }
 }
-
-/// Summary of a job for operators.
-#[derive(Debug, Clone, PartialEq)]
-pub struct JobSummary {
-    /// Job id.
-    pub id: CompactString,
-    /// State.
-    pub state: JobState,
-    /// Tasks that are done.
-    pub done: u32,
-    /// Tasks with a run.
-    pub active: u32,
-    /// Tasks that wait.
-    pub waiting: u32,
-    /// Why tasks wait.
-    pub reason: CompactString,
-}
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -1,12 +1,12 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
 use compact_str::CompactString;
 
+use super::Engine;
 use super::job_entry::{JobEntry, Occurrence};
 use super::step_state::StepState;
 use super::worker::Worker;
-use super::{Engine, RunState};
 use crate::{EntryState, Job, Progress, WorkerEntry};
 
 /// Rows of the store.
@@ -134,6 +134,14 @@
             .collect()
     }
 
+    /// Returns the addresses of all workers that may run something.
+    pub fn worker_addresses(&self) -> HashSet<CompactString> {
+        self.workers
+            .values()
+            .map(|worker| worker.entry.address.clone())
+            .collect()
+    }
+
     /// Opens the occurrences that are due.
     pub(super) fn open_occurrences(&mut self, now_unix_ms: u64) {
         let scheduled: Vec<_> = self
@@ -179,9 +187,4 @@
                 .values()
                 .any(|worker| !worker.is_fenced && worker.is_recorded)
     }
-
-    /// Returns whether any run is being started or stopped, for a planned stop.
-    pub fn has_unsettled_runs(&self) -> bool {
-        self.runs.values().any(|run| run.state != RunState::Running)
-    }
 }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -29,7 +29,6 @@
 use indexmap::IndexSet;
 use slotmap::SlotMap;
 
-pub use job_entry::JobSummary;
 use job_entry::{JobEntry, Occurrence};
 pub use keys::WorkerKey;
 use keys::{JobKey, RunKey};
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -1,5 +1,3 @@
-use compact_str::CompactString;
-
 use super::keys::{JobKey, RunKey};
 use super::order::UnitKey;
 use super::run_progress::RunProgress;
@@ -313,18 +311,4 @@
     pub fn is_fenced_off(&self) -> bool {
         self.workers.values().any(|worker| worker.is_lost)
     }
-
-    /// Returns the ids of the jobs that have a run on a worker, for the log.
-    pub fn jobs_on(&self, worker: WorkerKey) -> Vec<CompactString> {
-        let Some(worker) = self.workers.get(worker) else {
-            return Vec::new();
-        };
-        worker
-            .runs
-            .iter()
-            .filter_map(|key| self.runs.get(*key))
-            .filter(|run| !run.is_foreign)
-            .map(|run| self.job_of(run).spec.id.clone())
-            .collect()
-    }
 }
--- a/crates/domain/src/engine/step_state.rs
+++ b/crates/domain/src/engine/step_state.rs
@@ -102,18 +102,16 @@
     }
 
     pub fn progress(&self) -> Option<StepProgress> {
-        let indices = |is_set: &dyn Fn(usize) -> bool| -> Vec<u32> {
-            (0..self.done.len())
-                .filter(|index| is_set(*index))
-                .map(|index| index as u32)
-                .collect()
-        };
-        let done = indices(&|index| self.done[index]);
-        let failed = indices(&|index| !self.failed[index].is_empty())
-            .into_iter()
-            .map(|index| (index, self.failed[index as usize].clone()))
+        let indices = || 0..self.done.len();
+        let done = indices()
+            .filter(|index| self.done[*index])
+            .map(|index| index as u32)
+            .collect();
+        let failed = indices()
+            .filter(|index| !self.failed[*index].is_empty())
+            .map(|index| (index as u32, self.failed[index].clone()))
             .collect();
-        let checkpoints = (0..self.done.len())
+        let checkpoints = indices()
             .filter(|index| !self.done[*index])
             .filter_map(|index| Some((index as u32, self.checkpoints[index].clone()?)))
             .collect();
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use action::{Action, Commit, CommitRow, StartOrder, TaskRun, WaveProgress};
 pub use config::{Config, Organisation, Route, Service};
-pub use engine::{Engine, EngineStats, JobSummary, Rejection, StartOutcome, WorkerKey};
+pub use engine::{Engine, EngineStats, Rejection, StartOutcome, WorkerKey};
 pub use job::Job;
 pub use limits::Limits;
 pub use machine::{Machine, MachineState, UpkeepReply, Wave};
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -13,8 +13,6 @@
     pub remote_factor: f64,
     /// Time within which a guaranteed job must have started.
     pub reclaim_ms: u64,
-    /// Time after which a busy worker may be said to leave.
-    pub drain_ms: u64,
 }
 
 impl Limits {
@@ -39,7 +37,6 @@
             holdover_ms: 4_000,
             remote_factor: 3.0,
             reclaim_ms: 2_700,
-            drain_ms: 2_000,
         }
     }
 }
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -36,6 +36,8 @@
     /// Heartbeats that went with writes.
     beat: u64,
     beat_ms: u64,
+    /// When channels to workers that are gone were last closed.
+    tidied_ms: u64,
     is_stopped: bool,
 }
 
@@ -62,6 +64,7 @@
             waves: BTreeSet::new(),
             beat: 0,
             beat_ms: 0,
+            tidied_ms: boot_ms(),
             is_stopped: false,
         }
     }
@@ -173,6 +176,16 @@
         }
     }
 
+    /// Closes channels to workers that are gone.
+    fn tidy(&mut self) {
+        const INTERVAL_MS: u64 = 10_000;
+        let now_ms = boot_ms();
+        if now_ms > self.tidied_ms + INTERVAL_MS {
+            self.tidied_ms = now_ms;
+            self.shared.workers.retain(&self.engine.worker_addresses());
+        }
+    }
+
     fn publish_stats(&self) {
         let stats = self.engine.stats();
         let set = |name: &str, value: u64| {
@@ -214,6 +227,7 @@
     fn handle(&mut self, _tick: Tick, ctx: &mut Self::Context) {
         self.pump(ctx);
         self.publish_stats();
+        self.tidy();
     }
 }
 
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -244,7 +244,6 @@
                 view.epoch = epoch.epoch;
                 view.epoch_row_version = row.version;
             }
-            view.holder = epoch.holder;
         } else if row.key == BEAT_KEY {
             if seen.beat.as_ref().is_some_and(|(_, version)| *version >= row.version) {
                 return;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,8 +14,6 @@
     pub limits: Limits,
     /// Time after which a caller's revoked key must not work any more.
     pub revoke_ms: u64,
-    /// Time within which a configuration must be in force.
-    pub config_deadline_ms: u64,
     /// Time from the request to stop until the process is killed.
     pub stop_grace_ms: u64,
     /// Whether a transaction of the store may span several parts.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -23,8 +23,6 @@
     pub epoch: u64,
     /// Version of the epoch's row; 0 before the first.
     pub epoch_row_version: u64,
-    /// Holder.
-    pub holder: CompactString,
     /// Own time of the newest reply of the store.
     pub store_heard_ms: u64,
     /// Own time of the first failure since the newest reply.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -286,7 +286,6 @@
         data_centre: "dc1".into(),
         limits: Limits::default(),
         revoke_ms: 2_000,
-        config_deadline_ms: 1_000,
         stop_grace_ms: 1_000,
         has_cross_part_txns: true,
         row_bytes: 65_536,
