--- a/crates/domain/src/engine/advice.rs
+++ b/crates/domain/src/engine/advice.rs
@@ -106,6 +106,11 @@
         self.is_schedule_due = true;
     }
 
+    /// Returns whether the queue of a unit restricts its workers.
+    pub(super) fn is_advised(&self, unit: &Unit) -> bool {
+        self.advice_validity(unit).is_some()
+    }
+
     /// Returns whether a worker may run a unit as far as advice goes.
     pub(super) fn is_permitted(&self, unit: &Unit, worker: WorkerKey, now_ms: u64) -> bool {
         self.advice_validity(unit).is_none() || self.ticket_for(unit.key(), worker, now_ms).is_some()
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -66,6 +66,8 @@
     next_schedule_ms: u64,
     is_schedule_due: bool,
     next_slow_check_ms: u64,
+    /// Where the next pass goes on in a long queue.
+    next_unit: usize,
     corrections: HashMap<(CompactString, u32), order::Correction>,
     stats: EngineStats,
     notes: Vec<String>,
@@ -106,6 +108,7 @@
             next_schedule_ms: now_ms,
             is_schedule_due: true,
             next_slow_check_ms: now_ms,
+            next_unit: 0,
             corrections: HashMap::new(),
             stats: EngineStats::default(),
             notes: Vec::new(),
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -49,8 +49,15 @@
     /// Most blocked gangs that keep a rack for themselves in one pass.
     const MAX_RESERVATIONS: usize = 2;
 
-    /// Most units looked at in one pass; bounds the processor time of a pass under a long queue.
-    const MAX_UNITS: usize = 150;
+    /// Units for which room is looked for by preemption in one pass; each look goes through all runs.
+    const MAX_PREEMPTIONS: usize = 4;
+
+    /// First units of the queue that every pass looks at.
+    const FIRST_UNITS: usize = 100;
+
+    /// Further units in one pass. Passes go through the rest of a long queue in turn, which bounds the processor time
+    /// of a pass and leaves nobody out behind work that cannot be placed.
+    const NEXT_UNITS: usize = 100;
 
     /// Returns whether a worker may get new tasks.
     pub(super) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
@@ -93,7 +100,8 @@
         }
         let mut spots = self.spots(now_ms);
         let mut reservations = 0;
-        for unit in units.into_iter().take(Self::MAX_UNITS) {
+        let mut preemptions = 0;
+        for unit in self.units_of_pass(units) {
             if self.needs_advice(&unit, &spots, now_ms) {
                 continue;
             }
@@ -101,8 +109,8 @@
                 self.claims.retain(|claim| claim.unit != unit.key());
                 continue;
             }
-            if unit.priority == 0 && !self.is_taking_over(now_ms) {
-                self.preempt_for(&unit, &spots, now_ms);
+            if unit.priority == 0 && preemptions < Self::MAX_PREEMPTIONS && !self.is_taking_over(now_ms) {
+                preemptions += usize::from(self.preempt_for(&unit, &spots, now_ms));
             }
             if reservations < Self::MAX_RESERVATIONS && self.reserve(&unit, &mut spots) {
                 reservations += 1;
@@ -110,6 +118,18 @@
         }
     }
 
+    /// Returns the first units and the next ones of the rest, in order.
+    fn units_of_pass(&mut self, units: Vec<Unit>) -> Vec<Unit> {
+        if units.len() <= Self::FIRST_UNITS + Self::NEXT_UNITS {
+            return units;
+        }
+        let from = Self::FIRST_UNITS.max(self.next_unit % units.len());
+        let to = (from + Self::NEXT_UNITS).min(units.len());
+        self.next_unit = to;
+        let first = units[..Self::FIRST_UNITS].iter();
+        first.chain(&units[from..to]).copied().collect()
+    }
+
     /// Returns whether workers still have to answer a new scheduler, so that room may show without preemption.
     fn is_taking_over(&self, now_ms: u64) -> bool {
         const TAKEOVER_MS: u64 = 500;
@@ -138,12 +158,14 @@
         let mut per_worker = self.tasks_per_worker(unit);
         let may_be_remote = self.may_be_remote(unit, &spec, shape, now_ms);
         let failed_on = self.failed_on(unit);
+        let is_advised = self.is_advised(unit);
         for index in idle {
             let best = spots
                 .iter()
                 .enumerate()
-                .filter(|(_, spot)| self.takes(spot, &spec, shape) && self.is_permitted(unit, spot.worker, now_ms))
-                .filter(|(_, spot)| spot.is_open_to(unit) && shape.charged().fits(&spot.free))
+                .filter(|(_, spot)| shape.charged().fits(&spot.free) && spot.is_open_to(unit))
+                .filter(|(_, spot)| self.takes(spot, &spec, shape))
+                .filter(|(_, spot)| !is_advised || self.is_permitted(unit, spot.worker, now_ms))
                 .filter(|(_, spot)| has_share_left(shape, per_worker.get(&spot.worker)))
                 .filter(|(_, spot)| may_be_remote || shape.data_rack.as_ref().is_none_or(|rack| *rack == spot.rack))
                 .min_by_key(|(_, spot)| {
@@ -212,9 +234,11 @@
 
     /// Finds workers for a whole gang.
     fn plan_gang(&self, unit: &Unit, spec: &Job, shape: &Step, spots: &[Spot], now_ms: u64) -> Option<Vec<Share>> {
+        let is_advised = self.is_advised(unit);
         let usable: Vec<_> = (0..spots.len())
-            .filter(|spot| spots[*spot].is_open_to(unit) && self.takes(&spots[*spot], spec, shape))
-            .filter(|spot| self.is_permitted(unit, spots[*spot].worker, now_ms))
+            .filter(|spot| shape.charged().fits(&spots[*spot].free) && spots[*spot].is_open_to(unit))
+            .filter(|spot| self.takes(&spots[*spot], spec, shape))
+            .filter(|spot| !is_advised || self.is_permitted(unit, spots[*spot].worker, now_ms))
             .collect();
         // Workers on which it failed or was slow come last.
         let failed_on = self.failed_on(unit);
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -94,15 +94,16 @@
     }
 
     /// Stops work of lower priority so that a unit fits; the unit starts when the stops are listed.
-    pub(super) fn preempt_for(&mut self, unit: &Unit, spots: &[Spot], now_ms: u64) {
+    /// Returns whether room was looked for.
+    pub(super) fn preempt_for(&mut self, unit: &Unit, spots: &[Spot], now_ms: u64) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
         let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else {
-            return;
+            return false;
         };
         let needed = u64::from(state.idle_count());
         if now_ms < state.preempted_ms + Self::PREEMPT_PAUSE_MS {
-            return;
+            return false;
         }
         state.preempted_ms = now_ms;
         let rooms: HashMap<WorkerKey, Room> = spots
@@ -121,7 +122,7 @@
         } else {
             choose(shape, needed, rooms.values())
         };
-        let Some(choice) = victims else { return };
+        let Some(choice) = victims else { return true };
         let is_owed = self.is_within_guarantee(&spec.organisation);
         if choice.cost > shape.work() {
             // Stopping would lose more work than the unit needs. Unowed work waits for room; owed work waits as long as
@@ -135,7 +136,7 @@
                 if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
                     state.preempted_ms = now_ms.saturating_sub(Self::PREEMPT_PAUSE_MS - Self::PREEMPT_LOOK_MS);
                 }
-                return;
+                return true;
             }
         }
         self.claims.retain(|claim| claim.unit != unit.key());
@@ -145,7 +146,7 @@
             until_ms: now_ms + Self::CLAIM_MS,
         });
         if choice.victims.is_empty() {
-            return;
+            return true;
         }
         self.notes.push(format!(
             "preempt job={} step={} victims={} cost_core_ms={} is_owed={is_owed}",
@@ -164,6 +165,7 @@
             self.stats.preempted += 1;
             self.give_up_run(victim, now_ms);
         }
+        true
     }
 
     fn room(&self, spot: &Spot, priority: u32, now_ms: u64) -> Room {
--- a/crates/domain/tests/engine/jobs.rs
+++ b/crates/domain/tests/engine/jobs.rs
@@ -143,3 +143,17 @@
     });
     world.assert_sound();
 }
+
+/// Guards against work that is never looked at because many units before it cannot be placed.
+#[test]
+fn long_queue_of_blocked_work_hides_nobody() {
+    let mut world = World::new(1, 2);
+    for number in 0..400 {
+        let mut impossible = step(1, 1, 500);
+        impossible.required_label = Some("no-such-kind".into());
+        world.submit(job(&format!("{number}"), 0, impossible));
+    }
+    let id = world.submit(job("abcdef", 2, step(2, 1, 300)));
+    world.run_until(3_000, |world| world.state(&id) == JobState::Done);
+    world.assert_sound();
+}
