fix(domain): keep starts that reached a worker reborn under its id

Ruled out: the stand-in (its ledger and the worker's own list agree); the lease. Change: on a new incarnation only runs that were settled before the report was asked for, and that it does not list, count as gone; the rest shows in the next report.

--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -95,7 +95,7 @@
         };
         let is_reborn = matches!((worker.born_unix_ms, report.born_unix_ms), (Some(old), Some(new)) if old != new);
         if is_reborn {
-            self.worker_reborn(key, now_ms);
+            self.worker_reborn(key);
         }
         let worker = &mut self.workers[key];
         if worker.silent_since_ms.take().is_some() {
@@ -116,7 +116,9 @@
                 listed.insert(run);
             }
         }
-        if report.ends.len() < WorkerReport::MAX_ENDS {
+        if is_reborn {
+            self.drop_unlisted(key, &listed, sent_ms, now_ms);
+        } else if report.ends.len() < WorkerReport::MAX_ENDS {
             self.check_missing(key, &listed, sent_ms, now_ms);
         }
         let worker = &mut self.workers[key];
@@ -146,6 +148,7 @@
         if run.state == RunState::Starting {
             run.state = RunState::Running;
         }
+        run.settled_ms.get_or_insert(now_ms);
         run.progress.observe(task.percent, now_ms);
         run.recent = task.recent;
         if task.checkpoint.is_some() && run.checkpoint != task.checkpoint {
@@ -335,10 +338,9 @@
     }
 
     /// Handles a worker that started again under its id.
-    fn worker_reborn(&mut self, key: WorkerKey, now_ms: u64) {
+    fn worker_reborn(&mut self, key: WorkerKey) {
         self.notes
             .push(format!("worker_reborn worker={}", self.workers[key].entry.id));
-        self.drop_runs(key, now_ms);
         let worker = &mut self.workers[key];
         worker.seen = 0;
         worker.noted = 0;
@@ -346,8 +348,25 @@
         worker.failed_jobs.clear();
     }
 
+    /// Forgets the runs that ended with the former incarnation of a worker. Those that the new one lists, and those
+    /// whose start or stop is newer than the report, may be on the new one.
+    fn drop_unlisted(&mut self, key: WorkerKey, listed: &HashSet<RunKey>, sent_ms: u64, now_ms: u64) {
+        let gone = self.workers[key]
+            .runs
+            .iter()
+            .copied()
+            .filter(|run| !listed.contains(run))
+            .filter(|run| self.runs[*run].settled_ms.is_some_and(|settled| settled < sent_ms))
+            .collect();
+        self.drop_runs_of(gone, now_ms);
+    }
+
     fn drop_runs(&mut self, key: WorkerKey, now_ms: u64) {
-        for run_key in self.workers[key].runs.clone() {
+        self.drop_runs_of(self.workers[key].runs.clone(), now_ms);
+    }
+
+    fn drop_runs_of(&mut self, runs: Vec<RunKey>, now_ms: u64) {
+        for run_key in runs {
             let Some(run) = self.runs.get(run_key).cloned() else {
                 continue;
             };
--- a/crates/domain/tests/engine/faults.rs
+++ b/crates/domain/tests/engine/faults.rs
@@ -172,3 +172,24 @@
     assert!(elapsed_ms < 4_500, "{elapsed_ms}");
     world.assert_sound();
 }
+
+/// Guards against a second run of a task whose start reached the new incarnation of a worker that kept its id, before
+/// a report showed that it had started again (soak, seed 304).
+#[test]
+fn start_that_reaches_a_reborn_worker_is_kept() {
+    for delay_ms in (0..800).step_by(10) {
+        let mut world = World::new(1, 2);
+        world.has_old_reports = true;
+        let old = world.submit(job("a", 1, step(1, 2, 5_000)));
+        world.run_for(1_000);
+        let worker = world.workers_of(&old)[0].clone();
+        let now_ms = world.now_ms;
+        world.workers.get_mut(&worker).unwrap().restart(now_ms);
+        world.run_for(delay_ms);
+        let new = world.submit(job("b", 1, step(3, 2, 1_500)));
+        world.run_until(9_000, |world| {
+            world.state(&old) == JobState::Done && world.state(&new) == JobState::Done
+        });
+        world.assert_sound();
+    }
+}
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -61,6 +61,9 @@
     /// Runs that ended by an upkeep.
     pub interrupted: usize,
     pub waves: BTreeMap<u64, WaveProgress>,
+    /// Reports show the workers as they were before the last orders arrived.
+    pub has_old_reports: bool,
+    former: BTreeMap<CompactString, FakeWorker>,
     pub violations: Vec<String>,
     pub notes: Vec<String>,
     pub starts: Vec<(u64, CompactString, CompactString)>,
@@ -134,6 +137,8 @@
             most_down: 0,
             interrupted: 0,
             waves: BTreeMap::new(),
+            has_old_reports: false,
+            former: BTreeMap::new(),
             violations: Vec::new(),
             notes: Vec::new(),
             starts: Vec::new(),
@@ -293,6 +298,9 @@
             self.deliver_start(&late.id, late.epoch, &late.order);
         }
         self.answer_renewals();
+        if self.has_old_reports {
+            self.former = self.workers.clone();
+        }
         self.tick();
         self.check();
     }
@@ -451,7 +459,11 @@
             .collect();
         for renewal in due {
             match self.workers.get(&renewal.id).filter(|worker| !worker.is_silent) {
-                Some(worker) => self.engine.renewed(renewal.worker, &worker.report(now_ms), now_ms),
+                Some(worker) => {
+                    let shown = self.former.get(&renewal.id).filter(|_| self.has_old_reports);
+                    let report = shown.unwrap_or(worker).report(now_ms);
+                    self.engine.renewed(renewal.worker, &report, now_ms);
+                }
                 None => self.engine.renew_failed(renewal.worker, now_ms),
             }
         }
