perf(domain): stop a gang as one victim and drop needless victims

Cause: the choice of victims priced every member of a gang at the whole gang, so a young wide gang looked many times dearer than old single tasks, and it took victims cheapest first on each worker, which left small ones stopped after a large one had made the room alone. Change: victims are groups (a run, or all members of a gang), chosen by cost for each task placed; those without which everything still fits are taken out again.

--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod starts;
 mod stats;
 mod step_state;
+mod victims;
 mod waves;
 mod worker;
 
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -1,63 +1,11 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
-use compact_str::CompactString;
-
-use super::keys::{RunKey, WorkerKey};
+use super::keys::{JobKey, RunKey};
 use super::order::Unit;
 use super::place::{Claim, Spot};
+use super::victims::{Choice, Room, Victim, choose};
 use super::{Engine, RunState};
-use crate::{Resources, Step};
-
-/// Run that may be stopped for work of higher priority.
-#[derive(Debug, Clone, Copy)]
-struct Victim {
-    run: RunKey,
-    need: Resources,
-    /// Work that is lost if it is stopped, in core-milliseconds.
-    cost: u64,
-}
-
-/// Room on a worker once victims are stopped.
-#[derive(Debug, Clone)]
-struct Room {
-    worker: WorkerKey,
-    rack: CompactString,
-    /// Free now or as soon as stops under way are listed.
-    free: Resources,
-    /// Cheapest first.
-    victims: Vec<Victim>,
-    chosen: usize,
-    tasks: u64,
-}
-
-impl Room {
-    /// Returns the cost of one more task and the number of victims for it.
-    fn next_cost(&self, shape: &Step) -> Option<(u64, usize)> {
-        if shape.max_per_worker > 0 && self.tasks >= u64::from(shape.max_per_worker) {
-            return None;
-        }
-        let mut free = self.free;
-        let mut cost = 0;
-        for count in self.chosen..=self.victims.len() {
-            if shape.charged().fits(&free) {
-                return Some((cost, count));
-            }
-            let victim = self.victims.get(count)?;
-            free = free.plus(&victim.need);
-            cost += victim.cost;
-        }
-        None
-    }
-
-    fn take(&mut self, shape: &Step, count: usize) {
-        for victim in &self.victims[self.chosen..count] {
-            self.free = self.free.plus(&victim.need);
-        }
-        self.chosen = count;
-        self.free = self.free.minus(&shape.charged());
-        self.tasks += 1;
-    }
-}
+use crate::Step;
 
 /// Preemption for work of priority 0.
 impl Engine {
@@ -106,23 +54,23 @@
             return false;
         }
         state.preempted_ms = now_ms;
-        let rooms: HashMap<WorkerKey, Room> = spots
+        let usable: Vec<_> = spots
             .iter()
             .filter(|spot| spot.is_open_to(unit) && self.takes(spot, &spec, shape))
-            .map(|spot| (spot.worker, self.room(spot, unit.priority, now_ms)))
             .collect();
-        let victims = if shape.is_gang && shape.is_same_rack {
-            let mut racks: Vec<_> = rooms.values().map(|room| room.rack.clone()).collect();
+        let (rooms, victims) = self.rooms_and_victims(&usable, unit.priority, now_ms);
+        let choice = if shape.is_gang && shape.is_same_rack {
+            let mut racks: Vec<_> = rooms.iter().map(|room| &room.rack).collect();
             racks.sort();
             racks.dedup();
             racks
-                .iter()
-                .filter_map(|rack| choose(shape, needed, rooms.values().filter(|room| room.rack == *rack)))
-                .min_by_key(|choice| choice.cost)
+                .into_iter()
+                .filter_map(|rack| choose(shape, needed, &rooms, &victims, Some(rack)))
+                .min_by_key(|choice: &Choice| choice.cost)
         } else {
-            choose(shape, needed, rooms.values())
+            choose(shape, needed, &rooms, &victims, None)
         };
-        let Some(choice) = victims else { return true };
+        let Some(choice) = choice else { return true };
         let is_owed = self.is_within_guarantee(&spec.organisation);
         if choice.cost > shape.work() {
             // Stopping would lose more work than the unit needs. Unowed work waits for room; owed work waits as long as
@@ -168,31 +116,44 @@
         true
     }
 
-    fn room(&self, spot: &Spot, priority: u32, now_ms: u64) -> Room {
-        let worker = &self.workers[spot.worker];
-        let mut free = spot.free;
+    /// Returns the rooms on workers and the runs that may be stopped there; members of a gang end together.
+    fn rooms_and_victims(&self, spots: &[&Spot], priority: u32, now_ms: u64) -> (Vec<Room>, Vec<Victim>) {
+        let mut rooms = Vec::with_capacity(spots.len());
         let mut victims = Vec::new();
-        for key in &worker.runs {
-            let run = &self.runs[*key];
-            if run.state == RunState::Stopping {
-                free = free.plus(&run.need);
-            } else if !run.is_foreign && self.is_victim(run, priority) {
-                victims.push(Victim {
-                    run: *key,
-                    need: run.need,
-                    cost: self.stop_cost(*key, now_ms),
-                });
+        let mut gangs: BTreeMap<(JobKey, u32, u32), usize> = BTreeMap::new();
+        for spot in spots {
+            let mut free = spot.free;
+            for key in &self.workers[spot.worker].runs {
+                let run = &self.runs[*key];
+                if run.state == RunState::Stopping {
+                    free = free.plus(&run.need);
+                    continue;
+                }
+                if run.is_foreign || !self.is_victim(run, priority) {
+                    continue;
+                }
+                let member = (rooms.len(), *key, run.need);
+                let alone = victims.len();
+                let index = if self.job_of(run).spec.steps[run.step as usize].is_gang {
+                    *gangs.entry((run.job, run.occurrence, run.step)).or_insert(alone)
+                } else {
+                    alone
+                };
+                if index == alone {
+                    victims.push(Victim {
+                        cost: self.stop_cost(*key, now_ms),
+                        members: Vec::new(),
+                    });
+                }
+                victims[index].members.push(member);
             }
+            rooms.push(Room {
+                worker: spot.worker,
+                rack: spot.rack.clone(),
+                free,
+            });
         }
-        victims.sort_by_key(|victim| victim.cost);
-        Room {
-            worker: spot.worker,
-            rack: spot.rack.clone(),
-            free,
-            victims,
-            chosen: 0,
-            tasks: 0,
-        }
+        (rooms, victims)
     }
 
     fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
@@ -220,39 +181,3 @@
         members * run.need.weight_milli() * elapsed_ms / 1_000
     }
 }
-
-/// Victims for a unit, and the workers on which it then fits.
-#[derive(Debug)]
-struct Choice {
-    cost: u64,
-    victims: Vec<RunKey>,
-    workers: Vec<WorkerKey>,
-}
-
-/// Chooses the cheapest victims so that `needed` tasks fit into the given rooms.
-fn choose<'a>(shape: &Step, needed: u64, rooms: impl Iterator<Item = &'a Room>) -> Option<Choice> {
-    let mut rooms: Vec<Room> = rooms.cloned().collect();
-    let mut total = 0;
-    for _ in 0..needed {
-        let best = rooms
-            .iter()
-            .enumerate()
-            .filter_map(|(index, room)| {
-                let (cost, count) = room.next_cost(shape)?;
-                Some((cost, room.free.accelerators, index, count))
-            })
-            .min()?;
-        let (cost, _, index, count) = best;
-        rooms[index].take(shape, count);
-        total += cost;
-    }
-    let used = rooms.iter().filter(|room| room.tasks > 0);
-    Some(Choice {
-        cost: total,
-        victims: used
-            .clone()
-            .flat_map(|room| room.victims[..room.chosen].iter().map(|victim| victim.run))
-            .collect(),
-        workers: used.map(|room| room.worker).collect(),
-    })
-}
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod jobs;
+mod preemption;
 mod schedules;
 mod special;
 mod takeover;
