perf(domain): urgent work and gangs keep off workers whose last sign was bad

Cause: a gang that stands still does not say which of its workers is bad. Ruled out: detection (1.1 to 2.5 s after the start), the room elsewhere (preemption found it at once). Change: workers of slow or standing runs, of all members of a gang, and workers whose last run failed are suspects for 8 s or until a run there is sound; units of priority 0 and gangs use them only if they fit nowhere else, also in the choice of victims.

--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use compact_str::CompactString;
 
@@ -157,7 +157,7 @@
         let idle: Vec<_> = state.idle().collect();
         let mut per_worker = self.tasks_per_worker(unit);
         let may_be_remote = self.may_be_remote(unit, &spec, shape, now_ms);
-        let failed_on = self.failed_on(unit);
+        let doubtful = self.doubtful_workers(unit, shape, now_ms);
         let is_advised = self.is_advised(unit);
         for index in idle {
             let best = spots
@@ -172,7 +172,7 @@
                     let left = spot.free.minus(&shape.charged());
                     let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != spot.rack);
                     (
-                        failed_on.contains(&spot.worker),
+                        doubtful.contains(&spot.worker),
                         is_remote,
                         left.accelerators,
                         left.memory_mib,
@@ -203,13 +203,20 @@
             && !(shape.is_filler && self.is_pressed(spot.worker))
     }
 
-    fn failed_on(&self, unit: &Unit) -> Vec<WorkerKey> {
+    /// Returns the workers that a unit should use only if it fits nowhere else: it failed or was slow there, or the last
+    /// sign of their health was bad and it is urgent or a gang, which one bad worker holds up.
+    pub(super) fn doubtful_workers(&self, unit: &Unit, shape: &Step, now_ms: u64) -> HashSet<WorkerKey> {
         let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
-        state
+        let mut doubtful: HashSet<_> = state
             .failed_on
             .iter()
             .filter_map(|id| self.worker_ids.get(id).copied())
-            .collect()
+            .collect();
+        if unit.priority == 0 || shape.is_gang {
+            let suspects = self.workers.iter().filter(|(_, worker)| worker.is_suspect(now_ms));
+            doubtful.extend(suspects.map(|(key, _)| key));
+        }
+        doubtful
     }
 
     pub(super) fn tasks_per_worker(&self, unit: &Unit) -> HashMap<WorkerKey, u32> {
@@ -240,13 +247,13 @@
             .filter(|spot| self.takes(&spots[*spot], spec, shape))
             .filter(|spot| !is_advised || self.is_permitted(unit, spots[*spot].worker, now_ms))
             .collect();
-        // Workers on which it failed or was slow come last.
-        let failed_on = self.failed_on(unit);
-        if !failed_on.is_empty() {
+        // Doubtful workers come last.
+        let doubtful = self.doubtful_workers(unit, shape, now_ms);
+        if !doubtful.is_empty() {
             let others: Vec<_> = usable
                 .iter()
                 .copied()
-                .filter(|spot| !failed_on.contains(&spots[*spot].worker))
+                .filter(|spot| !doubtful.contains(&spots[*spot].worker))
                 .collect();
             let is_bound = shape.is_same_rack || shape.data_rack.is_some();
             let plan = if is_bound {
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -58,18 +58,15 @@
             .iter()
             .filter(|spot| spot.is_open_to(unit) && self.takes(spot, &spec, shape))
             .collect();
-        let (rooms, victims) = self.rooms_and_victims(&usable, unit.priority, now_ms);
-        let choice = if shape.is_gang && shape.is_same_rack {
-            let mut racks: Vec<_> = rooms.iter().map(|room| &room.rack).collect();
-            racks.sort();
-            racks.dedup();
-            racks
-                .into_iter()
-                .filter_map(|rack| choose(shape, needed, &rooms, &victims, Some(rack)))
-                .min_by_key(|choice: &Choice| choice.cost)
-        } else {
-            choose(shape, needed, &rooms, &victims, None)
-        };
+        let doubtful = self.doubtful_workers(unit, shape, now_ms);
+        let sound: Vec<_> = usable
+            .iter()
+            .copied()
+            .filter(|spot| !doubtful.contains(&spot.worker))
+            .collect();
+        let choice = self
+            .cheapest_victims(unit, shape, needed, &sound, now_ms)
+            .or_else(|| self.cheapest_victims(unit, shape, needed, &usable, now_ms));
         let Some(choice) = choice else { return true };
         let is_owed = self.is_within_guarantee(&spec.organisation);
         if choice.cost > self.expected_work(&spec, unit.step) {
@@ -116,6 +113,21 @@
         true
     }
 
+    /// Returns the cheapest victims on the given workers for `needed` tasks of a unit.
+    fn cheapest_victims(&self, unit: &Unit, shape: &Step, needed: u64, spots: &[&Spot], now_ms: u64) -> Option<Choice> {
+        let (rooms, victims) = self.rooms_and_victims(spots, unit.priority, now_ms);
+        if !shape.is_gang || !shape.is_same_rack {
+            return choose(shape, needed, &rooms, &victims, None);
+        }
+        let mut racks: Vec<_> = rooms.iter().map(|room| &room.rack).collect();
+        racks.sort();
+        racks.dedup();
+        racks
+            .into_iter()
+            .filter_map(|rack| choose(shape, needed, &rooms, &victims, Some(rack)))
+            .min_by_key(|choice| choice.cost)
+    }
+
     /// Returns the rooms on workers and the runs that may be stopped there; members of a gang end together.
     fn rooms_and_victims(&self, spots: &[&Spot], priority: u32, now_ms: u64) -> (Vec<Room>, Vec<Victim>) {
         let mut rooms = Vec::with_capacity(spots.len());
--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -1,6 +1,6 @@
 use std::collections::{HashMap, HashSet};
 
-use super::keys::{JobKey, RunKey};
+use super::keys::{JobKey, RunKey, WorkerKey};
 use super::{Engine, Run, RunState};
 
 /// Runs that work far below their normal rate.
@@ -20,6 +20,9 @@
     /// Time without new work after the last sign of slowness. The next task tells whether it is over.
     const SLOW_AVOID_MS: u64 = 2_500;
 
+    /// Time after a sign of slowness for which urgent work and gangs prefer other workers, unless a sound run clears it.
+    const SUSPECT_MS: u64 = 8_000;
+
     /// Longest time for which a slowdown is expected to last when moving is weighed against staying.
     const SLOWDOWN_MS: f64 = 6_000.0;
 
@@ -54,14 +57,39 @@
                 sound.insert(run.worker);
             }
         }
+        for worker in &sound {
+            self.workers[*worker].suspect_until_ms = 0;
+        }
         for (key, worker, normal) in slow {
             let is_gang = self.runs.get(key).is_some_and(|run| {
                 let shape = &self.job_of(run).spec.steps[run.step as usize];
                 shape.is_gang && shape.count > 1
             });
-            if is_gang || !sound.contains(&worker) {
-                self.handle_slow(key, normal, now_ms);
+            if !is_gang && sound.contains(&worker) {
+                continue;
+            }
+            // Reports come at different times, so not every member of a slow gang shows as slow in this pass.
+            for worker in self.workers_of_unit(key) {
+                if !sound.contains(&worker) {
+                    self.workers[worker].suspect_until_ms = now_ms + Self::SUSPECT_MS;
+                }
             }
+            self.handle_slow(key, normal, now_ms);
+        }
+    }
+
+    /// Returns the worker of a run, or those of all members of its gang.
+    fn workers_of_unit(&self, key: RunKey) -> Vec<WorkerKey> {
+        let Some(run) = self.runs.get(key) else {
+            return Vec::new();
+        };
+        let is_gang = self.job_of(run).spec.steps[run.step as usize].is_gang;
+        match self.step_of(run).filter(|_| is_gang) {
+            Some(state) => {
+                let members = state.active.iter().flatten().filter_map(|key| self.runs.get(*key));
+                members.map(|member| member.worker).collect()
+            }
+            None => vec![run.worker],
         }
     }
 
@@ -196,19 +224,10 @@
 
     /// Makes a step prefer other workers than those of a run, or of all members of its gang.
     fn avoid_workers_of(&mut self, job: JobKey, occurrence: u32, step: u32, key: RunKey) {
-        let is_gang = self.jobs[job].spec.steps[step as usize].is_gang;
-        let Some(state) = self.step_mut(job, occurrence, step) else {
-            return;
-        };
-        let runs: Vec<RunKey> = if is_gang {
-            state.active.iter().flatten().copied().collect()
-        } else {
-            vec![key]
-        };
-        let ids: Vec<_> = runs
-            .iter()
-            .filter_map(|run| self.runs.get(*run))
-            .filter_map(|run| self.workers.get(run.worker))
+        let ids: Vec<_> = self
+            .workers_of_unit(key)
+            .into_iter()
+            .filter_map(|worker| self.workers.get(worker))
             .map(|worker| worker.entry.id.clone())
             .collect();
         if let Some(state) = self.step_mut(job, occurrence, step) {
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -36,6 +36,8 @@
     pub used: Resources,
     /// Distinct jobs whose runs failed here without a success since.
     pub failed_jobs: Vec<CompactString>,
+    /// Work stood still or was slow here, alone or in a gang, and no run was sound since; forgotten at this time.
+    pub suspect_until_ms: u64,
     /// No work until then: it fails or delays what it runs.
     pub avoid_until_ms: u64,
     /// Length of the last exclusion; doubles while trouble goes on.
@@ -65,12 +67,18 @@
             runs: Vec::new(),
             used: Resources::default(),
             failed_jobs: Vec::new(),
+            suspect_until_ms: 0,
             avoid_until_ms: 0,
             avoid_for_ms: 0,
             is_lost: false,
         }
     }
 
+    /// Returns whether the last sign of the worker's health was a bad one.
+    pub const fn is_suspect(&self, now_ms: u64) -> bool {
+        now_ms < self.suspect_until_ms || !self.failed_jobs.is_empty()
+    }
+
     /// Returns the end of a lease of full length on the worker's clock, never longer than it grants.
     pub fn lease_until_ms(&self, now_ms: u64, lease_max_ms: u64, drift: f64) -> Option<u64> {
         let (clock_ms, read_ms) = self.clock?;
--- a/crates/domain/tests/engine/faults.rs
+++ b/crates/domain/tests/engine/faults.rs
@@ -173,6 +173,34 @@
     world.assert_sound();
 }
 
+/// Guards against gang after gang that stands still on the same bad worker: its members say nothing about which it is.
+#[test]
+fn gangs_keep_off_the_workers_of_one_that_stood_still() {
+    let mut world = World::new(1, 12);
+    for number in 0..10 {
+        world.submit(job(&format!("{number}"), 0, step(1, 2, 800)));
+        world.run_for(300);
+    }
+    world.run_for(2_000);
+    let mut gang = step(4, 8, 2_000);
+    gang.is_gang = true;
+    let first = world.submit(job("abc", 0, gang.clone()));
+    world.run_for(900);
+    let workers = world.workers_of(&first);
+    // Members of a real gang wait for the slowest; here each stands still by itself.
+    for worker in &workers {
+        world.workers.get_mut(worker).unwrap().hangs = true;
+    }
+    world.run_until(5_000, |world| {
+        let now = world.workers_of(&first);
+        !now.is_empty() && now.iter().all(|worker| !workers.contains(worker))
+    });
+    let second = world.submit(job("def", 0, gang));
+    let elapsed_ms = world.run_until(8_000, |world| world.state(&second) == JobState::Done);
+    assert!(elapsed_ms < 2_500, "{elapsed_ms}");
+    world.assert_sound();
+}
+
 /// Guards against a second run of a task whose start reached the new incarnation of a worker that kept its id, before
 /// a report showed that it had started again (soak, seed 304).
 #[test]
