feat(domain): start jobs only below a durable bound, so that successors know what cannot have started

Cause: with a zone cut the successor cannot ask the workers there, so every job of the former epoch waited for their leases, also those that the former holder never saw: it had lost the store. Ruled out: the time of the takeover (1.1 s), reading rows (40 ms), room (they started at once after the cut). Change: the holder writes the newest version that it read before it starts jobs up to it, under its epoch; one small write for all jobs of a page. A successor starts jobs beyond that bound at once. Rows that a new holder needs besides the jobs are read together. Before: job_that_the_former_scheduler_never_saw_starts_at_once fails with the check of the bound switched off (not within 1,000 ms). Each first start waits for a write of a few milliseconds more.

--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -23,6 +23,8 @@
 pub(super) struct JobEntry {
     pub spec: Rc<Job>,
     pub state: JobState,
+    /// Version of the transaction that accepted it.
+    pub inserted_version: u64,
     /// Version of its progress row.
     pub version: u64,
     pub occurrences: BTreeMap<u32, Occurrence>,
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -7,12 +7,18 @@
 use super::job_entry::{JobEntry, Occurrence};
 use super::step_state::StepState;
 use super::worker::Worker;
-use crate::{EntryState, Job, Progress, WorkerEntry};
+use crate::{EntryState, StoredJob, WorkerEntry};
 
 /// Rows of the store.
 impl Engine {
-    /// Takes a job with its progress. The version is that of the progress row.
-    pub fn add_job(&mut self, spec: Job, progress: Progress, version: u64, now_ms: u64, now_unix_ms: u64) {
+    /// Takes a job with its progress.
+    pub fn add_job(&mut self, stored: StoredJob, now_ms: u64, now_unix_ms: u64) {
+        let StoredJob {
+            job: spec,
+            progress,
+            inserted_version,
+            progress_version,
+        } = stored;
         if self.job_ids.contains_key(&spec.id) {
             return;
         }
@@ -24,11 +30,13 @@
             // A newer scheduler exists and owns this job.
             return;
         }
+        self.start_bound.want(inserted_version);
         let id = spec.id.clone();
         let entry = JobEntry {
             spec: Rc::new(spec),
             state: progress.state,
-            version,
+            inserted_version,
+            version: progress_version,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             is_cancelled: false,
@@ -181,6 +189,7 @@
     /// Returns whether a run of an earlier epoch may be on a worker that has not replied since.
     pub(super) fn may_run_unseen(&self, job: &JobEntry, now_ms: u64) -> bool {
         job.spec.accept_epoch < self.epoch
+            && self.start_bound.is_former(job)
             && now_ms < self.took_over_ms + self.limits.holdover_ms + self.limits.lapse_ms()
             && self
                 .workers
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod run;
 mod run_progress;
 mod slow;
+mod start_bound;
 mod starts;
 mod stats;
 mod step_state;
@@ -63,6 +64,7 @@
     claims: Vec<place::Claim>,
     advice: advice::AdviceState,
     waves: waves::WaveState,
+    start_bound: start_bound::StartBound,
     is_loaded: bool,
     took_over_ms: u64,
     next_schedule_ms: u64,
@@ -105,6 +107,7 @@
             claims: Vec::new(),
             advice: advice::AdviceState::default(),
             waves: waves::WaveState::default(),
+            start_bound: start_bound::StartBound::new(),
             is_loaded: false,
             took_over_ms: now_ms,
             next_schedule_ms: now_ms,
@@ -184,6 +187,7 @@
             self.pace_fillers(now_ms);
             self.proceed_with_waves(now_ms);
         }
+        self.raise_start_bound(now_ms);
         self.commit_due(now_ms);
     }
 
--- a/crates/domain/src/engine/order.rs
+++ b/crates/domain/src/engine/order.rs
@@ -52,7 +52,7 @@
     pub(super) fn ready_units(&mut self, now_ms: u64) -> Vec<Unit> {
         let mut units = Vec::new();
         for (key, job) in &self.jobs {
-            if job.is_final() || self.may_run_unseen(job, now_ms) {
+            if job.is_final() || !self.start_bound.allows(job) || self.may_run_unseen(job, now_ms) {
                 continue;
             }
             let chains = self.expected_chains(&job.spec);
--- a/crates/domain/tests/engine/takeover.rs
+++ b/crates/domain/tests/engine/takeover.rs
@@ -65,6 +65,28 @@
     world.assert_sound();
 }
 
+/// Guards against jobs that wait for silent workers although no former scheduler can have started them: it lost the
+/// store before it saw them.
+#[test]
+fn job_that_the_former_scheduler_never_saw_starts_at_once() {
+    let mut world = World::new(2, 2);
+    let first = world.submit(job("a", 1, step(4, 8, 60_000)));
+    world.run_for(500);
+    for worker in ["w0-0", "w0-1"] {
+        world.workers.get_mut(worker).unwrap().is_silent = true;
+    }
+    world.cancel(&first);
+    world.run_for(300);
+    // The former scheduler is cut off; its epoch is still the newest.
+    world.is_store_down = true;
+    let unseen = world.submit(job("b", 1, step(1, 8, 500)));
+    world.run_for(100);
+    world.is_store_down = false;
+    world.take_over();
+    world.run_until(1_000, |world| world.state(&unseen) == JobState::Done);
+    world.assert_sound();
+}
+
 /// Guards against a gang that goes on in parts after a takeover.
 #[test]
 fn gang_that_is_not_found_whole_starts_again() {
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -7,7 +7,8 @@
 use compact_str::CompactString;
 use domain::{
     Action, Commit, Config, Engine, EntryState, Job, JobState, Limits, Machine, MachineState, Organisation, Progress,
-    Rejection, Resources, Route, StartOutcome, Step, TaskName, UpkeepReply, WaveProgress, WorkerEntry, WorkerKey,
+    Rejection, Resources, Route, StartOutcome, Step, StoredJob, TaskName, UpkeepReply, WaveProgress, WorkerEntry,
+    WorkerKey,
 };
 pub use fake_worker::FakeWorker;
 
@@ -16,10 +17,22 @@
 pub struct Stored {
     pub job: Job,
     pub progress: Progress,
+    pub inserted_version: u64,
     pub version: u64,
     pub is_cancelled: bool,
 }
 
+impl Stored {
+    fn loaded(&self) -> StoredJob {
+        StoredJob {
+            job: self.job.clone(),
+            progress: self.progress.clone(),
+            inserted_version: self.inserted_version,
+            progress_version: self.version,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Renewal {
     worker: WorkerKey,
@@ -45,6 +58,7 @@
     pub workers: BTreeMap<CompactString, FakeWorker>,
     pub store: BTreeMap<CompactString, Stored>,
     pub used_workers: BTreeMap<CompactString, CompactString>,
+    pub start_bound: Option<u64>,
     /// The store takes no writes.
     pub is_store_down: bool,
     /// The next start orders get no reply and take effect after this time.
@@ -128,6 +142,7 @@
             workers,
             store: BTreeMap::new(),
             used_workers: BTreeMap::new(),
+            start_bound: None,
             is_store_down: false,
             late_start_ms: None,
             lose_starts: 0,
@@ -174,6 +189,7 @@
         for (id, address) in &self.used_workers {
             self.engine.add_recorded_worker(id, address, self.now_ms);
         }
+        self.engine.set_former_start_bound(self.start_bound);
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
             self.engine.set_worker(worker.entry(), self.now_ms);
         }
@@ -181,13 +197,7 @@
         self.tick();
         self.answer_renewals();
         for stored in self.store.values() {
-            self.engine.add_job(
-                stored.job.clone(),
-                stored.progress.clone(),
-                stored.version,
-                self.now_ms,
-                self.now_ms,
-            );
+            self.engine.add_job(stored.loaded(), self.now_ms, self.now_ms);
             if stored.is_cancelled {
                 self.engine.cancel(&stored.job.id, self.now_ms);
             }
@@ -212,14 +222,14 @@
             organisation: job.organisation.clone(),
             ..Progress::default()
         };
-        self.engine
-            .add_job(job.clone(), progress.clone(), self.version, self.now_ms, self.now_ms);
         let stored = Stored {
             job,
             progress,
+            inserted_version: self.version,
             version: self.version,
             is_cancelled: false,
         };
+        self.engine.add_job(stored.loaded(), self.now_ms, self.now_ms);
         self.store.insert(id.clone(), stored);
         id
     }
@@ -406,6 +416,13 @@
                 self.engine
                     .upkeep_replied(wave, &machine, UpkeepReply::Begun, self.now_ms);
             }
+            Action::RaiseStartBound { version } => {
+                if !self.is_store_down {
+                    self.start_bound = Some(version);
+                }
+                self.engine
+                    .start_bound_written(version, !self.is_store_down, self.now_ms);
+            }
             Action::Commit(commit) => self.commit(&commit),
         }
     }
@@ -435,7 +452,12 @@
         let Ok(name) = order.what.task.parse::<TaskName>() else {
             return StartOutcome::Rejected(Rejection::Malformed);
         };
-        let step = self.store[&name.job].job.steps[name.step as usize].clone();
+        let stored = &self.store[&name.job];
+        if self.start_bound.is_none_or(|bound| stored.inserted_version > bound) {
+            self.violations
+                .push(format!("{} started beyond {:?}", order.what.task, self.start_bound));
+        }
+        let step = stored.job.steps[name.step as usize].clone();
         let Some(worker) = self.workers.get_mut(id) else {
             return StartOutcome::Rejected(Rejection::NotSent);
         };
--- a/crates/node/src/holder/actions.rs
+++ b/crates/node/src/holder/actions.rs
@@ -7,7 +7,9 @@
 use super::{Holder, Input};
 use crate::clock::boot_ms;
 use crate::ports::{Condition, Store, Target, Txn, Workers};
-use crate::rows::{BEAT_KEY, BeatRow, EPOCH_KEY, LEASE, PENDING, PROGRESS, USED_WORKERS, put};
+use crate::rows::{
+    BEAT_KEY, BeatRow, EPOCH_KEY, LEASE, PENDING, PROGRESS, START_BOUND, START_BOUND_KEY, USED_WORKERS, put,
+};
 
 /// Time for the reply to an order; workers answer in a few round trips of some milliseconds.
 const ORDER_LIMIT: Duration = Duration::from_millis(200);
@@ -111,6 +113,19 @@
                     holder.do_send(Input::UpkeepDone(wave, machine, reply));
                 });
             }
+            Action::RaiseStartBound { version } => {
+                let place = shared.parts.of_holder(START_BOUND);
+                let txn = Txn {
+                    conditions: vec![self.epoch_condition()],
+                    puts: vec![put(place, START_BOUND_KEY, &version)],
+                    ..Txn::default()
+                };
+                let sent_ms = boot_ms();
+                actix_rt::spawn(async move {
+                    let result = shared.transact(&txn).await;
+                    holder.do_send(Input::StartBoundWritten(version, sent_ms, result));
+                });
+            }
             Action::Commit(commit) => {
                 let txn = self.txn(&commit);
                 let sent_ms = boot_ms();
@@ -122,15 +137,20 @@
         }
     }
 
+    /// Returns the condition that a write takes effect only in this epoch.
+    fn epoch_condition(&self) -> Condition {
+        Condition {
+            place: self.shared.parts.of_holder(LEASE),
+            key: EPOCH_KEY.into(),
+            version: self.epoch_row_version,
+        }
+    }
+
     /// Builds the write of a commit: it takes effect only in this epoch.
     fn txn(&mut self, commit: &Commit) -> Txn {
         let parts = self.shared.parts;
         let mut txn = Txn {
-            conditions: vec![Condition {
-                place: parts.of_holder(LEASE),
-                key: EPOCH_KEY.into(),
-                version: self.epoch_row_version,
-            }],
+            conditions: vec![self.epoch_condition()],
             ..Txn::default()
         };
         for row in &commit.rows {
--- a/crates/node/src/holder/feeds.rs
+++ b/crates/node/src/holder/feeds.rs
@@ -5,11 +5,11 @@
 use actix::Addr;
 use actix_rt::time::sleep;
 use compact_str::CompactString;
-use domain::{Job, Progress};
+use domain::{Job, Progress, StoredJob};
 
 use super::{Holder, Input};
 use crate::ports::{FeedError, OwnRow, Place, Store, StoreError, Workers};
-use crate::rows::{JOBS, JobsKey, PENDING, PROGRESS, USED_WORKERS, get};
+use crate::rows::{JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, get};
 use crate::shared::SharedRef;
 
 /// Pause before a read of the store is repeated.
@@ -56,24 +56,21 @@
 
 /// Reads the rows that a new holder needs, then follows their changes.
 pub(super) async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, holder: Addr<Holder<S, W>>) {
-    let Some((used, _)) = until_read(&shared, &holder, &[shared.parts.of_holder(USED_WORKERS)]).await else {
+    let places = [USED_WORKERS, START_BOUND, PENDING].map(|table| shared.parts.of_holder(table));
+    let Some((rows, _)) = until_read(&shared, &holder, &places).await else {
         return;
     };
-    let used = used
-        .iter()
+    let of_table = |table| rows.iter().filter(move |row| row.table == table);
+    let used = of_table(USED_WORKERS)
         .filter_map(|row| Some((row.key.clone(), get::<CompactString>(row)?)))
         .collect();
     holder.do_send(Input::UsedWorkers(used));
-    actix_rt::spawn(follow_workers(Rc::clone(&shared), holder.clone()));
-    let place = shared.parts.of_holder(PENDING);
-    let Some((pending, _)) = until_read(&shared, &holder, &[place]).await else {
-        return;
-    };
-    let pending = pending
-        .iter()
+    holder.do_send(Input::FormerStartBound(of_table(START_BOUND).find_map(get)));
+    let pending = of_table(PENDING)
         .filter_map(|row| Some((row.key.clone(), get::<u64>(row)?)))
         .collect();
     holder.do_send(Input::Pending(pending));
+    actix_rt::spawn(follow_workers(Rc::clone(&shared), holder.clone()));
     let Some(after) = load_jobs(&shared, &holder).await else {
         return;
     };
@@ -98,7 +95,12 @@
                 let (Some(job), Some(state)) = (get::<Job>(row), get::<Progress>(row_of_progress)) else {
                     continue;
                 };
-                jobs.push((job, state, row_of_progress.version));
+                jobs.push(StoredJob {
+                    job,
+                    progress: state,
+                    inserted_version: row.version,
+                    progress_version: row_of_progress.version,
+                });
             }
         }
     }
@@ -134,7 +136,12 @@
                                     organisation: job.organisation.clone(),
                                     ..Progress::default()
                                 };
-                                jobs.push((job, progress, row.version));
+                                jobs.push(StoredJob {
+                                    job,
+                                    progress,
+                                    inserted_version: row.version,
+                                    progress_version: row.version,
+                                });
                             }
                         }
                     }
--- a/crates/node/src/holder/input.rs
+++ b/crates/node/src/holder/input.rs
@@ -1,6 +1,6 @@
 use actix::Message;
 use compact_str::CompactString;
-use domain::{Commit, Job, Machine, Progress, StartOutcome, TaskRun, UpkeepReply, WorkerKey, WorkerReport};
+use domain::{Commit, Machine, StartOutcome, StoredJob, TaskRun, UpkeepReply, WorkerKey, WorkerReport};
 
 use crate::ports::{RenewError, TxnError, WorkerChange};
 
@@ -10,8 +10,8 @@
 pub(crate) enum Input {
     /// Workers that former holders used.
     UsedWorkers(Vec<(CompactString, CompactString)>),
-    /// Jobs with their progress rows and the versions of these.
-    Jobs(Vec<(Job, Progress, u64)>),
+    /// Jobs with their progress.
+    Jobs(Vec<StoredJob>),
     /// Ids of jobs to cancel.
     Cancels(Vec<CompactString>),
     /// Durable counts of waiting jobs by queue.
@@ -34,6 +34,10 @@
     Machines(Option<Vec<Machine>>),
     /// Reply to an upkeep order.
     UpkeepDone(u64, CompactString, UpkeepReply),
+    /// Bound of starts of former epochs.
+    FormerStartBound(Option<u64>),
+    /// Reply to the write of a bound of starts.
+    StartBoundWritten(u64, u64, Result<u64, TxnError>),
     /// Reply to a write.
     Committed(Box<Commit>, u64, Result<u64, TxnError>),
     /// Another instance holds the lease, or this one stops.
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -18,7 +18,7 @@
 use crate::clock::{boot_ms, unix_ms};
 use crate::lease::{Deposed, LeaseKeeper};
 use crate::log;
-use crate::ports::{RenewError, Store, Target, TxnError, WorkerChange, Workers};
+use crate::ports::{OwnRow, RenewError, Store, Target, TxnError, WorkerChange, Workers};
 use crate::rows::{EPOCH_KEY, LEASE, PROGRESS};
 use crate::shared::SharedRef;
 
@@ -127,13 +127,7 @@
                 self.engine.committed(commit, version, now_ms);
             }
             Err(TxnError::Conflict(conflict)) => {
-                let epoch_row = conflict.iter().find(|row| row.table == LEASE && row.key == EPOCH_KEY);
-                if epoch_row.is_none_or(|row| row.version != self.epoch_row_version) {
-                    self.is_stopped = true;
-                    self.keeper.do_send(Deposed {
-                        epoch: self.engine.epoch(),
-                        cause: "write_rejected",
-                    });
+                if self.is_deposed_by(&conflict) {
                     return;
                 }
                 let current: Vec<_> = conflict
@@ -151,6 +145,29 @@
         }
     }
 
+    /// Stops if a rejected write shows that the epoch is over; returns whether it does.
+    fn is_deposed_by(&mut self, conflict: &[OwnRow]) -> bool {
+        let epoch_row = conflict.iter().find(|row| row.table == LEASE && row.key == EPOCH_KEY);
+        if epoch_row.is_some_and(|row| row.version == self.epoch_row_version) {
+            return false;
+        }
+        self.is_stopped = true;
+        self.keeper.do_send(Deposed {
+            epoch: self.engine.epoch(),
+            cause: "write_rejected",
+        });
+        true
+    }
+
+    fn start_bound_written(&mut self, version: u64, sent_ms: u64, result: &Result<u64, TxnError>) {
+        match result {
+            Ok(_) => self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms)),
+            Err(TxnError::Conflict(conflict)) if self.is_deposed_by(conflict) => return,
+            Err(error) => spdlog::warn!("start_bound_failed", kv: { version, cause = error.to_string() }),
+        }
+        self.engine.start_bound_written(version, result.is_ok(), boot_ms());
+    }
+
     fn worker_change(&mut self, change: WorkerChange, now_ms: u64) {
         match change {
             WorkerChange::Listed(entry) => self.engine.set_worker(*entry, now_ms),
@@ -243,8 +260,8 @@
                 }
             }
             Input::Jobs(jobs) => {
-                for (job, progress, version) in jobs {
-                    self.engine.add_job(job, progress, version, now_ms, unix_ms());
+                for job in jobs {
+                    self.engine.add_job(job, now_ms, unix_ms());
                 }
             }
             Input::Cancels(ids) => {
@@ -275,6 +292,8 @@
             Input::Advised(good) => self.engine.advised(good.as_deref(), now_ms),
             Input::Machines(machines) => self.engine.set_machines(machines, now_ms),
             Input::UpkeepDone(wave, machine, reply) => self.engine.upkeep_replied(wave, &machine, reply, now_ms),
+            Input::FormerStartBound(version) => self.engine.set_former_start_bound(version),
+            Input::StartBoundWritten(version, sent_ms, result) => self.start_bound_written(version, sent_ms, &result),
             Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
             Input::Stop => {
                 self.is_stopped = true;
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -11,6 +11,9 @@
 pub(crate) const PENDING: &str = "pending";
 /// Workers that may run tasks, with their addresses.
 pub(crate) const USED_WORKERS: &str = "workers";
+/// Newest version up to which jobs may have been started; written by the holder before their first start. Not in the
+/// table of the lease, whose changes wake all instances.
+pub(crate) const START_BOUND: &str = "start_bound";
 /// Scheduling lease: its epoch and its heartbeat.
 pub(crate) const LEASE: &str = "lease";
 
@@ -75,6 +78,8 @@
 
 /// Key of the row that changes with each epoch.
 pub(crate) const EPOCH_KEY: &str = "epoch";
+/// Key of the only row in its table.
+pub(crate) const START_BOUND_KEY: &str = "version";
 /// Key of the row that changes with each renewal.
 pub(crate) const BEAT_KEY: &str = "beat";
 
