feat: durable records of runs on the platform, and commands that explain a job

Cause: a job that was done kept only its state; which worker and run had done it stood in the logs alone, so a charge could not be traced from what lasts. Why a job waits could only be inferred from missing lines. Ruled out: the records in the progress row (it is written again with each change and bounded by a row of the store). Change: the holder writes a record of each ended run (task, run, worker, how, accelerators, time) in the transaction with the progress that the end caused, in rows that never change; the end counts as durable only with it. Instances answer /v1/explain/ID and /v1/instance at the ready address; galenaspool explain and instances read them. Before: no record; every_run_leaves_a_durable_record and the check of the engine's world at each commit have nothing to read.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -59,6 +59,19 @@
         .subcommand(sheet())
         .subcommand(data_centre())
         .subcommand(config())
+        .subcommand(
+            Command::new("explain")
+                .about("Explains a job of a scheduling domain: state, runs, and why it waits")
+                .after_help(
+                    "Addresses of --server are those of readiness and metrics. The holder of the lease knows most.",
+                )
+                .arg(Arg::new("job").required(true).help("Job id, 16 hexadecimal digits")),
+        )
+        .subcommand(
+            Command::new("instances").about(
+                "Shows what each addressed instance of a scheduling domain believes: holder, configuration, store",
+            ),
+        )
         .subcommand(Command::new("peers").about("Lists the entry instances that the addressed one knows"))
         .subcommand(timeline())
         .subcommand(
--- /dev/null
+++ b/crates/cli/src/domain_commands.rs
@@ -0,0 +1,163 @@
+use clap::ArgMatches;
+use domain::{Explanation, RunRecord, StepExplanation, WaitCause};
+use node::{InstanceReport, JobReport};
+
+use crate::{Client, CommandError, ExitStatus, Format, output};
+
+/// Prints what the instances can tell of a job; the answer of the holder of the lease is preferred.
+pub(crate) async fn explain(client: &Client, format: Format, matches: &ArgMatches) -> Result<ExitStatus, CommandError> {
+    let job = matches.get_one::<String>("job").map_or("", String::as_str);
+    let mut best: Option<JobReport> = None;
+    let mut failure = None;
+    for server in client.servers() {
+        match client
+            .only(server)
+            .get::<JobReport>(&format!("/v1/explain/{job}"))
+            .await
+        {
+            Ok(report) => {
+                let is_complete = report.schedule.is_some() || report.state.is_final();
+                if is_complete || best.is_none() {
+                    best = Some(report);
+                }
+                if is_complete {
+                    break;
+                }
+            }
+            Err(error) => failure = Some(error),
+        }
+    }
+    let Some(report) = best else {
+        return Err(failure.unwrap_or_else(|| CommandError::Unreachable {
+            tried: client.servers().join(", "),
+        }));
+    };
+    match format {
+        Format::Json => output::json(&report),
+        Format::Table => output::line(&job_text(&report)),
+    }
+    Ok(ExitStatus::Success)
+}
+
+/// Prints what each addressed instance believes; one that does not answer is named on standard error.
+pub(crate) async fn instances(client: &Client, format: Format) -> Result<ExitStatus, CommandError> {
+    let mut reports = Vec::new();
+    for server in client.servers() {
+        match client.only(server).get::<InstanceReport>("/v1/instance").await {
+            Ok(report) => reports.push(report),
+            Err(error) => eprintln!("galenaspool: {server}: {error}"),
+        }
+    }
+    if reports.is_empty() {
+        return Err(CommandError::Unreachable {
+            tried: client.servers().join(", "),
+        });
+    }
+    match format {
+        Format::Json => output::json(&reports),
+        Format::Table => {
+            let rows: Vec<_> = reports
+                .iter()
+                .filter_map(|report| serde_json::to_value(report).ok())
+                .collect();
+            let columns = [
+                "instance",
+                "data_centre",
+                "is_ready",
+                "holder",
+                "epoch",
+                "config_version",
+                "config_age_ms",
+                "store_heard_ms_ago",
+                "out_of_service",
+            ];
+            output::table(&rows, &columns);
+        }
+    }
+    Ok(ExitStatus::Success)
+}
+
+/// Returns a report as text.
+pub fn job_text(report: &JobReport) -> String {
+    let cancelled = if report.is_cancelled { ", cancelled" } else { "" };
+    let mut lines = vec![
+        format!(
+            "job {} of {} in {}: {:?}{cancelled}, accepted {} in epoch {}",
+            report.job, report.organisation, report.route, report.state, report.accepted_unix_ms, report.accept_epoch
+        ),
+        format!(
+            "holder {} in epoch {}, answered by {}",
+            report.holder, report.epoch, report.instance
+        ),
+    ];
+    match &report.schedule {
+        Some(schedule) => lines.extend(schedule_lines(schedule)),
+        None if report.state.is_final() => {}
+        None => lines.push(format!(
+            "why it waits is known to {} alone; add its address to --server",
+            report.holder
+        )),
+    }
+    lines.extend(report.records.iter().map(record_line));
+    lines.extend(report.gaps.iter().map(|gap| format!("GAP: {gap}")));
+    lines.join("\n")
+}
+
+fn schedule_lines(schedule: &Explanation) -> Vec<String> {
+    let mut lines = vec![format!(
+        "priority {}, age {} ms, objective {} ms",
+        schedule.priority, schedule.age_ms, schedule.objective_ms
+    )];
+    lines.extend(schedule.steps.iter().flat_map(step_lines));
+    lines
+}
+
+fn step_lines(step: &StepExplanation) -> Vec<String> {
+    let mut lines = vec![format!(
+        "step {}.{}: {} of {} tasks done, {} at work",
+        step.occurrence,
+        step.step,
+        step.done,
+        step.tasks,
+        step.runs.len()
+    )];
+    lines.extend(
+        step.waits_for
+            .iter()
+            .map(|cause| format!("  waits for {}", cause_text(cause))),
+    );
+    lines.extend(step.runs.iter().map(|run| {
+        format!(
+            "  task {} run {} {} on {} for {} ms, worker heard {} ms ago",
+            run.index, run.run, run.state, run.worker, run.since_ms, run.heard_ms_ago
+        )
+    }));
+    lines
+}
+
+fn cause_text(cause: &WaitCause) -> String {
+    match cause {
+        WaitCause::StartBound => "the store to confirm the bound of starts".into(),
+        WaitCause::SilentWorkers { workers } => {
+            format!("workers of an earlier epoch that do not answer: {}", workers.join(", "))
+        }
+        WaitCause::EarlierSteps { steps } => format!("steps {steps:?}"),
+        WaitCause::FormerRun => "the members of its former run to end".into(),
+        WaitCause::Pause { left_ms } => format!("a pause of {left_ms} ms after a rejected start"),
+        WaitCause::NoWorker => "a worker that may run it".into(),
+        WaitCause::Room { needed, fit, workers } => {
+            format!("room: {needed} tasks have to fit, {fit} do, on {workers} workers")
+        }
+        WaitCause::Turn => "its turn".into(),
+    }
+}
+
+fn record_line(record: &RunRecord) -> String {
+    let ran = record
+        .ran_ms
+        .map_or_else(|| "unknown time".into(), |ms| format!("{ms} ms"));
+    format!(
+        "task {}.{}.{} run {} on {}: {:?} after {ran}, {} accelerators",
+        record.occurrence, record.step, record.index, record.run, record.worker, record.how, record.accelerators
+    )
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -3,7 +3,8 @@
 use clap::ArgMatches;
 
 use crate::{
-    Client, CommandError, ExitStatus, Format, args, job_commands, operator_commands, sheet_commands, timeline_command,
+    Client, CommandError, ExitStatus, Format, args, domain_commands, job_commands, operator_commands, sheet_commands,
+    timeline_command,
 };
 
 /// Time to live of a request that does not wait for a job.
@@ -39,6 +40,8 @@
         Some(("sheet", matches)) => sheet_commands::run(&client, format, matches).await,
         Some(("data-centre", matches)) => operator_commands::data_centre(&client, format, matches).await,
         Some(("config", matches)) => operator_commands::config(&client, format, matches).await,
+        Some(("explain", matches)) => domain_commands::explain(&client, format, matches).await,
+        Some(("instances", _)) => domain_commands::instances(&client, format).await,
         Some(("peers", _)) => operator_commands::peers(&client, format).await,
         Some(("timeline", matches)) => timeline_command::run(&client, format, matches).await,
         Some(("completions", matches)) => {
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -1,6 +1,6 @@
 use compact_str::CompactString;
 
-use crate::{Progress, WorkerKey};
+use crate::{Progress, RunRecord, WorkerKey};
 
 /// Run of a task, as workers name it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -35,6 +35,8 @@
     pub expected_version: u64,
     /// New value.
     pub progress: Progress,
+    /// Runs that ended since the last write, and the number of their row among those of the job in this epoch.
+    pub records: Option<(u32, Vec<RunRecord>)>,
 }
 
 /// Rows to write in one transaction under the scheduler's epoch.
@@ -65,8 +67,8 @@
     /// Most entries in one transaction of the store: conditions, writes and removals together.
     pub const MAX_ENTRIES: usize = 100;
 
-    /// Entries of a row: its condition and its write.
-    pub const ROW_ENTRIES: usize = 2;
+    /// Most entries of a row: its condition, its write and that of the records.
+    pub const ROW_ENTRIES: usize = 3;
 
     /// Entries of every commit: the condition on the epoch and the heartbeat.
     const BASE_ENTRIES: usize = 2;
--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -22,6 +22,7 @@
             stop_sent_ms: None,
             checkpoint: None,
             resumed: true,
+            is_adopted: true,
             recent: 0.0,
             progress: RunProgress::default(),
             pace_percent: 100,
--- a/crates/domain/src/engine/cancel.rs
+++ b/crates/domain/src/engine/cancel.rs
@@ -83,6 +83,7 @@
         let is_over = job.is_final()
             && !self.dirty.contains(&key)
             && !self.commit.covers(key)
+            && job.records.is_empty()
             && job
                 .occurrences
                 .values()
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -48,6 +48,9 @@
     /// Most counts of waiting jobs in one write.
     const PENDING_PER_COMMIT: usize = 20;
 
+    /// Most records of runs in one row, a fraction of what a row holds.
+    const RECORDS_PER_ROW: usize = 100;
+
     /// Interval of writing the counts of waiting jobs, which may be 2 s old.
     const PENDING_MS: u64 = 500;
 
@@ -174,6 +177,11 @@
             }
             commit.rows.push(self.commit_row(key));
             write.jobs.push(key);
+            let job = &mut self.jobs[key];
+            if job.records.len() > Self::RECORDS_PER_ROW {
+                // The rest goes with the next write; until then no end of it counts as durable.
+                continue;
+            }
             self.dirty.shift_remove(&key);
             let job = &mut self.jobs[key];
             job.is_urgent = false;
@@ -204,10 +212,12 @@
 
     fn commit_row(&self, key: JobKey) -> CommitRow {
         let job = &self.jobs[key];
+        let records = &job.records[..job.records.len().min(Self::RECORDS_PER_ROW)];
         CommitRow {
             job: job.spec.id.clone(),
             expected_version: job.version,
             progress: job.progress(),
+            records: (!records.is_empty()).then(|| (job.record_rows, records.to_vec())),
         }
     }
 
@@ -239,9 +249,13 @@
                 worker.renew_due_ms = now_ms;
             }
         }
-        for key in write.jobs {
+        for (key, row) in write.jobs.into_iter().zip(&commit.rows) {
             if let Some(job) = self.jobs.get_mut(key) {
                 job.version = version;
+                if let Some((_, records)) = &row.records {
+                    job.records.drain(..records.len());
+                    job.record_rows += 1;
+                }
                 self.drop_if_over(key);
             }
         }
--- /dev/null
+++ b/crates/domain/src/engine/explain.rs
@@ -0,0 +1,126 @@
+use super::keys::JobKey;
+use super::order::Unit;
+use super::place::share_of;
+use super::{Engine, RunState};
+use crate::{Explanation, RunExplanation, StepExplanation, WaitCause};
+
+/// Answers to operators.
+impl Engine {
+    /// Returns what is known of a job; `None` if it is not open in this epoch.
+    pub fn explain(&mut self, id: &str, now_ms: u64) -> Option<Explanation> {
+        let key = *self.job_ids.get(id)?;
+        let job = &self.jobs[key];
+        let open: Vec<(u32, u32)> = job
+            .occurrences
+            .iter()
+            .flat_map(|(number, occurrence)| {
+                let steps = occurrence.steps.iter().enumerate();
+                steps
+                    .filter(|(_, state)| !state.is_done())
+                    .map(|(step, _)| (*number, step as u32))
+            })
+            .collect();
+        let spec = std::rc::Rc::clone(&job.spec);
+        Some(Explanation {
+            state: job.state,
+            priority: spec.priority,
+            age_ms: now_ms.saturating_sub(job.seen_ms),
+            objective_ms: Self::objective_ms(&spec, &self.expected_chains(&spec)),
+            steps: open
+                .into_iter()
+                .map(|(occurrence, step)| self.explain_step(key, occurrence, step, now_ms))
+                .collect(),
+        })
+    }
+
+    fn explain_step(&mut self, key: JobKey, occurrence: u32, step: u32, now_ms: u64) -> StepExplanation {
+        let state = &self.jobs[key].occurrences[&occurrence].steps[step as usize];
+        let (tasks, done, idle) = (state.done.len() as u32, state.done_count, state.idle_count());
+        let runs = state
+            .active
+            .iter()
+            .flatten()
+            .filter_map(|run| self.runs.get(*run))
+            .filter_map(|run| Some((run, self.workers.get(run.worker)?)))
+            .map(|(run, worker)| RunExplanation {
+                index: run.index,
+                run: run.number,
+                worker: worker.entry.id.clone(),
+                state: match run.state {
+                    RunState::Starting => "starting",
+                    RunState::Running => "running",
+                    RunState::Stopping => "stopping",
+                }
+                .into(),
+                since_ms: now_ms.saturating_sub(run.ordered_ms),
+                heard_ms_ago: now_ms.saturating_sub(worker.heard_ms),
+            })
+            .collect();
+        StepExplanation {
+            occurrence,
+            step,
+            tasks,
+            done,
+            runs,
+            waits_for: (idle > 0).then(|| self.wait_cause(key, occurrence, step, now_ms)),
+        }
+    }
+
+    fn wait_cause(&mut self, key: JobKey, occurrence: u32, step: u32, now_ms: u64) -> WaitCause {
+        let job = &self.jobs[key];
+        let spec = std::rc::Rc::clone(&job.spec);
+        let shape = &spec.steps[step as usize];
+        let steps = &job.occurrences[&occurrence].steps;
+        let state = &steps[step as usize];
+        let unfinished = shape.after.iter().copied().filter(|earlier| {
+            let state = steps.get(*earlier as usize);
+            !state.is_some_and(super::StepState::is_done)
+        });
+        let unfinished: Vec<u32> = unfinished.collect();
+        if !self.start_bound.allows(job) {
+            return WaitCause::StartBound;
+        }
+        if self.may_run_unseen(job, now_ms) {
+            let silent = self.workers.values().filter(|worker| worker.is_silent_holdout());
+            return WaitCause::SilentWorkers {
+                workers: silent.map(|worker| worker.entry.id.clone()).collect(),
+            };
+        }
+        if !unfinished.is_empty() {
+            return WaitCause::EarlierSteps { steps: unfinished };
+        }
+        if shape.is_gang && (state.active_count > 0 || state.is_gang_ending) {
+            return WaitCause::FormerRun;
+        }
+        if now_ms < state.not_before_ms {
+            return WaitCause::Pause {
+                left_ms: state.not_before_ms - now_ms,
+            };
+        }
+        let unit = Unit {
+            job: key,
+            occurrence,
+            step,
+            priority: spec.priority,
+            lateness: 0,
+            latest_start_ms: now_ms,
+            due_ms: now_ms,
+        };
+        let spots = self.spots(now_ms);
+        let usable: Vec<_> = spots.iter().filter(|spot| self.takes(spot, &spec, shape)).collect();
+        if usable.is_empty() {
+            return WaitCause::NoWorker;
+        }
+        let needed = if shape.is_gang { u64::from(shape.count) } else { 1 };
+        let open = usable.iter().filter(|spot| spot.is_open_to(&unit));
+        let fit = open.map(|spot| share_of(shape, &spot.free)).sum();
+        if fit < needed {
+            return WaitCause::Room {
+                needed,
+                fit,
+                workers: usable.len() as u64,
+            };
+        }
+        WaitCause::Turn
+    }
+}
--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 
 use super::step_state::StepState;
-use crate::{Job, JobState, Progress};
+use crate::{Job, JobState, Progress, RunRecord};
 
 /// Occurrence of a job; a job that is not scheduled has one.
 #[derive(Debug, Clone)]
@@ -37,6 +37,10 @@
     /// Progress of occurrences that are not open in memory.
     pub loaded: Option<Progress>,
     pub dirty_since_ms: Option<u64>,
+    /// Runs that ended and are not durable yet.
+    pub records: Vec<RunRecord>,
+    /// Rows of records that this epoch wrote.
+    pub record_rows: u32,
 }
 
 impl JobEntry {
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -44,6 +44,8 @@
             is_urgent: false,
             loaded: Some(progress),
             dirty_since_ms: None,
+            records: Vec::new(),
+            record_rows: 0,
         };
         let age_ms = now_unix_ms
             .saturating_sub(entry.spec.accepted_unix_ms)
@@ -191,9 +193,6 @@
         job.spec.accept_epoch < self.epoch
             && self.start_bound.is_former(job)
             && now_ms < self.took_over_ms + self.limits.holdover_ms + self.limits.lapse_ms()
-            && self
-                .workers
-                .values()
-                .any(|worker| !worker.is_fenced && worker.is_recorded)
+            && self.workers.values().any(Worker::is_silent_holdout)
     }
 }
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -72,7 +72,7 @@
             && !self.out_of_service.contains(&worker.entry.data_centre)
     }
 
-    fn spots(&mut self, now_ms: u64) -> Vec<Spot> {
+    pub(super) fn spots(&mut self, now_ms: u64) -> Vec<Spot> {
         self.claims.retain(|claim| now_ms < claim.until_ms);
         self.workers
             .iter()
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -299,6 +299,7 @@
                 ));
             }
         }
+        self.record(job, name, end, &worker_id, run.as_ref(), now_ms);
         if shape.is_gang && end.kind != EndKind::Done {
             self.end_gang(job, name.occurrence, name.step, now_ms);
         }
@@ -371,6 +372,7 @@
                 continue;
             };
             self.stats.broken += 1;
+            self.record_lapse(&run, now_ms);
             self.remove_run(run_key);
             let is_gang = !run.is_foreign
                 && self
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -17,6 +17,7 @@
 
 /// Run of a task on a worker.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
 pub(super) struct Run {
     pub job: JobKey,
     pub occurrence: u32,
@@ -35,6 +36,8 @@
     pub checkpoint: Option<CompactString>,
     /// It began from a checkpoint, or before this epoch.
     pub resumed: bool,
+    /// An earlier epoch ordered it.
+    pub is_adopted: bool,
     pub recent: f64,
     pub progress: RunProgress,
     pub pace_percent: u32,
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -97,6 +97,7 @@
             is_void: false,
             stop_sent_ms: None,
             resumed: checkpoint.is_some(),
+            is_adopted: false,
             checkpoint: checkpoint.clone(),
             recent: 0.0,
             progress: RunProgress::default(),
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Returns whether it may run something for an earlier epoch and has not answered this one.
+    pub const fn is_silent_holdout(&self) -> bool {
+        !self.is_fenced && self.is_recorded
+    }
+
     /// Returns whether the last sign of the worker's health was a bad one.
     pub const fn is_suspect(&self, now_ms: u64) -> bool {
         now_ms < self.suspect_until_ms || !self.failed_jobs.is_empty()
--- /dev/null
+++ b/crates/domain/src/run_record.rs
@@ -0,0 +1,26 @@
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::EndKind;
+
+/// Durable record of a run that ended: what a charge traces back to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Occurrence of the job.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u32,
+    /// Task of the step.
+    pub index: u32,
+    /// Run.
+    pub run: u64,
+    /// Worker that ran it.
+    pub worker: CompactString,
+    /// How it ended.
+    pub how: EndKind,
+    /// Accelerators that it held.
+    pub accelerators: u64,
+    /// Time from the order to the report of the end; `None` if an earlier epoch ordered it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ran_ms: Option<u64>,
+}
--- a/crates/domain/src/worker_report.rs
+++ b/crates/domain/src/worker_report.rs
@@ -1,7 +1,9 @@
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum EndKind {
     /// The task is done.
     Done,
--- a/crates/domain/tests/engine/jobs.rs
+++ b/crates/domain/tests/engine/jobs.rs
@@ -69,6 +69,45 @@
     world.assert_sound();
 }
 
+/// Guards against charges that nothing durable traces back to a run and its worker, once the worker forgot the end.
+#[test]
+fn every_run_leaves_a_durable_record() {
+    let mut world = World::new(1, 2);
+    world.workers.get_mut("w0-0").unwrap().fails_all = true;
+    let mut many = job("a", 1, step(250, 1, 300));
+    many.attempts = 100;
+    let many = world.submit(many);
+    let mut gang = step(2, 4, 500);
+    gang.is_gang = true;
+    let mut together = job("b", 1, gang);
+    together.attempts = 100;
+    let together = world.submit(together);
+    world.run_for(1_000);
+    world.workers.get_mut("w0-0").unwrap().fails_all = false;
+    world.take_over();
+    world.run_until(60_000, |world| {
+        [&many, &together].iter().all(|id| world.state(id) == JobState::Done)
+    });
+    world.run_for(1_000);
+    for id in [&many, &together] {
+        let mut started: Vec<_> = world
+            .starts
+            .iter()
+            .filter(|(_, task, _)| task.starts_with(id.as_str()))
+            .map(|(_, task, worker)| (task.parse::<TaskName>().unwrap().index, worker.clone()))
+            .collect();
+        let mut recorded: Vec<_> = world
+            .records_of(id)
+            .into_iter()
+            .map(|record| (record.index, record.worker))
+            .collect();
+        started.sort();
+        recorded.sort();
+        assert_eq!(started, recorded);
+    }
+    world.assert_sound();
+}
+
 #[test]
 fn cancelled_job_leaves_its_workers() {
     let mut world = World::new(1, 1);
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -6,9 +6,9 @@
 
 use compact_str::CompactString;
 use domain::{
-    Action, Commit, Config, Engine, EntryState, Job, JobState, Limits, Machine, MachineState, Organisation, Progress,
-    Rejection, Resources, Route, StartOutcome, Step, StoredJob, TaskName, UpkeepReply, WaveProgress, WorkerEntry,
-    WorkerKey,
+    Action, Commit, Config, EndKind, Engine, EntryState, Job, JobState, Limits, Machine, MachineState, Organisation,
+    Progress, Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, UpkeepReply,
+    WaveProgress, WorkerEntry, WorkerKey,
 };
 pub use fake_worker::FakeWorker;
 
@@ -59,6 +59,8 @@
     pub store: BTreeMap<CompactString, Stored>,
     pub used_workers: BTreeMap<CompactString, CompactString>,
     pub start_bound: Option<u64>,
+    /// Durable records of runs by job, epoch and number of the row.
+    pub records: BTreeMap<(CompactString, u64, u32), Vec<RunRecord>>,
     /// The store takes no writes.
     pub is_store_down: bool,
     /// The next start orders get no reply and take effect after this time.
@@ -143,6 +145,7 @@
             store: BTreeMap::new(),
             used_workers: BTreeMap::new(),
             start_bound: None,
+            records: BTreeMap::new(),
             is_store_down: false,
             late_start_ms: None,
             lose_starts: 0,
@@ -521,6 +524,13 @@
             }
             stored.progress = row.progress.clone();
             stored.version = self.version;
+            if let Some((number, records)) = &row.records {
+                self.records
+                    .insert((row.job.clone(), self.epoch, *number), records.clone());
+            }
+        }
+        for row in &commit.rows {
+            self.check_records(&row.job);
         }
         self.waves.extend(commit.waves.iter().copied());
         for (id, address) in &commit.add_workers {
@@ -537,6 +547,52 @@
         self.engine.committed(commit, self.version, self.now_ms);
     }
 
+    /// Returns the durable records of a job without repetitions.
+    pub fn records_of(&self, job: &str) -> Vec<RunRecord> {
+        let mut all: Vec<RunRecord> = Vec::new();
+        for record in self
+            .records
+            .iter()
+            .filter(|((id, _, _), _)| id == job)
+            .flat_map(|(_, row)| row)
+        {
+            let is_same = |other: &RunRecord| {
+                (other.occurrence, other.step, other.index, other.run)
+                    == (record.occurrence, record.step, record.index, record.run)
+            };
+            if !all.iter().any(is_same) {
+                all.push(record.clone());
+            }
+        }
+        all
+    }
+
+    /// Checks that what is done has a record of one run that did it.
+    fn check_records(&mut self, job: &str) {
+        let stored = &self.store[job];
+        let records = self.records_of(job);
+        let done: Vec<_> = records.iter().filter(|record| record.how == EndKind::Done).collect();
+        for (number, step) in stored.job.steps.iter().enumerate() {
+            let of_step = |record: &&&RunRecord| record.step as usize == number;
+            for index in 0..step.count {
+                let is_shown = stored.progress.state == JobState::Done
+                    || stored.progress.steps.values().any(|steps| {
+                        steps
+                            .get(&(number as u32))
+                            .is_some_and(|progress| progress.done.contains(&index))
+                    });
+                let runs = done
+                    .iter()
+                    .filter(of_step)
+                    .filter(|record| step.is_gang || record.index == index);
+                if is_shown && runs.count() == 0 {
+                    self.violations
+                        .push(format!("{job}: step {number} task {index} is done without a record"));
+                }
+            }
+        }
+    }
+
     /// Checks capacity, single runs, no start after a noted end, and the list of used workers.
     fn check(&mut self) {
         let mut tasks: BTreeMap<CompactString, u32> = BTreeMap::new();
--- a/crates/node/src/holder/actions.rs
+++ b/crates/node/src/holder/actions.rs
@@ -8,7 +8,8 @@
 use crate::clock::boot_ms;
 use crate::ports::{Condition, Store, Target, Txn, Workers};
 use crate::rows::{
-    BEAT_KEY, BeatRow, EPOCH_KEY, LEASE, PENDING, PROGRESS, START_BOUND, START_BOUND_KEY, USED_WORKERS, put,
+    BEAT_KEY, BeatRow, EPOCH_KEY, LEASE, PENDING, PROGRESS, RUNS, START_BOUND, START_BOUND_KEY, USED_WORKERS, put,
+    records_key,
 };
 
 /// Time for the reply to an order; workers answer in a few round trips of some milliseconds.
@@ -166,6 +167,10 @@
                 row_put = put(place, row.job.clone(), &row.progress.clone().without_checkpoints());
             }
             txn.puts.push(row_put);
+            if let Some((number, records)) = &row.records {
+                let key = records_key(&row.job, self.engine.epoch(), *number);
+                txn.puts.push(put(parts.of_job(RUNS, &row.job), key, records));
+            }
         }
         let workers = parts.of_holder(USED_WORKERS);
         for (id, address) in &commit.add_workers {
--- a/crates/node/src/holder/feeds.rs
+++ b/crates/node/src/holder/feeds.rs
@@ -8,33 +8,13 @@
 use domain::{Job, Progress, StoredJob};
 
 use super::{Holder, Input};
-use crate::ports::{FeedError, OwnRow, Place, Store, StoreError, Workers};
+use crate::ports::{FeedError, OwnRow, Place, Store, Workers};
 use crate::rows::{JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, get};
 use crate::shared::SharedRef;
 
 /// Pause before a read of the store is repeated.
 const RETRY: Duration = Duration::from_millis(60);
 
-/// Reads all rows of a part; returns them with the version after which changes have to be read.
-async fn read_part<S: Store, W: Workers>(
-    shared: &SharedRef<S, W>,
-    place: &Place,
-) -> Result<(Vec<OwnRow>, u64), StoreError> {
-    let mut rows: Vec<OwnRow> = Vec::new();
-    let mut first_version = None;
-    let mut from = String::new();
-    loop {
-        let page = shared.read(place, &from, "").await?;
-        first_version.get_or_insert(page.version);
-        let has_more = page.has_more && !page.items.is_empty();
-        rows.extend(page.items);
-        match rows.last() {
-            Some(last) if has_more => from = format!("{}!", last.key),
-            _ => return Ok((rows, first_version.unwrap_or(0))),
-        }
-    }
-}
-
 /// Repeats a read of all places until it succeeds or the holder is gone.
 async fn until_read<S: Store, W: Workers>(
     shared: &SharedRef<S, W>,
@@ -42,7 +22,7 @@
     places: &[Place],
 ) -> Option<(Vec<OwnRow>, u64)> {
     while holder.connected() {
-        let reads = places.iter().map(|place| read_part(shared, place));
+        let reads = places.iter().map(|place| shared.read_range(place, "", ""));
         match futures_util::future::try_join_all(reads).await {
             Ok(parts) => {
                 let version = parts.iter().map(|(_, version)| *version).min().unwrap_or(0);
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -11,11 +11,12 @@
 
 use actix::prelude::*;
 use compact_str::CompactString;
-use domain::{Commit, Engine, WorkerKey};
+use domain::{Commit, Engine, Explanation, WorkerKey};
 pub(crate) use input::Input;
 use timer::Tick;
 
 use crate::clock::{boot_ms, unix_ms};
+use crate::inquiry::Explain;
 use crate::lease::{Deposed, LeaseKeeper};
 use crate::log;
 use crate::ports::{OwnRow, RenewError, Store, Target, TxnError, WorkerChange, Workers};
@@ -234,8 +235,17 @@
         ctx.set_mailbox_capacity(4_096);
         let holder = ctx.address();
         let shared = Rc::clone(&self.shared);
+        shared.explainer.replace(Some(holder.clone().recipient()));
         actix_rt::spawn(feeds::load(shared, holder));
     }
+
+    fn stopped(&mut self, ctx: &mut Self::Context) {
+        let own = ctx.address().recipient();
+        let mut explainer = self.shared.explainer.borrow_mut();
+        if explainer.as_ref() == Some(&own) {
+            *explainer = None;
+        }
+    }
 }
 
 impl<S: Store, W: Workers> Handler<Tick> for Holder<S, W> {
@@ -248,6 +258,14 @@
     }
 }
 
+impl<S: Store, W: Workers> Handler<Explain> for Holder<S, W> {
+    type Result = Option<Explanation>;
+
+    fn handle(&mut self, Explain(job): Explain, _ctx: &mut Self::Context) -> Self::Result {
+        self.engine.explain(&job, boot_ms())
+    }
+}
+
 impl<S: Store, W: Workers> Handler<Input> for Holder<S, W> {
     type Result = ();
 
--- /dev/null
+++ b/crates/node/src/inquiry/mod.rs
@@ -0,0 +1,126 @@
+//! The operators' view of an instance.
+
+mod instance_report;
+mod job_report;
+
+use std::rc::Rc;
+
+use actix::Message;
+use compact_str::CompactString;
+use domain::{Explanation, Job, JobState, Progress, RunRecord};
+pub use instance_report::InstanceReport;
+pub use job_report::JobReport;
+
+use crate::clock::boot_ms;
+use crate::ports::Store;
+use crate::rows::{JOBS, PROGRESS, RUNS, cancel_key, get, records_range};
+use crate::shared::SharedRef;
+use crate::{Desk, Refused};
+
+/// Question of an operator to the scheduler of this instance.
+#[derive(Debug, Message)]
+#[rtype(result = "Option<Explanation>")]
+pub(crate) struct Explain(pub CompactString);
+
+/// Operators' view of an instance: reads, and changes nothing.
+#[derive(Debug)]
+pub struct Inquiry<S, W> {
+    shared: SharedRef<S, W>,
+}
+
+impl<S, W> Clone for Inquiry<S, W> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Rc::clone(&self.shared),
+        }
+    }
+}
+
+impl<S: Store, W: 'static> Inquiry<S, W> {
+    pub(crate) const fn new(shared: SharedRef<S, W>) -> Self {
+        Self { shared }
+    }
+
+    /// Returns what the instance believes.
+    pub fn instance(&self) -> InstanceReport {
+        let is_ready = Desk::new(Rc::clone(&self.shared)).is_ready();
+        let view = self.shared.view.borrow();
+        let now_ms = boot_ms();
+        let mut out_of_service: Vec<_> = view.out_of_service.iter().cloned().collect();
+        out_of_service.sort();
+        InstanceReport {
+            instance: self.shared.settings.instance.clone(),
+            data_centre: self.shared.settings.data_centre.clone(),
+            is_ready,
+            is_stopping: view.is_stopping,
+            holder: view.holder.clone(),
+            epoch: view.epoch,
+            config_version: view.config.as_ref().map(|config| config.version),
+            config_age_ms: now_ms.saturating_sub(view.config_checked_ms),
+            store_heard_ms_ago: now_ms.saturating_sub(view.store_heard_ms),
+            out_of_service,
+        }
+    }
+
+    /// Returns what the store holds of a job and, if this instance holds the lease, why it waits.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refused::UnknownJob`] and [`Refused::StoreUnavailable`].
+    pub async fn job(&self, id: &str) -> Result<JobReport, Refused> {
+        let shared = &self.shared;
+        let read = async |table, from: &str, to: &str| {
+            let place = shared.parts.of_job(table, id);
+            let rows = shared.read_range(&place, from, to).await;
+            rows.map(|(rows, _)| rows).map_err(|error| {
+                spdlog::warn!("inquiry_failed", kv: { job = id, cause = error.to_string() });
+                Refused::StoreUnavailable
+            })
+        };
+        let cancel_key = cancel_key(id);
+        let (_, behind) = records_range(id);
+        let jobs = read(JOBS, id, &behind).await?;
+        let progress = read(PROGRESS, id, &behind).await?;
+        let (from, to) = records_range(id);
+        let runs = read(RUNS, &from, &to).await?;
+        let job = jobs.iter().find(|row| row.key == id).and_then(get::<Job>);
+        let progress = progress.iter().find(|row| row.key == id).and_then(get::<Progress>);
+        let (Some(job), Some(progress)) = (job, progress) else {
+            return Err(Refused::UnknownJob);
+        };
+        let records = runs.iter().filter_map(get::<Vec<RunRecord>>).flatten().collect();
+        let records = JobReport::without_repetitions(records);
+        let gaps = if progress.state == JobState::Done {
+            JobReport::gaps(&job, &records)
+        } else {
+            Vec::new()
+        };
+        let explainer = shared.explainer.borrow().clone();
+        let schedule = match explainer {
+            Some(explainer) => match explainer.send(Explain(id.into())).await {
+                Ok(schedule) => schedule,
+                Err(error) => {
+                    spdlog::warn!("explanation_failed", kv: { job = id, cause = error.to_string() });
+                    None
+                }
+            },
+            None => None,
+        };
+        let view = shared.view.borrow();
+        Ok(JobReport {
+            job: id.into(),
+            instance: shared.settings.instance.clone(),
+            holder: view.holder.clone(),
+            epoch: view.epoch,
+            route: job.route,
+            organisation: job.organisation,
+            state: progress.state,
+            is_cancelled: jobs.iter().any(|row| row.key == cancel_key),
+            accepted_unix_ms: job.accepted_unix_ms,
+            accept_epoch: job.accept_epoch,
+            records,
+            gaps,
+            schedule,
+        })
+    }
+}
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -242,6 +242,7 @@
             let mut view = self.shared.view.borrow_mut();
             if row.version > view.epoch_row_version {
                 view.epoch = epoch.epoch;
+                view.holder.clone_from(&epoch.holder);
                 view.epoch_row_version = row.version;
             }
         } else if row.key == BEAT_KEY {
@@ -362,6 +363,7 @@
                 let mut view = self.shared.view.borrow_mut();
                 if version > view.epoch_row_version {
                     view.epoch = taken.epoch;
+                    view.holder.clone_from(&self.shared.settings.instance);
                     view.epoch_row_version = version;
                 }
                 drop(view);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod desk;
 mod holder;
+mod inquiry;
 mod lease;
 mod log;
 mod metrics;
@@ -21,6 +22,7 @@
 
 pub use clock::{boot_ms, unix_ms};
 pub use desk::{CancelReply, Desk, JobRequest, OpenCall, Refused, Submission, SubmitReply};
+pub use inquiry::{Inquiry, InstanceReport, JobReport};
 pub use metrics::Metrics;
 pub use node_handle::Node;
 pub use ports::{
--- a/crates/node/src/node_handle.rs
+++ b/crates/node/src/node_handle.rs
@@ -12,7 +12,7 @@
 use crate::ports::{FeedError, OperatorChange, Store, Workers};
 use crate::rows::Parts;
 use crate::shared::{Shared, SharedRef, probe_store};
-use crate::{Desk, Metrics, NodeSettings, View};
+use crate::{Desk, Inquiry, Metrics, NodeSettings, View};
 
 /// Running instance of a domain. It lives on the thread that started it, which must run an actix system.
 pub struct Node<S: Store, W: Workers> {
@@ -52,6 +52,7 @@
             started_unix_ms: unix_ms(),
             outstanding: RefCell::default(),
             next_call: Cell::new(0),
+            explainer: RefCell::default(),
             regained: Notify::new(),
         });
         let timer = Timer::default().start();
@@ -66,6 +67,11 @@
         Desk::new(Rc::clone(&self.shared))
     }
 
+    /// Returns the operators' view of the instance.
+    pub fn inquiry(&self) -> Inquiry<S, W> {
+        Inquiry::new(Rc::clone(&self.shared))
+    }
+
     /// Begins a planned stop: readiness fails and the scheduling lease is given up, while calls are still served.
     pub async fn begin_stop(&self) {
         spdlog::info!("node_stopping", kv: { instance = self.shared.settings.instance.as_str() });
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -7,6 +7,8 @@
 pub(crate) const JOBS: &str = "jobs";
 /// Progress of jobs, written by the holder of the scheduling lease. Lies in the part of its job.
 pub(crate) const PROGRESS: &str = "progress";
+/// Records of runs that ended, in rows `{job}/{epoch}.{number}` that never change. Lies in the part of its job.
+pub(crate) const RUNS: &str = "runs";
 /// Jobs of which no task has started, counted by queue; written by the holder.
 pub(crate) const PENDING: &str = "pending";
 /// Workers that may run tasks, with their addresses.
@@ -119,6 +121,16 @@
     }
 }
 
+/// Returns the key of a row of records of a job.
+pub(crate) fn records_key(job: &str, epoch: u64, number: u32) -> CompactString {
+    format_compact!("{job}/{epoch}.{number}")
+}
+
+/// Returns the range of keys of all records of a job: from, and the first key behind.
+pub(crate) fn records_range(job: &str) -> (String, String) {
+    (format!("{job}/"), format!("{job}0"))
+}
+
 pub(crate) fn cancel_key(id: &str) -> CompactString {
     format_compact!("{id}{CANCEL_SUFFIX}")
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix::Recipient;
 use actix_rt::time::sleep;
 use tokio::sync::Notify;
 
 use crate::clock::boot_ms;
-use crate::ports::{FeedError, Page, Place, RowsPage, Store, StoreError, Txn, TxnError};
+use crate::inquiry::Explain;
+use crate::ports::{FeedError, OwnRow, Page, Place, RowsPage, Store, StoreError, Txn, TxnError};
 use crate::rows::Parts;
 use crate::{Metrics, NodeSettings, View};
 
@@ -29,6 +31,8 @@
     /// Usual time of a short call to the store in ms, smoothed.
     pub call_ms: Cell<f64>,
     pub parts: Parts,
+    /// Scheduler of this instance, while it holds the lease.
+    pub explainer: RefCell<Option<Recipient<Explain>>>,
     /// Wakes feeds when the store answers again.
     pub regained: Notify,
 }
@@ -152,6 +156,24 @@
         result
     }
 
+    /// Reads all rows of a range; returns them with the version after which changes have to be read.
+    pub async fn read_range(&self, place: &Place, from: &str, to: &str) -> Result<(Vec<OwnRow>, u64), StoreError> {
+        let mut rows: Vec<OwnRow> = Vec::new();
+        let mut first_version = None;
+        let mut from = from.to_owned();
+        loop {
+            let page = self.read(place, &from, to).await?;
+            first_version.get_or_insert(page.version);
+            let has_more = page.has_more && !page.items.is_empty();
+            rows.extend(page.items);
+            match rows.last() {
+                // The first key behind the last one: no key continues it with a character below this one.
+                Some(last) if has_more => from = format!("{}!", last.key),
+                _ => return Ok((rows, first_version.unwrap_or(0))),
+            }
+        }
+    }
+
     /// Runs a call that waits for changes; ends early when the store is back after it was lost.
     pub async fn feed<T>(
         &self,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -21,6 +21,8 @@
     pub waves_revision: u64,
     /// Epoch of the scheduling lease; 0 before the first.
     pub epoch: u64,
+    /// Instance that holds the lease; empty before the first.
+    pub holder: CompactString,
     /// Version of the epoch's row; 0 before the first.
     pub epoch_row_version: u64,
     /// Own time of the newest reply of the store.
--- /dev/null
+++ b/crates/node/tests/inquiry.rs
@@ -0,0 +1,102 @@
+//! Questions of operators: what the store holds of a job, why it waits, and whether its charges can be traced.
+
+#[expect(dead_code, reason = "other tests use the rest")]
+mod support;
+
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use domain::{EndKind, Job, JobState, RunRecord, Step, WaitCause};
+use node::{JobReport, Refused};
+use rstest::rstest;
+use support::{FakeStore, ID, config, request, start, submission};
+
+fn record(index: u32, run: u64, how: EndKind) -> RunRecord {
+    RunRecord {
+        occurrence: 0,
+        step: 0,
+        index,
+        run,
+        worker: "w1".into(),
+        how,
+        accelerators: 2,
+        ran_ms: Some(400),
+    }
+}
+
+fn job(is_gang: bool) -> Job {
+    let json = serde_json::json!({
+        "id": ID, "route": "quotes", "service": "valuation", "organisation": "clyde-koi", "priority": 0,
+        "attempts": 3, "objective_factor": 1.5, "objective_ms": 250, "spec": "", "times": 0,
+        "steps": [], "accept_epoch": 1, "accepted_unix_ms": 1
+    });
+    let mut job: Job = serde_json::from_value(json).unwrap();
+    job.steps.push(Step {
+        count: 2,
+        is_gang,
+        ..Step::default()
+    });
+    job
+}
+
+/// Guards against a charge that nothing traces back to a run, or to two, without a word to the operator.
+#[rstest]
+#[case::whole(false, &[(0, 1, EndKind::Done), (1, 2, EndKind::Done)], &[])]
+#[case::failed_first(false, &[(0, 1, EndKind::Failed), (0, 3, EndKind::Done), (1, 2, EndKind::Done)], &[])]
+#[case::missing(false, &[(0, 1, EndKind::Done), (1, 2, EndKind::Lapsed)], &["no run of task 0.0.1 is recorded as done"])]
+#[case::twice(
+    false,
+    &[(0, 1, EndKind::Done), (0, 4, EndKind::Done), (1, 2, EndKind::Done)],
+    &["task 0.0.0 is recorded as done twice"]
+)]
+#[case::gang(true, &[(1, 5, EndKind::Done)], &[])]
+#[case::gang_twice(true, &[(0, 5, EndKind::Done), (1, 6, EndKind::Done)], &["gang 0.0 is recorded as done twice"])]
+#[case::no_gang(true, &[], &["no run of gang 0.0 is recorded as done"])]
+fn gaps_in_the_records_are_named(
+    #[case] is_gang: bool,
+    #[case] records: &[(u32, u64, EndKind)],
+    #[case] gaps: &[&str],
+) {
+    let records: Vec<_> = records
+        .iter()
+        .map(|(index, run, how)| record(*index, *run, *how))
+        .collect();
+    assert_eq!(JobReport::gaps(&job(is_gang), &records), gaps);
+}
+
+/// Guards against records that count twice because two schedulers wrote the same end.
+#[test]
+fn end_that_two_epochs_recorded_counts_once() {
+    let end = record(1, 7, EndKind::Done);
+    let records = vec![end.clone(), record(0, 3, EndKind::Done), end.clone()];
+    assert_eq!(
+        JobReport::without_repetitions(records),
+        [record(0, 3, EndKind::Done), end]
+    );
+}
+
+/// Guards against a job that waits without a cause that an operator can read.
+#[actix_rt::test]
+async fn waiting_job_names_its_cause() {
+    let store = FakeStore::default();
+    *store.0.config.borrow_mut() = Some(config(&["key"]));
+    let (node, desk) = start(&store).await;
+    assert_eq!(desk.submit(&request(ID, "key"), &submission()).await, Ok(()));
+    let inquiry = node.inquiry();
+    let mut report = inquiry.job(ID).await.unwrap();
+    for _ in 0..40 {
+        if report.schedule.is_some() {
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+        report = inquiry.job(ID).await.unwrap();
+    }
+    assert_eq!((report.state, report.holder.as_str()), (JobState::Queued, "entry-1"));
+    let schedule = report.schedule.unwrap();
+    // There is no worker.
+    assert_eq!(schedule.steps[0].waits_for, Some(WaitCause::NoWorker));
+    let unknown = inquiry.job("00000000000000ff").await;
+    assert_eq!(unknown.err(), Some(Refused::UnknownJob));
+    let instance = inquiry.instance();
+    assert!(instance.is_ready && instance.config_version == Some(1), "{instance:?}");
+}
