feat: rows of final jobs go after a time; a reported end prevails over an assumed one

Cause: a new holder read every job ever accepted, and nothing removed any. Change: the holder removes a job, its wish to be cancelled and its progress after five times status_s; records stay and name organisation and queue, and explain answers from them alone. Records of lapses are marked as assumed; a report prevails, whichever was written first. Before: rows_of_a_final_job_go_after_a_time cannot pass (nothing is removed); reported_end_prevails_over_an_assumed_one fails with the former order. Conclusion: a takeover reads what is open and the last ten minutes.

--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -16,7 +16,7 @@
             .await
         {
             Ok(report) => {
-                let is_complete = report.schedule.is_some() || report.state.is_final();
+                let is_complete = report.schedule.is_some() || is_final(&report);
                 if is_complete || best.is_none() {
                     best = Some(report);
                 }
@@ -77,13 +77,25 @@
     Ok(ExitStatus::Success)
 }
 
+/// Returns whether no scheduler knows more than the report.
+fn is_final(report: &JobReport) -> bool {
+    report.state.is_none_or(domain::JobState::is_final)
+}
+
 /// Returns a report as text.
 pub fn job_text(report: &JobReport) -> String {
     let cancelled = if report.is_cancelled { ", cancelled" } else { "" };
+    let accepted = match (report.accepted_unix_ms, report.accept_epoch) {
+        (Some(unix_ms), Some(epoch)) => format!(", accepted {unix_ms} in epoch {epoch}"),
+        _ => String::new(),
+    };
+    let state = report
+        .state
+        .map_or_else(|| "final for long".into(), |state| format!("{state:?}"));
     let mut lines = vec![
         format!(
-            "job {} of {} in {}: {:?}{cancelled}, accepted {} in epoch {}",
-            report.job, report.organisation, report.route, report.state, report.accepted_unix_ms, report.accept_epoch
+            "job {} of {} in {}: {}{cancelled}{accepted}",
+            report.job, report.organisation, report.route, state
         ),
         format!(
             "holder {} in epoch {}, answered by {}",
@@ -92,7 +104,7 @@
     ];
     match &report.schedule {
         Some(schedule) => lines.extend(schedule_lines(schedule)),
-        None if report.state.is_final() => {}
+        None if is_final(report) => {}
         None => lines.push(format!(
             "why it waits is known to {} alone; add its address to --server",
             report.holder
--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -34,6 +34,8 @@
     pub revoke_ms: u64,
     /// Time without disruption after which time limits hold for an instance.
     pub contact_ms: u64,
+    /// Least time for which callers may ask for a job that is final.
+    pub status_s: f64,
     /// Time between the signal to stop and the kill.
     pub process_grace_s: f64,
 }
--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -10,6 +10,10 @@
 /// it also delays the restart of work on workers that a successor cannot reach.
 const HOLDOVER_OF_LEASE: (u64, u64) = (2, 3);
 
+/// Multiple of the time for which callers may ask for a final job after which its rows go. A repeated submission that
+/// comes later than that would be a new job; callers repeat within seconds.
+const KEEP_OF_STATUS: u64 = 5;
+
 /// Derives the settings of the node from those of the deployment.
 pub(crate) fn node_settings(settings: &Settings, domain: &DomainSettings) -> NodeSettings {
     let (part, whole) = HOLDOVER_OF_LEASE;
@@ -23,6 +27,7 @@
             holdover_ms: domain.lease_max_ms * part / whole,
             remote_factor: domain.remote_factor,
             reclaim_ms: domain.reclaim_ms,
+            keep_finished_ms: (domain.status_s * 1_000.0) as u64 * KEEP_OF_STATUS,
         },
         revoke_ms: domain.revoke_ms,
         stop_grace_ms: (domain.process_grace_s * 1_000.0) as u64,
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -48,6 +48,8 @@
     pub add_workers: Vec<(CompactString, CompactString)>,
     /// Workers that run nothing any more.
     pub remove_workers: Vec<CompactString>,
+    /// Jobs that have been final for long enough: all their rows but the records of runs go.
+    pub remove_jobs: Vec<CompactString>,
     /// Jobs of which no task has started, by queue, where the count changed.
     pub pending: Vec<(CompactString, u64)>,
     /// Waves of upkeep that run or are done.
@@ -70,13 +72,19 @@
     /// Most entries of a row: its condition, its write and that of the records.
     pub const ROW_ENTRIES: usize = 3;
 
+    /// Entries of a job that goes: its row, its wish to be cancelled and its progress.
+    const REMOVAL_ENTRIES: usize = 3;
+
     /// Entries of every commit: the condition on the epoch and the heartbeat.
     const BASE_ENTRIES: usize = 2;
 
     /// Returns the entries of the transaction.
     pub fn entries(&self) -> usize {
         let others = self.add_workers.len() + self.remove_workers.len() + self.pending.len() + self.waves.len();
-        Self::BASE_ENTRIES + self.rows.len() * Self::ROW_ENTRIES + others
+        Self::BASE_ENTRIES
+            + self.rows.len() * Self::ROW_ENTRIES
+            + self.remove_jobs.len() * Self::REMOVAL_ENTRIES
+            + others
     }
 }
 
--- a/crates/domain/src/engine/cancel.rs
+++ b/crates/domain/src/engine/cancel.rs
@@ -91,6 +91,7 @@
                 .all(|step| step.active_count == 0);
         if is_over && let Some(job) = self.jobs.remove(key) {
             self.job_ids.remove(&job.spec.id);
+            self.finished.push(job.spec.id.clone());
             self.forget_advice();
         }
     }
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -45,6 +45,9 @@
     /// Most workers in one write, so that jobs are not kept waiting by a whole fleet that registers.
     const WORKERS_PER_COMMIT: usize = 20;
 
+    /// Most jobs whose rows one write removes; it is never urgent.
+    const REMOVALS_PER_COMMIT: usize = 5;
+
     /// Most counts of waiting jobs in one write.
     const PENDING_PER_COMMIT: usize = 20;
 
@@ -75,6 +78,8 @@
             return;
         }
         self.queue_worker_rows();
+        self.finished.date(now_ms, self.limits.keep_finished_ms);
+        let has_finished = !self.finished.due(now_ms, 1).is_empty();
         let has_workers = !self.commit.add_workers.is_empty()
             || !self.commit.remove_workers.is_empty()
             || !self.waves.unwritten().is_empty();
@@ -83,11 +88,12 @@
             self.commit.pending_due_ms = now_ms + Self::PENDING_MS;
             !self.changed_pending().is_empty()
         };
-        if self.dirty.is_empty() && !has_workers && !is_pending_due {
+        if self.dirty.is_empty() && !has_workers && !is_pending_due && !has_finished {
             self.note_ends_without_change(now_ms);
             return;
         }
         let is_due = has_workers
+            || has_finished
             || is_pending_due
             || has_unnoted
             || self.dirty.iter().any(|key| {
@@ -98,7 +104,7 @@
                         .is_some_and(|since| now_ms >= since + Self::LAZY_COMMIT_MS)
             });
         if is_due {
-            self.start_commit();
+            self.start_commit(now_ms);
         }
     }
 
@@ -157,10 +163,11 @@
         }
     }
 
-    fn start_commit(&mut self) {
+    fn start_commit(&mut self, now_ms: u64) {
         let mut commit = Commit {
             add_workers: self.take_added(),
             remove_workers: self.take_removed(),
+            remove_jobs: self.finished.due(now_ms, Self::REMOVALS_PER_COMMIT),
             pending: self.changed_pending(),
             waves: self.waves.unwritten(),
             ..Commit::default()
@@ -236,6 +243,7 @@
         for id in &commit.remove_workers {
             self.commit.remove_workers.swap_remove(id);
         }
+        self.finished.removed(&commit.remove_jobs);
         self.waves.written(&commit.waves);
         for (route, count) in &commit.pending {
             self.commit.written_pending.insert(route.clone(), *count);
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -23,6 +23,7 @@
             return;
         }
         if progress.state.is_final() {
+            self.finished.push(spec.id.clone());
             self.ended_jobs.insert(spec.id.clone(), Rc::new(spec));
             return;
         }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod cancel;
 mod commits;
 mod explain;
+mod finished;
 mod forecast;
 mod health;
 mod job_entry;
@@ -67,6 +68,7 @@
     advice: advice::AdviceState,
     waves: waves::WaveState,
     start_bound: start_bound::StartBound,
+    finished: finished::FinishedJobs,
     is_loaded: bool,
     took_over_ms: u64,
     next_schedule_ms: u64,
@@ -110,6 +112,7 @@
             advice: advice::AdviceState::default(),
             waves: waves::WaveState::default(),
             start_bound: start_bound::StartBound::new(),
+            finished: finished::FinishedJobs::default(),
             is_loaded: false,
             took_over_ms: now_ms,
             next_schedule_ms: now_ms,
--- a/crates/domain/src/engine/records.rs
+++ b/crates/domain/src/engine/records.rs
@@ -26,6 +26,7 @@
             run: end.run,
             worker: worker.into(),
             how: end.kind,
+            is_assumed: false,
             accelerators: entry.spec.steps[name.step as usize].need.accelerators,
             ran_ms,
         });
@@ -49,6 +50,7 @@
             run: run.number,
             worker,
             how: EndKind::Lapsed,
+            is_assumed: true,
             accelerators: run.need.accelerators,
             ran_ms: (!run.is_adopted).then(|| now_ms.saturating_sub(run.ordered_ms)),
         });
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -13,6 +13,8 @@
     pub remote_factor: f64,
     /// Time within which a guaranteed job must have started.
     pub reclaim_ms: u64,
+    /// Time for which the rows of a final job stay.
+    pub keep_finished_ms: u64,
 }
 
 impl Limits {
@@ -37,6 +39,7 @@
             holdover_ms: 4_000,
             remote_factor: 3.0,
             reclaim_ms: 2_700,
+            keep_finished_ms: 600_000,
         }
     }
 }
--- a/crates/domain/src/run_record.rs
+++ b/crates/domain/src/run_record.rs
@@ -18,6 +18,10 @@
     pub worker: CompactString,
     /// How it ended.
     pub how: EndKind,
+    /// No worker reported this end: its lease had surely lapsed, or its worker was gone. A report that comes later is
+    /// recorded besides and prevails.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_assumed: bool,
     /// Accelerators that it held.
     pub accelerators: u64,
     /// Time from the order to the report of the end; `None` if an earlier epoch ordered it.
--- a/crates/domain/tests/engine/jobs.rs
+++ b/crates/domain/tests/engine/jobs.rs
@@ -108,6 +108,28 @@
     world.assert_sound();
 }
 
+/// Guards against rows that stay for ever, which a new scheduler would have to read, and against jobs that go too soon.
+#[rstest]
+#[case::same_scheduler(false)]
+#[case::after_a_takeover(true)]
+fn rows_of_a_final_job_go_after_a_time(#[case] takes_over: bool) {
+    let mut world = World::new(1, 1);
+    let old = world.submit(job("a", 1, step(2, 1, 300)));
+    world.run_until(2_000, |world| world.state(&old) == JobState::Done);
+    world.run_for(300);
+    if takes_over {
+        world.take_over();
+    }
+    let keep_ms = domain::Limits::default().keep_finished_ms;
+    world.run_for(keep_ms - 10_000);
+    assert!(world.store.contains_key(&old));
+    let open = world.submit(job("b", 1, step(1, 1, 60_000)));
+    world.run_for(11_000);
+    assert!(!world.store.contains_key(&old) && world.store.contains_key(&open));
+    assert_eq!(world.records_of(&old).len(), 2);
+    world.assert_sound();
+}
+
 #[test]
 fn cancelled_job_leaves_its_workers() {
     let mut world = World::new(1, 1);
--- a/crates/domain/tests/engine/world.rs
+++ b/crates/domain/tests/engine/world.rs
@@ -532,6 +532,14 @@
         for row in &commit.rows {
             self.check_records(&row.job);
         }
+        for id in &commit.remove_jobs {
+            match self.store.remove(id) {
+                Some(stored) if !stored.progress.state.is_final() => {
+                    self.violations.push(format!("{id} was removed before it was final"));
+                }
+                _ => {}
+            }
+        }
         self.waves.extend(commit.waves.iter().copied());
         for (id, address) in &commit.add_workers {
             self.used_workers.insert(id.clone(), address.clone());
@@ -560,8 +568,10 @@
                 (other.occurrence, other.step, other.index, other.run)
                     == (record.occurrence, record.step, record.index, record.run)
             };
-            if !all.iter().any(is_same) {
-                all.push(record.clone());
+            match all.iter_mut().find(|other| is_same(other)) {
+                Some(known) if known.is_assumed => *known = record.clone(),
+                Some(_) => {}
+                None => all.push(record.clone()),
             }
         }
         all
--- a/crates/node/src/holder/actions.rs
+++ b/crates/node/src/holder/actions.rs
@@ -8,8 +8,8 @@
 use crate::clock::boot_ms;
 use crate::ports::{Condition, Store, Target, Txn, Workers};
 use crate::rows::{
-    BEAT_KEY, BeatRow, EPOCH_KEY, LEASE, PENDING, PROGRESS, RUNS, START_BOUND, START_BOUND_KEY, USED_WORKERS, put,
-    records_key,
+    BEAT_KEY, BeatRow, EPOCH_KEY, JOBS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND, START_BOUND_KEY,
+    USED_WORKERS, cancel_key, put, records_key,
 };
 
 /// Time for the reply to an order; workers answer in a few round trips of some milliseconds.
@@ -169,7 +169,12 @@
             txn.puts.push(row_put);
             if let Some((number, records)) = &row.records {
                 let key = records_key(&row.job, self.engine.epoch(), *number);
-                txn.puts.push(put(parts.of_job(RUNS, &row.job), key, records));
+                let value = RecordsRow {
+                    organisation: row.progress.organisation.clone(),
+                    route: row.progress.route.clone(),
+                    runs: records.clone(),
+                };
+                txn.puts.push(put(parts.of_job(RUNS, &row.job), key, &value));
             }
         }
         let workers = parts.of_holder(USED_WORKERS);
@@ -179,6 +184,12 @@
         for id in &commit.remove_workers {
             txn.removes.push((workers.clone(), id.clone()));
         }
+        for id in &commit.remove_jobs {
+            let jobs = parts.of_job(JOBS, id);
+            txn.removes.push((jobs.clone(), id.clone()));
+            txn.removes.push((jobs, cancel_key(id)));
+            txn.removes.push((parts.of_job(PROGRESS, id), id.clone()));
+        }
         for (route, count) in &commit.pending {
             txn.puts.push(put(parts.of_holder(PENDING), route.clone(), count));
         }
--- a/crates/node/src/holder/feeds.rs
+++ b/crates/node/src/holder/feeds.rs
@@ -105,7 +105,8 @@
                 }
                 let mut jobs = Vec::new();
                 let mut cancels = Vec::new();
-                for row in &page.items {
+                // Rows of final jobs go after a time.
+                for row in page.items.iter().filter(|row| row.value.is_some()) {
                     match JobsKey::parse(&row.key) {
                         JobsKey::Cancel(id) => cancels.push(id),
                         JobsKey::Job(_) => {
--- a/crates/node/src/inquiry/job_report.rs
+++ b/crates/node/src/inquiry/job_report.rs
@@ -17,14 +17,14 @@
     pub route: CompactString,
     /// Owner.
     pub organisation: CompactString,
-    /// Durable state.
-    pub state: JobState,
+    /// Durable state; `None` if the job has been final for so long that only its records are left.
+    pub state: Option<JobState>,
     /// Whether its cancellation is durable.
     pub is_cancelled: bool,
     /// When it was accepted, by the clock of the accepting instance.
-    pub accepted_unix_ms: u64,
+    pub accepted_unix_ms: Option<u64>,
     /// Epoch in which it was accepted.
-    pub accept_epoch: u64,
+    pub accept_epoch: Option<u64>,
     /// Durable records of the runs that ended, oldest first, without repetitions.
     pub records: Vec<RunRecord>,
     /// What the records do not show although the job is done.
@@ -71,11 +71,12 @@
         gaps
     }
 
-    /// Sorts records and drops those that two epochs wrote of the same end.
+    /// Sorts records and drops those that two epochs wrote of the same end, and assumed ends of runs that a worker
+    /// reported after all.
     #[must_use]
     pub fn without_repetitions(mut records: Vec<RunRecord>) -> Vec<RunRecord> {
         let key = |record: &RunRecord| (record.occurrence, record.step, record.index, record.run);
-        records.sort_by_key(key);
+        records.sort_by_key(|record| (key(record), record.is_assumed));
         records.dedup_by_key(|record| key(record));
         records
     }
--- a/crates/node/src/inquiry/mod.rs
+++ b/crates/node/src/inquiry/mod.rs
@@ -7,13 +7,13 @@
 
 use actix::Message;
 use compact_str::CompactString;
-use domain::{Explanation, Job, JobState, Progress, RunRecord};
+use domain::{Explanation, Job, JobState, Progress};
 pub use instance_report::InstanceReport;
 pub use job_report::JobReport;
 
 use crate::clock::boot_ms;
 use crate::ports::Store;
-use crate::rows::{JOBS, PROGRESS, RUNS, cancel_key, get, records_range};
+use crate::rows::{JOBS, PROGRESS, RUNS, RecordsRow, cancel_key, get, records_range};
 use crate::shared::SharedRef;
 use crate::{Desk, Refused};
 
@@ -85,15 +85,17 @@
         let runs = read(RUNS, &from, &to).await?;
         let job = jobs.iter().find(|row| row.key == id).and_then(get::<Job>);
         let progress = progress.iter().find(|row| row.key == id).and_then(get::<Progress>);
-        let (Some(job), Some(progress)) = (job, progress) else {
-            return Err(Refused::UnknownJob);
+        let rows: Vec<RecordsRow> = runs.iter().filter_map(get).collect();
+        let owner = match (&progress, rows.first()) {
+            (Some(progress), _) => (progress.organisation.clone(), progress.route.clone()),
+            // The rows of a final job go after a time; its records stay.
+            (None, Some(row)) => (row.organisation.clone(), row.route.clone()),
+            (None, None) => return Err(Refused::UnknownJob),
         };
-        let records = runs.iter().filter_map(get::<Vec<RunRecord>>).flatten().collect();
-        let records = JobReport::without_repetitions(records);
-        let gaps = if progress.state == JobState::Done {
-            JobReport::gaps(&job, &records)
-        } else {
-            Vec::new()
+        let records = JobReport::without_repetitions(rows.into_iter().flat_map(|row| row.runs).collect());
+        let gaps = match (&job, &progress) {
+            (Some(job), Some(progress)) if progress.state == JobState::Done => JobReport::gaps(job, &records),
+            _ => Vec::new(),
         };
         let explainer = shared.explainer.borrow().clone();
         let schedule = match explainer {
@@ -112,12 +114,12 @@
             instance: shared.settings.instance.clone(),
             holder: view.holder.clone(),
             epoch: view.epoch,
-            route: job.route,
-            organisation: job.organisation,
-            state: progress.state,
+            route: owner.1,
+            organisation: owner.0,
+            state: progress.map(|progress| progress.state),
             is_cancelled: jobs.iter().any(|row| row.key == cancel_key),
-            accepted_unix_ms: job.accepted_unix_ms,
-            accept_epoch: job.accept_epoch,
+            accepted_unix_ms: job.as_ref().map(|job| job.accepted_unix_ms),
+            accept_epoch: job.as_ref().map(|job| job.accept_epoch),
             records,
             gaps,
             schedule,
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,4 +1,5 @@
 use compact_str::{CompactString, format_compact};
+use domain::RunRecord;
 use serde::{Deserialize, Serialize};
 
 use crate::ports::{OwnRow, Place, Put};
@@ -105,6 +106,14 @@
     pub is_released: bool,
 }
 
+/// Records of runs of a job, with what a charge needs once the job's own rows are gone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct RecordsRow {
+    pub organisation: CompactString,
+    pub route: CompactString,
+    pub runs: Vec<RunRecord>,
+}
+
 /// Meaning of a key in the table of jobs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum JobsKey {
--- a/crates/node/tests/inquiry.rs
+++ b/crates/node/tests/inquiry.rs
@@ -19,6 +19,7 @@
         run,
         worker: "w1".into(),
         how,
+        is_assumed: false,
         accelerators: 2,
         ran_ms: Some(400),
     }
@@ -75,6 +76,20 @@
     );
 }
 
+/// Guards against a run whose lease was counted as lapsed and that a silent worker had done by then (soak, seed 613).
+#[test]
+fn reported_end_prevails_over_an_assumed_one() {
+    let mut assumed = record(0, 1, EndKind::Lapsed);
+    assumed.is_assumed = true;
+    let done = record(0, 1, EndKind::Done);
+    for records in [[assumed.clone(), done.clone()], [done.clone(), assumed]] {
+        assert_eq!(
+            JobReport::without_repetitions(records.to_vec()),
+            std::slice::from_ref(&done)
+        );
+    }
+}
+
 /// Guards against a job that waits without a cause that an operator can read.
 #[actix_rt::test]
 async fn waiting_job_names_its_cause() {
@@ -91,7 +106,10 @@
         sleep(Duration::from_millis(50)).await;
         report = inquiry.job(ID).await.unwrap();
     }
-    assert_eq!((report.state, report.holder.as_str()), (JobState::Queued, "entry-1"));
+    assert_eq!(
+        (report.state, report.holder.as_str()),
+        (Some(JobState::Queued), "entry-1")
+    );
     let schedule = report.schedule.unwrap();
     // There is no worker.
     assert_eq!(schedule.steps[0].waits_for, Some(WaitCause::NoWorker));
