refactor: one type a file for the ports, shorter files for lease, desk, dispatch and the engine's test world

Ruled out: changes of behaviour (moves and imports only). Change: node/ports, node/lease/handlers, node/desk/admission, entry/urgent/{next_place,unrecorded}, domain health, and the test world in four files; names and checks as before. Conclusion: no change for callers.

--- a/crates/domain/src/engine/health.rs
+++ b/crates/domain/src/engine/health.rs
@@ -1,4 +1,9 @@
+use std::collections::HashSet;
+
 use super::Engine;
+use super::keys::WorkerKey;
+use super::order::Unit;
+use crate::Step;
 
 /// Workers that fail or delay what they run.
 impl Engine {
@@ -30,4 +35,20 @@
             ));
         }
     }
+
+    /// Returns the workers that a unit should use only if it fits nowhere else: it failed or was slow there, or the last
+    /// sign of their health was bad and it is urgent or a gang, which one bad worker holds up.
+    pub(super) fn doubtful_workers(&self, unit: &Unit, shape: &Step, now_ms: u64) -> HashSet<WorkerKey> {
+        let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
+        let mut doubtful: HashSet<_> = state
+            .failed_on
+            .iter()
+            .filter_map(|id| self.worker_ids.get(id).copied())
+            .collect();
+        if unit.priority == 0 || shape.is_gang {
+            let suspects = self.workers.iter().filter(|(_, worker)| worker.is_suspect(now_ms));
+            doubtful.extend(suspects.map(|(key, _)| key));
+        }
+        doubtful
+    }
 }
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use compact_str::CompactString;
 
@@ -203,22 +203,6 @@
             && !(shape.is_filler && self.is_pressed(spot.worker))
     }
 
-    /// Returns the workers that a unit should use only if it fits nowhere else: it failed or was slow there, or the last
-    /// sign of their health was bad and it is urgent or a gang, which one bad worker holds up.
-    pub(super) fn doubtful_workers(&self, unit: &Unit, shape: &Step, now_ms: u64) -> HashSet<WorkerKey> {
-        let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
-        let mut doubtful: HashSet<_> = state
-            .failed_on
-            .iter()
-            .filter_map(|id| self.worker_ids.get(id).copied())
-            .collect();
-        if unit.priority == 0 || shape.is_gang {
-            let suspects = self.workers.iter().filter(|(_, worker)| worker.is_suspect(now_ms));
-            doubtful.extend(suspects.map(|(key, _)| key));
-        }
-        doubtful
-    }
-
     pub(super) fn tasks_per_worker(&self, unit: &Unit) -> HashMap<WorkerKey, u32> {
         let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
         let mut counts = HashMap::new();
--- /dev/null
+++ b/crates/domain/tests/engine/world/orders.rs
@@ -0,0 +1,166 @@
+use super::*;
+
+/// Orders of the engine, carried out by the fakes.
+impl World {
+    pub(super) fn target(&self, worker: WorkerKey) -> Option<CompactString> {
+        self.engine.worker_target(worker).map(|(_, id)| id)
+    }
+
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Start { worker, order } => {
+                let Some(id) = self.target(worker) else { return };
+                self.starts.push((self.now_ms, order.what.task.clone(), id.clone()));
+                let outcome = self.start(&id, &order);
+                self.engine.start_replied(worker, &order.what, outcome, self.now_ms);
+            }
+            Action::Stop { worker, what } => {
+                let is_confirmed = self
+                    .target(worker)
+                    .and_then(|id| self.workers.get_mut(&id))
+                    .is_some_and(|worker| worker.stop(&what, self.epoch, self.now_ms));
+                self.engine.stop_replied(&what, is_confirmed, self.now_ms);
+            }
+            Action::Renew {
+                worker,
+                lease_until_ms,
+                noted,
+                wait_ms,
+            } => {
+                let Some(id) = self.target(worker) else { return };
+                let epoch = self.epoch;
+                let known = self.workers.get_mut(&id).filter(|worker| !worker.is_silent);
+                match known {
+                    Some(fake) => {
+                        if fake.renew(lease_until_ms, noted, epoch, self.now_ms) {
+                            self.renewals.push(Renewal {
+                                worker,
+                                id,
+                                noted,
+                                answer_by_ms: self.now_ms + wait_ms,
+                            });
+                        } else {
+                            self.engine.renew_fenced(worker);
+                        }
+                    }
+                    None => self.engine.renew_failed(worker, self.now_ms),
+                }
+            }
+            Action::Pace { worker, what, percent } => {
+                let Some(id) = self.target(worker) else { return };
+                if let Some(run) = self.workers.get_mut(&id).and_then(|worker| worker.run_mut(&what)) {
+                    run.pace_percent = percent;
+                }
+            }
+            Action::Advise { step, workers } => {
+                self.advice_calls.push((step, workers.len()));
+                let is_good = |id: &&CompactString| self.permitted.is_empty() || self.permitted.contains(*id);
+                let good: Vec<_> = workers
+                    .iter()
+                    .filter(is_good)
+                    .map(|id| (id.clone(), format!("ticket-{id}").into()))
+                    .collect();
+                self.engine.advised(Some(&good), self.now_ms);
+            }
+            Action::ListMachines => {
+                let machines = self.workers.values().map(|worker| Machine {
+                    name: format!("m-{}", worker.machine).into(),
+                    state: if worker.is_in_upkeep {
+                        MachineState::Upkeep
+                    } else {
+                        MachineState::Up
+                    },
+                    worker: worker.id.clone(),
+                });
+                self.engine.set_machines(Some(machines.collect()), self.now_ms);
+            }
+            Action::Upkeep { machine, wave } => {
+                let down = self.workers.values().filter(|worker| worker.is_in_upkeep).count();
+                let is_named = |worker: &&mut FakeWorker| machine == format!("m-{}", worker.machine);
+                let Some(worker) = self.workers.values_mut().find(is_named) else {
+                    return;
+                };
+                if !worker.is_in_upkeep && !worker.had_upkeep {
+                    self.most_down = self.most_down.max(down + 1);
+                    self.interrupted += worker.runs.len();
+                    worker.begin_upkeep(self.now_ms);
+                    self.engine.unlist_worker(&worker.id.clone(), self.now_ms);
+                }
+                self.engine
+                    .upkeep_replied(wave, &machine, UpkeepReply::Begun, self.now_ms);
+            }
+            Action::RaiseStartBound { version } => {
+                if !self.is_store_down {
+                    self.start_bound = Some(version);
+                }
+                self.engine
+                    .start_bound_written(version, !self.is_store_down, self.now_ms);
+            }
+            Action::Commit(commit) => self.commit(&commit),
+        }
+    }
+
+    fn start(&mut self, id: &CompactString, order: &domain::StartOrder) -> StartOutcome {
+        if self.lose_starts > 0 {
+            self.lose_starts -= 1;
+            return StartOutcome::Unanswered;
+        }
+        if let Some(delay_ms) = self.late_start_ms.take() {
+            self.late.push(LateOrder {
+                at_ms: self.now_ms + delay_ms,
+                id: id.clone(),
+                epoch: self.epoch,
+                born_unix_ms: self.workers[id].born_unix_ms,
+                order: order.clone(),
+            });
+            return StartOutcome::Unanswered;
+        }
+        if self.workers.get(id).is_none_or(|worker| worker.is_silent) {
+            return StartOutcome::Unanswered;
+        }
+        self.deliver_start(id, self.epoch, order)
+    }
+
+    pub(super) fn deliver_start(&mut self, id: &CompactString, epoch: u64, order: &domain::StartOrder) -> StartOutcome {
+        let Ok(name) = order.what.task.parse::<TaskName>() else {
+            return StartOutcome::Rejected(Rejection::Malformed);
+        };
+        let stored = &self.store[&name.job];
+        if self.start_bound.is_none_or(|bound| stored.inserted_version > bound) {
+            self.violations
+                .push(format!("{} started beyond {:?}", order.what.task, self.start_bound));
+        }
+        let step = stored.job.steps[name.step as usize].clone();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return StartOutcome::Rejected(Rejection::NotSent);
+        };
+        match worker.start(order, &step, epoch, self.now_ms) {
+            Ok(()) => StartOutcome::Started,
+            Err(rejection) => StartOutcome::Rejected(rejection),
+        }
+    }
+
+    pub(super) fn answer_renewals(&mut self) {
+        let now_ms = self.now_ms;
+        let workers = &self.workers;
+        let due: Vec<_> = self
+            .renewals
+            .extract_if(.., |renewal| {
+                let has_ends = workers
+                    .get(&renewal.id)
+                    .is_some_and(|worker| worker.ends.iter().any(|end| end.number > renewal.noted));
+                has_ends || now_ms >= renewal.answer_by_ms
+            })
+            .collect();
+        for renewal in due {
+            match self.workers.get(&renewal.id).filter(|worker| !worker.is_silent) {
+                Some(worker) => {
+                    let shown = self.former.get(&renewal.id).filter(|_| self.has_old_reports);
+                    let report = shown.unwrap_or(worker).report(now_ms);
+                    self.engine.renewed(renewal.worker, &report, now_ms);
+                }
+                None => self.engine.renew_failed(renewal.worker, now_ms),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/engine/world/records.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+/// Durable records of runs.
+impl World {
+    /// Returns the durable records of a job without repetitions.
+    pub fn records_of(&self, job: &str) -> Vec<RunRecord> {
+        let mut all: Vec<RunRecord> = Vec::new();
+        for record in self
+            .records
+            .iter()
+            .filter(|((id, _, _), _)| id == job)
+            .flat_map(|(_, row)| row)
+        {
+            let is_same = |other: &RunRecord| {
+                (other.occurrence, other.step, other.index, other.run)
+                    == (record.occurrence, record.step, record.index, record.run)
+            };
+            match all.iter_mut().find(|other| is_same(other)) {
+                Some(known) if known.is_assumed => *known = record.clone(),
+                Some(_) => {}
+                None => all.push(record.clone()),
+            }
+        }
+        all
+    }
+
+    /// Checks that what is done has a record of one run that did it.
+    pub(super) fn check_records(&mut self, job: &str) {
+        let stored = &self.store[job];
+        let records = self.records_of(job);
+        let done: Vec<_> = records.iter().filter(|record| record.how == EndKind::Done).collect();
+        for (number, step) in stored.job.steps.iter().enumerate() {
+            let of_step = |record: &&&RunRecord| record.step as usize == number;
+            for index in 0..step.count {
+                let is_shown = stored.progress.state == JobState::Done
+                    || stored.progress.steps.values().any(|steps| {
+                        steps
+                            .get(&(number as u32))
+                            .is_some_and(|progress| progress.done.contains(&index))
+                    });
+                let runs = done
+                    .iter()
+                    .filter(of_step)
+                    .filter(|record| step.is_gang || record.index == index);
+                if is_shown && runs.count() == 0 {
+                    self.violations
+                        .push(format!("{job}: step {number} task {index} is done without a record"));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/engine/world/rows.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+/// Writes of the engine to the fake store.
+impl World {
+    pub(super) fn commit(&mut self, commit: &Commit) {
+        if commit.entries() > Commit::MAX_ENTRIES {
+            // The store refuses the whole transaction.
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
+        if self.is_store_down {
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
+        let stale: Vec<_> = commit
+            .rows
+            .iter()
+            .map(|row| (row.job.clone(), self.store[&row.job].version, row.expected_version))
+            .filter(|(_, version, expected)| version != expected)
+            .map(|(id, version, _)| (id, version))
+            .collect();
+        if !stale.is_empty() {
+            self.engine.commit_failed(&stale, self.now_ms);
+            return;
+        }
+        self.version += 1;
+        for row in &commit.rows {
+            let stored = self.store.get_mut(&row.job).expect("only accepted jobs have progress");
+            if stored.progress.state.is_final() && stored.progress.state != row.progress.state {
+                self.violations
+                    .push(format!("{}: final state {:?} changed", row.job, stored.progress.state));
+            }
+            stored.progress = row.progress.clone();
+            stored.version = self.version;
+            if let Some((number, records)) = &row.records {
+                self.records
+                    .insert((row.job.clone(), self.epoch, *number), records.clone());
+            }
+        }
+        for row in &commit.rows {
+            self.check_records(&row.job);
+        }
+        for id in &commit.remove_jobs {
+            match self.store.remove(id) {
+                Some(stored) if !stored.progress.state.is_final() => {
+                    self.violations.push(format!("{id} was removed before it was final"));
+                }
+                _ => {}
+            }
+        }
+        self.waves.extend(commit.waves.iter().copied());
+        for (id, address) in &commit.add_workers {
+            self.used_workers.insert(id.clone(), address.clone());
+        }
+        for id in &commit.remove_workers {
+            self.used_workers.remove(id);
+        }
+        if self.lose_commits > 0 {
+            self.lose_commits -= 1;
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
+        self.engine.committed(commit, self.version, self.now_ms);
+    }
+}
--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -10,8 +10,10 @@
 use super::attempt_record::{Verdict, close, open_attempt};
 use super::desk::{Desk, Place, UrgentJob, refused};
 use super::grant_pool::Ticket;
+use super::next_place::NextPlace;
 use super::recorder::RecordError;
 use super::resolve::{Finding, find_out};
+use super::unrecorded::Unrecorded;
 use crate::scheduling::JobWrite;
 
 /// Interval of looking at a worker or a row again while the outcome is unknown.
@@ -376,23 +378,6 @@
     }
 }
 
-/// Where a job goes whose attempt did not start.
-enum NextPlace {
-    /// A recorded attempt on another worker.
-    Here(Box<(Ticket, TaskId)>),
-    /// Another instance served it.
-    Served(Outcome),
-    /// Nobody takes it in time.
-    Nowhere,
-}
-
-/// Why nothing may be dispatched for a non-idempotent request.
-enum Unrecorded {
-    Refused(Refusal),
-    /// The job exists already and may run or have run.
-    Exists,
-}
-
 fn outcome_of(verdict: &Verdict) -> Outcome {
     match verdict {
         Verdict::Ran { answer, .. } => Outcome::Ran { answer: answer.clone() },
--- a/crates/entry/src/urgent/mod.rs
+++ b/crates/entry/src/urgent/mod.rs
@@ -7,10 +7,12 @@
 mod dispatch;
 mod forward;
 mod grant_pool;
+mod next_place;
 mod recent_ids;
 mod recorder;
 mod resolve;
 mod retry_budget;
+mod unrecorded;
 mod urgent_desk;
 
 pub(crate) use attempt_record::{Verdict, close, urgent_key, urgent_prefix};
--- /dev/null
+++ b/crates/entry/src/urgent/unrecorded.rs
@@ -0,0 +1,8 @@
+use model::Refusal;
+
+/// Why nothing may be dispatched for a non-idempotent request.
+pub(super) enum Unrecorded {
+    Refused(Refusal),
+    /// The job exists already and may run or have run.
+    Exists,
+}
--- a/crates/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' view of an instance.
 
+mod admission;
 mod job_request;
 mod refused;
 mod submission;
@@ -8,8 +9,8 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
-use compact_str::CompactString;
-use domain::{Config, Job, JobState, Progress, Route};
+use admission::Allowed;
+use domain::{Job, JobState, Progress, Route};
 pub use job_request::JobRequest;
 pub use refused::Refused;
 pub use submission::Submission;
@@ -50,15 +51,6 @@
     }
 }
 
-/// Queue, owner and id of a call that is allowed.
-#[derive(Debug, Clone)]
-struct Allowed {
-    config: Rc<Config>,
-    route: Route,
-    organisation: CompactString,
-    id: CompactString,
-}
-
 impl<S: Store, W: 'static> Desk<S, W> {
     /// Time for a call whose caller names none and whose queue has no limit.
     const DEFAULT_BUDGET_MS: u64 = 3_000;
@@ -303,58 +295,6 @@
         budget_ms.saturating_sub(Self::REPLY_MARGIN_MS)
     }
 
-    fn is_config_checked(&self) -> bool {
-        let checked_ms = self.shared.view.borrow().config_checked_ms;
-        boot_ms() <= checked_ms + self.shared.settings.config_age_max_ms()
-    }
-
-    /// Checks a call that takes effect without a transaction: the configuration must be known to be the newest.
-    fn allowed_now(&self, request: &JobRequest) -> Result<Allowed, Refused> {
-        if !self.is_config_checked() {
-            return Err(if self.shared.view.borrow().config.is_none() {
-                Refused::NoConfig
-            } else {
-                Refused::StaleConfig
-            });
-        }
-        self.allowed(request)
-    }
-
-    /// Checks queue and key of a call.
-    fn allowed(&self, request: &JobRequest) -> Result<Allowed, Refused> {
-        let Some(config) = self.shared.view.borrow().config.clone() else {
-            return Err(Refused::NoConfig);
-        };
-        // Without a fresh configuration a queue or key that is missing here may exist.
-        let missing = |refusal| {
-            if self.is_config_checked() {
-                refusal
-            } else {
-                Refused::StaleConfig
-            }
-        };
-        let Some(route) = config.route(&request.host, &request.path).cloned() else {
-            return Err(missing(Refused::UnknownRoute));
-        };
-        let id = CompactString::from(&request.path[route.path_prefix.len()..]);
-        let organisation = request
-            .key
-            .as_ref()
-            .and_then(|key| config.organisation_of(key))
-            .map(|organisation| organisation.name.clone());
-        let organisation = match organisation {
-            Some(organisation) => organisation,
-            None if route.is_public => CompactString::default(),
-            None => return Err(missing(Refused::UnknownKey)),
-        };
-        Ok(Allowed {
-            config,
-            route,
-            organisation,
-            id,
-        })
-    }
-
     /// Builds the insertion of a job: it takes effect only if the id is new. The epoch that the job names exists, so an
     /// older scheduler leaves the job alone.
     fn insertion(&self, allowed: &Allowed, submission: &Submission) -> Txn {
