fix: write the bound of starts in order, with a heartbeat, and open it while the store is slow

Ruled out: the records of runs as a cause of the slow starts (they ride with commits that exist anyway). Change: the write has its own row as a condition and carries a beat when one is due. A slow or failed write, also of a commit, opens the bound for 5 s; it is lowered again by one write, not before all rows were read. Before: heart_beats_while_jobs_keep_coming and bound_of_starts_is_written_in_order fail.

--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -144,7 +144,7 @@
     /// Write rows; at most one commit is under way.
     Commit(Commit),
     /// Make durable that jobs accepted up to a version may be started; at most one write is under way.
-    RaiseStartBound {
+    WriteStartBound {
         /// Version of the store.
         version: u64,
     },
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -10,6 +10,7 @@
 /// Write that is under way.
 #[derive(Debug, Clone, Default)]
 struct InFlight {
+    sent_ms: u64,
     jobs: Vec<JobKey>,
     /// Newest end of each worker that the write makes durable, with the worker's incarnation.
     noted: Vec<(WorkerKey, Option<u64>, u64)>,
@@ -173,6 +174,7 @@
             ..Commit::default()
         };
         let mut write = InFlight {
+            sent_ms: now_ms,
             add_workers: commit.add_workers.iter().map(|(id, _)| id.clone()).collect(),
             ..InFlight::default()
         };
@@ -234,6 +236,7 @@
             return;
         };
         self.commit.failures = 0;
+        self.start_bound.observe(now_ms.saturating_sub(write.sent_ms), now_ms);
         for id in &write.add_workers {
             self.commit.add_workers.shift_remove(id);
             if let Some(key) = self.worker_ids.get(id) {
@@ -287,6 +290,7 @@
                 self.jobs[*key].version = *version;
             }
         }
+        self.start_bound.observe(now_ms.saturating_sub(write.sent_ms), now_ms);
         self.commit.failures += 1;
         let pause = Self::RETRY_MS << self.commit.failures.min(4);
         self.commit.retry_ms = if current.is_empty() {
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -192,7 +192,7 @@
             self.pace_fillers(now_ms);
             self.proceed_with_waves(now_ms);
         }
-        self.raise_start_bound(now_ms);
+        self.write_start_bound(now_ms);
         self.commit_due(now_ms);
     }
 
--- a/crates/domain/src/engine/start_bound.rs
+++ b/crates/domain/src/engine/start_bound.rs
@@ -5,29 +5,42 @@
 /// Newest job that this epoch may have started, as the store knows it.
 ///
 /// A job is started only after the store confirmed a bound that is not older than the job. A successor that cannot ask
-/// all workers so knows which jobs no former scheduler can have started.
+/// all workers so knows which jobs no former scheduler can have started. While the store is slow the bound is opened, so
+/// that starts do not wait for it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StartBound {
     /// Bound of the former epochs; `None` if the store holds none, so that they may have started anything.
     former: Option<u64>,
+    /// No start goes beyond it; the bound in the store is not lower.
     confirmed: u64,
     /// Newest open job that was read.
     wanted: u64,
-    is_in_flight: bool,
+    sent_ms: Option<u64>,
     retry_ms: u64,
+    open_until_ms: u64,
 }
 
 impl StartBound {
+    /// Bound that holds nothing back.
+    const OPEN: u64 = u64::MAX;
+
     /// Pause after a write that failed.
     const RETRY_MS: u64 = 50;
 
+    /// Time of a write from which the store counts as slow; it answers in milliseconds.
+    const SLOW_MS: u64 = 60;
+
+    /// Time for which the bound stays open after a slow or failed write.
+    const OPEN_MS: u64 = 5_000;
+
     pub const fn new() -> Self {
         Self {
             former: None,
             confirmed: 0,
             wanted: 0,
-            is_in_flight: false,
+            sent_ms: None,
             retry_ms: 0,
+            open_until_ms: 0,
         }
     }
 
@@ -47,11 +60,43 @@
     }
 
     fn due(&mut self, now_ms: u64) -> Option<u64> {
-        if self.wanted <= self.confirmed || self.is_in_flight || now_ms < self.retry_ms {
+        if self.sent_ms.is_some() || now_ms < self.retry_ms {
+            return None;
+        }
+        let version = if now_ms < self.open_until_ms {
+            Self::OPEN
+        } else {
+            self.wanted
+        };
+        if self.confirmed == Self::OPEN && version != Self::OPEN {
+            // From now on the store may hold the lower bound.
+            self.confirmed = version;
+        } else if version <= self.confirmed {
             return None;
         }
-        self.is_in_flight = true;
-        Some(self.wanted)
+        self.sent_ms = Some(now_ms);
+        Some(version)
+    }
+
+    fn written(&mut self, version: u64, is_confirmed: bool, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(self.sent_ms.take().unwrap_or(now_ms));
+        if is_confirmed {
+            self.confirmed = self.confirmed.max(version);
+        } else {
+            self.retry_ms = now_ms + Self::RETRY_MS;
+        }
+        if is_confirmed {
+            self.observe(took_ms, now_ms);
+        } else {
+            self.open_until_ms = now_ms + Self::OPEN_MS;
+        }
+    }
+
+    /// Takes the time of a write to the store; a slow one opens the bound before a start has to wait for it.
+    pub fn observe(&mut self, took_ms: u64, now_ms: u64) {
+        if took_ms > Self::SLOW_MS {
+            self.open_until_ms = now_ms + Self::OPEN_MS;
+        }
     }
 }
 
@@ -66,19 +111,17 @@
 
     /// Takes the outcome of writing a bound.
     pub fn start_bound_written(&mut self, version: u64, is_confirmed: bool, now_ms: u64) {
-        let bound = &mut self.start_bound;
-        bound.is_in_flight = false;
-        if is_confirmed {
-            bound.confirmed = bound.confirmed.max(version);
-            self.is_schedule_due = true;
-        } else {
-            bound.retry_ms = now_ms + StartBound::RETRY_MS;
-        }
+        self.start_bound.written(version, is_confirmed, now_ms);
+        self.is_schedule_due |= is_confirmed;
     }
 
-    pub(super) fn raise_start_bound(&mut self, now_ms: u64) {
+    pub(super) fn write_start_bound(&mut self, now_ms: u64) {
+        if !self.is_loaded {
+            // Former epochs may have started jobs that are not read yet.
+            return;
+        }
         if let Some(version) = self.start_bound.due(now_ms) {
-            self.actions.push(Action::RaiseStartBound { version });
+            self.actions.push(Action::WriteStartBound { version });
         }
     }
 }
--- a/crates/domain/tests/engine/takeover.rs
+++ b/crates/domain/tests/engine/takeover.rs
@@ -87,6 +87,27 @@
     world.assert_sound();
 }
 
+/// Guards against a bound of starts that a successor lowers before it has read what its predecessor started.
+#[test]
+fn bound_of_starts_never_falls_below_what_was_started() {
+    let mut world = World::new(1, 2);
+    world.is_store_down = true;
+    let id = world.submit(job("a", 1, step(1, 8, 20_000)));
+    world.run_for(200);
+    // The failed write opened the bound.
+    world.is_store_down = false;
+    world.run_until(1_000, |world| !world.workers_of(&id).is_empty());
+    assert_eq!(world.start_bound, Some(u64::MAX));
+    let inserted = world.store[&id].inserted_version;
+    world.take_over();
+    for _ in 0..800 {
+        world.run_for(10);
+        assert!(world.start_bound >= Some(inserted), "{:?}", world.start_bound);
+    }
+    assert_eq!(world.start_bound, Some(inserted));
+    world.assert_sound();
+}
+
 /// Guards against a gang that goes on in parts after a takeover.
 #[test]
 fn gang_that_is_not_found_whole_starts_again() {
--- a/crates/domain/tests/engine/world/orders.rs
+++ b/crates/domain/tests/engine/world/orders.rs
@@ -89,7 +89,7 @@
                 self.engine
                     .upkeep_replied(wave, &machine, UpkeepReply::Begun, self.now_ms);
             }
-            Action::RaiseStartBound { version } => {
+            Action::WriteStartBound { version } => {
                 if !self.is_store_down {
                     self.start_bound = Some(version);
                 }
--- a/crates/node/src/holder/actions.rs
+++ b/crates/node/src/holder/actions.rs
@@ -6,7 +6,7 @@
 
 use super::{Holder, Input};
 use crate::clock::boot_ms;
-use crate::ports::{Condition, Store, Target, Txn, Workers};
+use crate::ports::{Condition, Put, Store, Target, Txn, Workers};
 use crate::rows::{
     BEAT_KEY, BeatRow, EPOCH_KEY, JOBS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND, START_BOUND_KEY,
     USED_WORKERS, cancel_key, put, records_key,
@@ -114,13 +114,8 @@
                     holder.do_send(Input::UpkeepDone(wave, machine, reply));
                 });
             }
-            Action::RaiseStartBound { version } => {
-                let place = shared.parts.of_holder(START_BOUND);
-                let txn = Txn {
-                    conditions: vec![self.epoch_condition()],
-                    puts: vec![put(place, START_BOUND_KEY, &version)],
-                    ..Txn::default()
-                };
+            Action::WriteStartBound { version } => {
+                let txn = self.start_bound_txn(version);
                 let sent_ms = boot_ms();
                 actix_rt::spawn(async move {
                     let result = shared.transact(&txn).await;
@@ -194,18 +189,42 @@
             txn.puts.push(put(parts.of_holder(PENDING), route.clone(), count));
         }
         txn.waves.clone_from(&commit.waves);
-        // Every beat wakes all instances, so writes carry one only about as often as the lease is renewed.
+        txn.puts.extend(self.beat_if_due());
+        txn
+    }
+
+    /// Builds the write of a bound of starts. Its own row is a condition, so that a write without a reply cannot take
+    /// effect after a newer one.
+    fn start_bound_txn(&mut self, version: u64) -> Txn {
+        let place = self.shared.parts.of_holder(START_BOUND);
+        let own = Condition {
+            place: place.clone(),
+            key: START_BOUND_KEY.into(),
+            version: self.start_bound_row_version,
+        };
+        let mut puts = vec![put(place, START_BOUND_KEY, &version)];
+        puts.extend(self.beat_if_due());
+        Txn {
+            conditions: vec![self.epoch_condition(), own],
+            puts,
+            ..Txn::default()
+        }
+    }
+
+    /// Returns a heartbeat for a write of the holder. Such a write renews the lease, so the keeper writes none; every
+    /// beat wakes all instances, so writes carry one only about as often as the lease is renewed.
+    fn beat_if_due(&mut self) -> Option<Put> {
         let now_ms = boot_ms();
-        if now_ms >= self.beat_ms + self.shared.settings.renew_interval().as_millis() as u64 / 2 {
-            self.beat_ms = now_ms;
-            self.beat += 1;
-            let beat = BeatRow {
-                epoch: self.engine.epoch(),
-                beat: self.beat,
-                is_released: false,
-            };
-            txn.puts.push(put(parts.of_holder(LEASE), BEAT_KEY, &beat));
+        if now_ms < self.beat_ms + self.shared.settings.renew_interval().as_millis() as u64 / 2 {
+            return None;
         }
-        txn
+        self.beat_ms = now_ms;
+        self.beat += 1;
+        let beat = BeatRow {
+            epoch: self.engine.epoch(),
+            beat: self.beat,
+            is_released: false,
+        };
+        Some(put(self.shared.parts.of_holder(LEASE), BEAT_KEY, &beat))
     }
 }
--- a/crates/node/src/holder/feeds.rs
+++ b/crates/node/src/holder/feeds.rs
@@ -45,7 +45,8 @@
         .filter_map(|row| Some((row.key.clone(), get::<CompactString>(row)?)))
         .collect();
     holder.do_send(Input::UsedWorkers(used));
-    holder.do_send(Input::FormerStartBound(of_table(START_BOUND).find_map(get)));
+    let bound = of_table(START_BOUND).find_map(|row| Some((get(row)?, row.version)));
+    holder.do_send(Input::FormerStartBound(bound));
     let pending = of_table(PENDING)
         .filter_map(|row| Some((row.key.clone(), get::<u64>(row)?)))
         .collect();
--- a/crates/node/src/holder/input.rs
+++ b/crates/node/src/holder/input.rs
@@ -34,8 +34,8 @@
     Machines(Option<Vec<Machine>>),
     /// Reply to an upkeep order.
     UpkeepDone(u64, CompactString, UpkeepReply),
-    /// Bound of starts of former epochs.
-    FormerStartBound(Option<u64>),
+    /// Bound of starts of former epochs, and the version of its row.
+    FormerStartBound(Option<(u64, u64)>),
     /// Reply to the write of a bound of starts.
     StartBoundWritten(u64, u64, Result<u64, TxnError>),
     /// Reply to a write.
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -20,7 +20,7 @@
 use crate::lease::{Deposed, LeaseKeeper};
 use crate::log;
 use crate::ports::{OwnRow, RenewError, Store, Target, TxnError, WorkerChange, Workers};
-use crate::rows::{EPOCH_KEY, LEASE, PROGRESS};
+use crate::rows::{EPOCH_KEY, LEASE, PROGRESS, START_BOUND};
 use crate::shared::SharedRef;
 
 /// Drives the scheduler while this instance holds the lease.
@@ -29,6 +29,8 @@
     keeper: Addr<LeaseKeeper<S, W>>,
     engine: Engine,
     epoch_row_version: u64,
+    /// Version of the row with the bound of starts; 0 if there is none.
+    start_bound_row_version: u64,
     /// When the newest confirmed renewal of the lease was sent.
     confirmed_ms: Rc<Cell<u64>>,
     config_version: u64,
@@ -59,6 +61,7 @@
             keeper,
             engine,
             epoch_row_version,
+            start_bound_row_version: 0,
             confirmed_ms,
             config_version: 0,
             waves_revision: None,
@@ -162,8 +165,18 @@
 
     fn start_bound_written(&mut self, version: u64, sent_ms: u64, result: &Result<u64, TxnError>) {
         match result {
-            Ok(_) => self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms)),
-            Err(TxnError::Conflict(conflict)) if self.is_deposed_by(conflict) => return,
+            Ok(row_version) => {
+                self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+                self.start_bound_row_version = *row_version;
+            }
+            Err(TxnError::Conflict(conflict)) => {
+                if self.is_deposed_by(conflict) {
+                    return;
+                }
+                // An earlier write without a reply took effect.
+                let own = conflict.iter().find(|row| row.table == START_BOUND);
+                self.start_bound_row_version = own.map_or(0, |row| row.version);
+            }
             Err(error) => spdlog::warn!("start_bound_failed", kv: { version, cause = error.to_string() }),
         }
         self.engine.start_bound_written(version, result.is_ok(), boot_ms());
@@ -310,7 +323,10 @@
             Input::Advised(good) => self.engine.advised(good.as_deref(), now_ms),
             Input::Machines(machines) => self.engine.set_machines(machines, now_ms),
             Input::UpkeepDone(wave, machine, reply) => self.engine.upkeep_replied(wave, &machine, reply, now_ms),
-            Input::FormerStartBound(version) => self.engine.set_former_start_bound(version),
+            Input::FormerStartBound(bound) => {
+                self.start_bound_row_version = bound.map_or(0, |(_, row_version)| row_version);
+                self.engine.set_former_start_bound(bound.map(|(version, _)| version));
+            }
             Input::StartBoundWritten(version, sent_ms, result) => self.start_bound_written(version, sent_ms, &result),
             Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
             Input::Stop => {
--- a/crates/node/tests/desk.rs
+++ b/crates/node/tests/desk.rs
@@ -155,3 +155,51 @@
     sleep(Duration::from_millis(1_500)).await;
     assert_eq!(desk.state(&request(ID, "key")).await, Ok(JobState::Cancelled));
 }
+
+/// Guards against a holder that seems silent to the others because its other writes renew the lease without a heartbeat.
+#[actix_rt::test]
+async fn heart_beats_while_jobs_keep_coming() {
+    /// Lease of the deployment under test.
+    const TTL: Duration = Duration::from_millis(600);
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    sleep(TTL).await;
+    let (mut beat, mut changed) = (store.value("lease", "beat"), Instant::now());
+    assert!(beat.is_some());
+    let mut longest = Duration::ZERO;
+    for number in 0..60 {
+        let id = format!("{number:016x}");
+        assert_eq!(desk.submit(&request(&id, "key"), &submission()).await, Ok(()));
+        sleep(Duration::from_millis(30)).await;
+        let now = store.value("lease", "beat");
+        if now != beat {
+            (beat, changed) = (now, Instant::now());
+        }
+        longest = longest.max(changed.elapsed());
+    }
+    assert!(longest < TTL * 2 / 3, "{longest:?}");
+}
+
+/// Guards against a write without a reply that takes effect after a newer one: the bound of starts would fall below jobs
+/// that were started.
+#[actix_rt::test]
+async fn bound_of_starts_is_written_in_order() {
+    let store = store();
+    let (_node, desk) = start(&store).await;
+    sleep(Duration::from_millis(600)).await;
+    for number in 0..3 {
+        let id = format!("{number:016x}");
+        assert_eq!(desk.submit(&request(&id, "key"), &submission()).await, Ok(()));
+        sleep(Duration::from_millis(60)).await;
+    }
+    let txns = store.0.txns.borrow();
+    let mut writes = 0;
+    for txn in txns.iter() {
+        for put in txn.puts.iter().filter(|put| put.place.table == "start_bound") {
+            writes += 1;
+            let own = |condition: &&node::Condition| condition.place == put.place && condition.key == put.key;
+            assert!(txn.conditions.iter().any(|condition| own(&condition)), "{txn:?}");
+        }
+    }
+    assert!(writes > 0);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -37,6 +37,8 @@
     pub config: RefCell<Option<Config>>,
     /// Faults of the next writes to jobs, in order.
     pub faults: RefCell<Vec<WriteFault>>,
+    /// Transactions that were tried, in order.
+    pub txns: RefCell<Vec<Txn>>,
     /// The store answers no call.
     pub is_silent: Cell<bool>,
 }
@@ -53,6 +55,14 @@
             .collect()
     }
 
+    /// Returns the value of a row.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let rows = self.0.rows.borrow();
+        rows.iter()
+            .find(|((known, _, known_key), _)| known == table && known_key == key)
+            .map(|(_, (value, _))| value.clone())
+    }
+
     async fn answer(&self) -> Result<(), StoreError> {
         const NO_REPLY: Duration = Duration::from_secs(1);
         if self.0.is_silent.get() {
@@ -97,6 +107,7 @@
 
 impl Store for FakeStore {
     async fn transact(&self, txn: &Txn) -> Result<u64, TxnError> {
+        self.0.txns.borrow_mut().push(txn.clone());
         self.answer().await.map_err(|_| TxnError::Unknown)?;
         let is_job = txn.puts.iter().any(|put| put.place.table == "jobs");
         let has_fault = is_job && !self.0.faults.borrow().is_empty();
