fix(entry): decide outcomes from lapsed leases and take own superseded records for what they are

A worker whose slot lease lapsed while it did not respond holds neither the lease nor the task. That looked like a restart, so nothing decided the outcome. 2. While an instance reads back the lost reply of a batch of attempt records, another instance that sees it as suspect may resolve one of the attempts. The read-back then found a changed row, and all requests of the batch were refused with 503 store_unavailable, or reported as indeterminate. Ruled out: the breaker (ten lost replies in a row pass; reads close it again). Change: the inventory lists the leases that this incarnation granted and that have ended. A superseded batch is answered request by request; an attempt that nobody dispatched is opened again. A batch that did not reach the store is sent up to three times while the breaker is closed.

--- a/crates/bench/src/scheduler_harness.rs
+++ b/crates/bench/src/scheduler_harness.rs
@@ -172,6 +172,7 @@
                     sequence: 0,
                     leases: Vec::new(),
                     tasks: Vec::new(),
+                    ended_leases: Vec::new(),
                 };
                 let reply = WorkerReply::Fenced(Box::new(inventory));
                 Some(Input::Worker { worker, reply })
--- a/crates/entry/src/scheduling/orphans.rs
+++ b/crates/entry/src/scheduling/orphans.rs
@@ -135,7 +135,17 @@
         let task = TaskId::new(row.id(), attempt.number, 0);
         let listing = self.shared.published.listing();
         let listed = listing.workers.iter().find(|listed| listed.id == part.worker)?;
-        match probe_task(&self.clients.workers, &listed.address, &part.worker, part.lease, &task).await {
+        let age_ms = (self.shared.clock.now_unix_ms()).saturating_sub(attempt.recorded_unix_ms);
+        match probe_task(
+            &self.clients.workers,
+            &listed.address,
+            &part.worker,
+            part.lease,
+            &task,
+            age_ms,
+        )
+        .await
+        {
             ProbeResult::Ended(report) => Some(AttemptResult::from_report(*report)),
             ProbeResult::NotStarted => Some(AttemptResult::NotStarted),
             ProbeResult::Unknown => Some(AttemptResult::Unknown),
--- a/crates/entry/src/urgent/dispatch.rs
+++ b/crates/entry/src/urgent/dispatch.rs
@@ -13,6 +13,7 @@
 use super::record_rejection::RecordRejection;
 use super::recorder::RecordError;
 use super::retry_placement::RetryPlacement;
+use super::sent_attempt::SentAttempt;
 use super::urgent_core::{RequestPlacement, UrgentCore, UrgentJob, refused};
 use crate::scheduling::JobWrite;
 
@@ -105,14 +106,19 @@
                     .lease(ticket.lease)
                     .worker(ticket.worker.clone()),
             );
+            let attempt = SentAttempt {
+                ticket: ticket.clone(),
+                task: task.clone(),
+                sent_ms: self.shared.clock.now_ms(),
+            };
             let attempt_result = match self.run(job, &ticket, task.clone()).await {
                 Ok(attempt_result) => Some(attempt_result),
-                Err(WorkerCallError::Lost) => self.poll_task(&ticket, &task, job.deadline_ms, POLL_INTERVAL).await,
+                Err(WorkerCallError::Lost) => self.poll_task(&attempt, job.deadline_ms, POLL_INTERVAL).await,
                 Err(_) => Some(AttemptResult::NotStarted),
             };
             self.release_ticket(&ticket);
             let Some(attempt_result) = attempt_result else {
-                self.resolve_later(row, version, ticket, task);
+                self.resolve_later(row, version, attempt);
                 return Outcome::Indeterminate;
             };
             if attempt_result == AttemptResult::NotStarted && self.acquire_retry(job, retries).await {
@@ -276,7 +282,11 @@
                     let request_id = row.spec.request_id.clone();
                     return Err(RecordRejection::Refused(Refusal::RequestIdReused { request_id }));
                 }
-                if found.state != JobState::DidNotRun {
+                // Another instance may resolve a recorded attempt while this one still reads back the lost reply of the
+                // record. Nothing was dispatched for it, whatever the other instance concluded.
+                let is_own = found.has_same_last_attempt(row);
+                let did_not_run = found.state == JobState::DidNotRun || (is_own && !found.state.is_final());
+                if !did_not_run || found.cancel_requested {
                     return Err(RecordRejection::Exists);
                 }
                 // The job provably did not run, so the caller's retry is a new attempt.
@@ -314,10 +324,21 @@
     }
 
     /// Polls the worker for the result of the task; `None` if it is unknown at `until_ms`.
-    async fn poll_task(&self, ticket: &Ticket, task: &TaskId, until_ms: u64, pause: Duration) -> Option<AttemptResult> {
+    async fn poll_task(&self, attempt: &SentAttempt, until_ms: u64, pause: Duration) -> Option<AttemptResult> {
+        let SentAttempt { ticket, task, sent_ms } = attempt;
         loop {
             let base_url = self.address_of(&ticket.worker);
-            match probe_task(&self.clients.workers, &base_url, &ticket.worker, ticket.lease, task).await {
+            let age_ms = self.shared.clock.now_ms().saturating_sub(*sent_ms);
+            match probe_task(
+                &self.clients.workers,
+                &base_url,
+                &ticket.worker,
+                ticket.lease,
+                task,
+                age_ms,
+            )
+            .await
+            {
                 ProbeResult::Ended(report) => return Some(AttemptResult::from_report(*report)),
                 ProbeResult::NotStarted => return Some(AttemptResult::NotStarted),
                 ProbeResult::Unknown => return Some(AttemptResult::Unknown),
@@ -331,21 +352,16 @@
     }
 
     /// Continues resolving the outcome after the caller was told that it is unknown.
-    fn resolve_later(&self, row: JobRow, version: u64, ticket: Ticket, task: TaskId) {
+    fn resolve_later(&self, row: JobRow, version: u64, attempt: SentAttempt) {
         let Some(actor) = self.address.get().cloned() else {
             return;
         };
-        actor.do_send(super::urgent_actor::ResolveLater {
-            row,
-            version,
-            ticket,
-            task,
-        });
+        actor.do_send(super::urgent_actor::ResolveLater { row, version, attempt });
     }
 
-    pub(super) async fn resolve_in_background(&self, row: JobRow, version: u64, ticket: Ticket, task: TaskId) {
+    pub(super) async fn resolve_in_background(&self, row: JobRow, version: u64, attempt: SentAttempt) {
         let until_ms = self.shared.clock.now_ms() + RESOLVE_TIMEOUT_MS;
-        let attempt_result = self.poll_task(&ticket, &task, until_ms, BACKGROUND_POLL_INTERVAL).await;
+        let attempt_result = self.poll_task(&attempt, until_ms, BACKGROUND_POLL_INTERVAL).await;
         self.write_final_state(row, version, &attempt_result.unwrap_or(AttemptResult::Unknown));
     }
 
--- a/crates/entry/src/urgent/mod.rs
+++ b/crates/entry/src/urgent/mod.rs
@@ -11,6 +11,7 @@
 mod recorder;
 mod retry_budget;
 mod retry_placement;
+mod sent_attempt;
 mod urgent_actor;
 mod urgent_core;
 mod urgent_grants;
--- a/crates/entry/src/urgent/recorder.rs
+++ b/crates/entry/src/urgent/recorder.rs
@@ -2,6 +2,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use actix_rt::time::sleep;
 use model::{JobId, JobRow};
 use serde_json::json;
 use store::{Expected, Resolved, Row, StoreError, Txn, Urgency};
@@ -40,6 +41,10 @@
     pub(super) const MAX_BATCH: usize = 64;
     /// Time limit of reading back a batch; a record is useful only while its caller waits.
     const READ_BACK_TIMEOUT: Duration = Duration::from_secs(2);
+    /// Maximum tries of a batch that did not reach the store while the store is not known to be unavailable.
+    const MAX_TRIES: u32 = 3;
+    /// Pause between these tries.
+    const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
     pub(super) fn new(shared: Shared, clients: Clients) -> Self {
         Self {
@@ -85,8 +90,10 @@
     async fn write(&self, mut batch: Vec<PendingRecord>) {
         // A caller that gave up gets no record, since nothing will be dispatched for it.
         batch.retain(|pending| !pending.reply.is_closed());
+        let mut tries = 0;
         while !batch.is_empty() {
             let Some(txn) = self.txn(&batch) else { return };
+            tries += 1;
             let result = self
                 .clients
                 .store
@@ -105,22 +112,23 @@
                         return fail(batch, &RecordError::Unavailable);
                     };
                     let pending = batch.swap_remove(index);
-                    let result = parse_row(current.as_ref()).map_or(Err(RecordError::Unavailable), |found| {
-                        // A lost reply may hide that this very record was written.
-                        if found.0 == pending.row {
-                            Ok(found.1)
-                        } else {
-                            Err(RecordError::Exists(Box::new(found.0), found.1))
-                        }
-                    });
-                    let _ = pending.reply.send(result);
+                    let _ = pending.reply.send(current_record(&pending.row, current.as_ref()));
+                }
+                Ok(Resolved::Superseded { rows }) => {
+                    // The batch took effect, and another instance has changed a row since.
+                    for (pending, rows) in batch.drain(..).zip(rows.chunks(2)) {
+                        let _ = pending.reply.send(current_record(&pending.row, rows[0].as_ref()));
+                    }
+                }
+                Err(StoreError::Unavailable)
+                    if tries < Self::MAX_TRIES && !self.clients.store.stats().is_breaker_open =>
+                {
+                    sleep(Self::RETRY_PAUSE).await;
                 }
                 Err(StoreError::Unavailable | StoreError::Rejected { .. }) => {
                     return fail(batch, &RecordError::Unavailable);
                 }
-                Err(StoreError::Unknown) | Ok(Resolved::Superseded { .. }) => {
-                    return fail(batch, &RecordError::Unknown);
-                }
+                Err(StoreError::Unknown) => return fail(batch, &RecordError::Unknown),
             }
         }
     }
@@ -141,6 +149,16 @@
     }
 }
 
+/// Returns the version of a record that turned out to be written, or why it is not the one that is in the store.
+fn current_record(own: &JobRow, current: Option<&Row>) -> Result<u64, RecordError> {
+    match parse_row(current) {
+        // A lost reply may hide that this very record was written.
+        Some((found, version)) if found == *own => Ok(version),
+        Some((found, version)) => Err(RecordError::Exists(Box::new(found), version)),
+        None => Err(RecordError::Unavailable),
+    }
+}
+
 fn parse_row(row: Option<&Row>) -> Option<(JobRow, u64)> {
     let row = row?;
     Some((serde_json::from_value(row.value.clone()).ok()?, row.version))
--- a/crates/entry/src/urgent/urgent_actor.rs
+++ b/crates/entry/src/urgent/urgent_actor.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use model::{JobRow, JobSpec, Outcome, TaskId};
+use model::{JobRow, JobSpec, Outcome};
 use net::peer::{UpdateGrantsReply, UpdateGrantsRequest};
 use sched::WriteOutcome;
 use timer::{Subscribe, Tick, Timer};
 
-use super::grant_pool::Ticket;
+use super::sent_attempt::SentAttempt;
 use super::urgent_core::{UrgentCore, UrgentJob};
 use crate::context::{Clients, Context as Shared};
 use crate::scheduling::JobWrite;
@@ -53,8 +53,7 @@
 pub(super) struct ResolveLater {
     pub(super) row: JobRow,
     pub(super) version: u64,
-    pub(super) ticket: Ticket,
-    pub(super) task: TaskId,
+    pub(super) attempt: SentAttempt,
 }
 
 /// Writes the final state of an attempt, with retries until the store accepts it.
@@ -145,7 +144,7 @@
     fn handle(&mut self, message: ResolveLater, _: &mut Self::Context) {
         let core = self.core.clone();
         actix_rt::spawn(async move {
-            core.resolve_in_background(message.row, message.version, message.ticket, message.task)
+            core.resolve_in_background(message.row, message.version, message.attempt)
                 .await;
         });
     }
--- a/crates/entry/tests/urgent.rs
+++ b/crates/entry/tests/urgent.rs
@@ -5,10 +5,13 @@
 
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
+use actix_rt::time::sleep;
+use futures_util::future::{join, join_all};
+use model::{JobId, JobRow, JobState};
 use rstest::rstest;
 use serde_json::json;
 use standin::{LinkMode, LogEvent, PlatformFaults, WorkerFaultRequest, WorkerFaults};
+use store::{Expected, PlatformClient, PlatformClientOptions, Table, Txn, Urgency};
 use support::{TestSystem, job};
 
 async fn count_starts(system: &TestSystem, request_id: &str) -> usize {
@@ -122,6 +125,70 @@
     );
 }
 
+/// Guards against an outcome that stays indeterminate because the worker's lease lapsed while the worker did not respond:
+/// the same incarnation granted the lease and does not know the task, so the task never started.
+#[actix_web::test]
+async fn lapsed_lease_of_a_worker_that_did_not_restart_decides_the_outcome() {
+    const FREEZE: Duration = Duration::from_secs(2);
+    let system = TestSystem::start(3).await;
+    let freeze = |freeze| WorkerFaultRequest {
+        faults: WorkerFaults {
+            freeze,
+            ..WorkerFaults::default()
+        },
+        ..WorkerFaultRequest::default()
+    };
+    system.cluster.fault_workers(&freeze(true)).await;
+    let mut body = job("appraisal", "urgent", false, 10);
+    body["deadline_ms"] = json!(400);
+    let reply = system.submit(0, &body).await;
+    assert_eq!(reply.text("outcome"), "indeterminate", "{reply:?}");
+    sleep(FREEZE).await;
+    system.cluster.fault_workers(&freeze(false)).await;
+    system
+        .until("the lapsed lease decides the outcome", async || {
+            let outcome = system.get(1, "/v1/jobs/clyde-koi/appraisal").await;
+            outcome.text("outcome") == "did_not_run"
+        })
+        .await;
+    assert_eq!(count_starts(&system, "appraisal").await, 0);
+}
+
+/// Guards against a request that is refused because another instance resolved its attempt while this one still read back
+/// the lost reply of the attempt record: that instance saw this one as suspect.
+#[rstest]
+#[case::did_not_run(JobState::DidNotRun)]
+#[case::indeterminate(JobState::Indeterminate)]
+#[actix_web::test]
+async fn attempt_resolved_before_its_record_is_read_back_runs(#[case] state: JobState) {
+    let system = TestSystem::start(3).await;
+    let store = PlatformClient::new(PlatformClientOptions::new(system.cluster.platform().url()));
+    let faults = PlatformFaults {
+        lose_every: 1,
+        lose_hang_ms: 300,
+        ..PlatformFaults::default()
+    };
+    system.cluster.set_platform_faults(faults).await;
+    let body = job("sale", "urgent", false, 10);
+    let resolve = async {
+        let id: JobId = "clyde-koi/sale".parse().unwrap();
+        let found = loop {
+            if let Some(row) = store.read(&JobRow::key_of(&id)).await.unwrap() {
+                break row;
+            }
+            sleep(Duration::from_millis(5)).await;
+        };
+        system.cluster.set_platform_faults(PlatformFaults::default()).await;
+        let mut row: JobRow = serde_json::from_value(found.value).unwrap();
+        row.state = state;
+        let txn = Txn::new().put(row.key(), Expected::Version(found.version), json!(row));
+        store.commit(&txn, Urgency::Job).await.unwrap();
+    };
+    let (reply, ()) = join(system.submit(0, &body), resolve).await;
+    assert_eq!(reply.text("outcome"), "ran", "{reply:?}");
+    assert_eq!(count_starts(&system, "sale").await, 1);
+}
+
 /// Guards against a second or unrecorded run after a lost reply of the store.
 #[actix_web::test]
 async fn lost_reply_for_the_attempt_record_is_read_back() {
--- a/crates/sched/tests/scheduler/common/worker.rs
+++ b/crates/sched/tests/scheduler/common/worker.rs
@@ -211,6 +211,7 @@
             sequence: self.sequence,
             leases: self.leases.iter().map(info).collect(),
             tasks: self.reports(|_| true),
+            ended_leases: Vec::new(),
         }
     }
 
--- a/crates/standin/src/workers/worker_state.rs
+++ b/crates/standin/src/workers/worker_state.rs
@@ -246,6 +246,9 @@
     pub fn inventory(&self, now_ms: u64) -> Inventory {
         let mut tasks: Vec<_> = self.tasks.values().map(|task| task.report_at(now_ms)).collect();
         tasks.sort_by(|a, b| a.task.cmp(&b.task));
+        let granted = self.tombstones.iter().filter(|(_, tombstone)| tombstone.kind.is_some());
+        let mut ended_leases: Vec<_> = granted.map(|(id, _)| *id).collect();
+        ended_leases.sort_unstable();
         Inventory {
             worker: self.id.clone(),
             epoch: self.epoch,
@@ -253,6 +256,7 @@
             sequence: self.sequence,
             leases: self.leases.iter().map(|(id, lease)| lease.info(*id, now_ms)).collect(),
             tasks,
+            ended_leases,
         }
     }
 
