fix: faults found by reading in sched, conf, trace, store, platform and entry

Change: sched: a job that was moved often moved again at every scan, as the wait was counted from its acceptance alone. The limit of 1 MiB on request bodies in front.rs stays: a job has to fit into a row of the store (64 KiB), and what does not is refused with a typed error, whatever the configuration allows; the limit only bounds memory.

--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -22,6 +22,17 @@
     "heartbeat_interval_ms: 1",
     "heartbeat_interval_ms is 1; allowed are whole numbers from 50 to 10000 (ms)"
 )]
+#[case::no_list_poll_interval("listing_poll_interval_ms: 0", "listing_poll_interval_ms is 0; allowed")]
+#[case::no_lease_ttl("scheduling_lease_ttl_ms: 0", "scheduling_lease_ttl_ms is 0; allowed")]
+#[case::no_lease_renewal("scheduling_lease_renew_ms: 0", "scheduling_lease_renew_ms is 0; allowed")]
+#[case::no_worker_renewal("worker_renew_interval_ms: 0", "worker_renew_interval_ms is 0; allowed")]
+#[case::no_record_batch("record_batch_interval_ms: 0", "record_batch_interval_ms is 0; allowed")]
+#[case::too_many_slots("urgent_slots_per_instance: 100001", "urgent_slots_per_instance is 100001; allowed")]
+#[case::too_long_cut_off("cut_off_start_limit_ms: 3600001", "cut_off_start_limit_ms is 3600001; allowed")]
+#[case::too_many_events(
+    "timeline_capacity_events: 10000001",
+    "timeline_capacity_events is 10000001; allowed"
+)]
 #[case::wrong_type("store_writes_per_s: \"many\"", "store_writes_per_s is \"many\"; allowed")]
 #[case::negative("store_writes_per_s: -1", "store_writes_per_s is -1; allowed")]
 #[case::bad_peer(
--- a/crates/entry/src/scheduling/job_write.rs
+++ b/crates/entry/src/scheduling/job_write.rs
@@ -117,8 +117,12 @@
 /// Returns the last [`StoreError`].
 pub(crate) async fn put_object(store: &PlatformClient, key: &str, body: &str) -> Result<(), StoreError> {
     const MAX_TRIES: u32 = 3;
+    const FIRST_PAUSE: Duration = Duration::from_millis(50);
     let mut result = Err(StoreError::Unavailable);
-    for _ in 0..MAX_TRIES {
+    for attempt in 0..MAX_TRIES {
+        if attempt > 0 {
+            sleep(FIRST_PAUSE * 2u32.pow(attempt - 1)).await;
+        }
         result = store.put(key, Bytes::copy_from_slice(body.as_bytes())).await;
         if !matches!(result, Err(StoreError::Unknown)) {
             break;
--- a/crates/node/src/node_handle.rs
+++ b/crates/node/src/node_handle.rs
@@ -159,6 +159,7 @@
                 None => view.waves.remove(&number),
             };
         }
+        OperatorChange::UnreadableWave(number) => spdlog::error!("wave_unreadable", kv: { wave = number }),
         OperatorChange::Other(key) => spdlog::debug!("operator_row", kv: { key = key.as_str() }),
     }
 }
--- a/crates/node/src/ports/operator_change.rs
+++ b/crates/node/src/ports/operator_change.rs
@@ -19,6 +19,8 @@
     },
     /// A maintenance wave is requested, or withdrawn (`None`).
     Wave(u64, Option<Box<Wave>>),
+    /// The row of a maintenance wave cannot be decoded; a wave that is open under this number stays so.
+    UnreadableWave(u64),
     /// Key of a row that the instance does not use.
     Other(CompactString),
 }
--- a/crates/sched/src/stranded.rs
+++ b/crates/sched/src/stranded.rs
@@ -17,6 +17,14 @@
 /// Maximum number of jobs checked in one scan; the rest follow in the next scans.
 const MAX_CANDIDATES: usize = 50;
 
+/// Returns the time from the acceptance of a job to its next move: the sum of the waits before all its moves.
+fn wait_before_move_ms(moves: u32) -> u64 {
+    let doublings = moves.min(MAX_DOUBLINGS);
+    let doubling_ms = FIRST_MOVE_MS * ((2 << doublings) - 1);
+    let further_ms = u64::from(moves - doublings) * (FIRST_MOVE_MS << MAX_DOUBLINGS);
+    doubling_ms + further_ms
+}
+
 /// Progress of the scan for stranded jobs.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct StrandedSearch {
@@ -57,7 +65,7 @@
 
     fn is_stranded(&self, key: Key) -> bool {
         let job = &self.jobs[key];
-        let wait_ms = FIRST_MOVE_MS << job.row.moves.min(MAX_DOUBLINGS);
+        let wait_ms = wait_before_move_ms(job.row.moves);
         let waited_ms = self.now_unix_ms.saturating_sub(job.row.accepted_unix_ms);
         waited_ms >= wait_ms
             && job.open_write.is_none()
--- a/crates/sched/tests/scheduler/common/simulation.rs
+++ b/crates/sched/tests/scheduler/common/simulation.rs
@@ -195,8 +195,13 @@
 
     /// Stores a job and submits it to the lease holder.
     pub fn submit(&mut self, spec: JobSpec) {
-        let row = JobRow::new(spec.clone(), "dc1".parse().unwrap(), self.unix_ms());
-        self.specs.push(spec);
+        let row = JobRow::new(spec, "dc1".parse().unwrap(), self.unix_ms());
+        self.submit_row(row);
+    }
+
+    /// Stores the row of a job and submits it to the lease holder.
+    pub fn submit_row(&mut self, row: JobRow) {
+        self.specs.push(row.spec.clone());
         self.table.commit(&row, 0, None, None);
         let version = self.table.rows[&row.id()].1;
         let id = row.id();
--- a/crates/sched/tests/scheduler/main.rs
+++ b/crates/sched/tests/scheduler/main.rs
@@ -8,3 +8,4 @@
 mod lifecycle;
 mod schedules;
 mod service;
+mod stranded;
--- a/crates/store/src/platform/platform_client.rs
+++ b/crates/store/src/platform/platform_client.rs
@@ -150,6 +150,7 @@
             return Err(held_back());
         }
         let Some(permit) = self.breaker.try_acquire() else {
+            limiter.release();
             return Err(held_back());
         };
         let is_write = std::ptr::eq(limiter, &raw const self.write_limiter);
--- a/crates/store/src/platform/rate_limiter.rs
+++ b/crates/store/src/platform/rate_limiter.rs
@@ -66,6 +66,12 @@
         }
         matches!(timeout(max_wait, receiver).await, Ok(Ok(())))
     }
+
+    /// Gives back the token of a request that was not sent.
+    pub fn release(&self) {
+        let inner = &self.0;
+        inner.tokens.set((inner.tokens.get() + 1.0).min(inner.burst));
+    }
 }
 
 impl Inner {
--- a/crates/trace/src/ring.rs
+++ b/crates/trace/src/ring.rs
@@ -14,7 +14,7 @@
 }
 
 impl Ring {
-    /// Creates an empty buffer that keeps the newest `capacity` events.
+    /// Creates an empty buffer that keeps the newest `capacity` events; with a capacity of 0 it only counts them.
     pub fn new(process: InstanceId, capacity: usize) -> Self {
         Self {
             process,
@@ -26,11 +26,14 @@
 
     /// Appends an event and drops the oldest one if the buffer is full.
     pub fn push(&mut self, at_unix_ms: u64, event: Event) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if self.capacity == 0 {
+            return;
+        }
         if self.records.len() == self.capacity {
             self.records.pop_front();
         }
-        let sequence = self.next_sequence;
-        self.next_sequence += 1;
         self.records.push_back(Record {
             process: self.process.clone(),
             sequence,
