--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -69,6 +69,14 @@
     /// Maximum entries in one store transaction: conditions, writes and deletions together.
     pub const MAX_ENTRIES: usize = 100;
 
+    /// Returns whether the list of used workers changes.
+    pub fn changes_workers(&self) -> bool {
+        !self.add_workers.is_empty() || !self.remove_workers.is_empty()
+    }
+
+    /// Entries of the revision of the list of used workers: its condition and its write.
+    pub const REVISION_ENTRIES: usize = 2;
+
     /// Maximum entries of a progress row: its condition, its write and the write of its run records.
     pub const ROW_ENTRIES: usize = 3;
 
@@ -80,11 +88,17 @@
 
     /// Returns the number of entries in the transaction.
     pub fn entries(&self) -> usize {
+        let revision = if self.changes_workers() {
+            Self::REVISION_ENTRIES
+        } else {
+            0
+        };
         let others = self.add_workers.len() + self.remove_workers.len() + self.pending.len() + self.waves.len();
         Self::BASE_ENTRIES
             + self.rows.len() * Self::ROW_ENTRIES
             + self.remove_jobs.len() * Self::REMOVAL_ENTRIES
             + others
+            + revision
     }
 }
 
--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -6,13 +6,13 @@
 /// Runs that were started in an earlier epoch.
 impl Engine {
     /// Handles a run that this scheduler did not start: adopts it if its task needs it, else stops it.
-    pub(super) fn adopt(&mut self, worker: WorkerKey, task_run: TaskRun, now_ms: u64) -> RunKey {
+    pub(super) fn adopt(&mut self, worker: WorkerKey, task_run: &TaskRun, now_ms: u64) -> RunKey {
         let mut run = Run {
+            id: task_run.clone(),
             job: super::keys::JobKey::default(),
             occurrence: 0,
             step: 0,
             index: 0,
-            number: task_run.run,
             worker,
             need: Resources::default(),
             state: RunState::Running,
@@ -28,8 +28,9 @@
             work_percent: 100,
             throttle_sent_ms: 0,
             is_unwanted: true,
+            is_need_unknown: false,
         };
-        if let Some((job, name)) = self.adoptable_task(&task_run) {
+        if let Some((job, name)) = self.adoptable_task(task_run) {
             let shape = &self.jobs[job].spec.steps[name.step as usize];
             run.need = shape.charged();
             run.job = job;
@@ -42,7 +43,7 @@
                 run.work_percent = 0;
             }
             let is_gang = shape.is_gang;
-            let key = self.add_run(run, task_run.clone());
+            let key = self.add_run(run);
             let Some(state) = self.step_mut(job, name.occurrence, name.step) else {
                 return key;
             };
@@ -57,10 +58,13 @@
             }
             return key;
         }
-        run.need = self.need_of(&task_run).unwrap_or(self.workers[worker].entry.capacity);
+        match self.need_of(task_run) {
+            Some(need) => run.need = need,
+            None => run.is_need_unknown = true,
+        }
         self.log_lines
             .push(format!("run_not_wanted task={} run={}", task_run.task, task_run.run));
-        let key = self.add_run(run, task_run);
+        let key = self.add_run(run);
         self.stop_run(key, now_ms);
         key
     }
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -61,11 +61,11 @@
     /// Longest delay of changes that no caller waits for, so that several are written together.
     const MAX_COMMIT_DELAY_MS: u64 = 100;
 
-    /// Pause after failed writes, doubled with each failure up to [`Engine::RETRY_MAX_MS`].
+    /// Pause after a failed write; doubles with each further failure, at most [`Engine::MAX_RETRY_DOUBLINGS`] times.
     const RETRY_MS: u64 = 50;
 
-    /// Longest pause after failed writes.
-    const RETRY_MAX_MS: u64 = 400;
+    /// Maximum number of times that the pause doubles.
+    const MAX_RETRY_DOUBLINGS: u32 = 3;
 
     pub(super) fn mark_dirty(&mut self, key: JobKey, now_ms: u64) {
         let job = &mut self.jobs[key];
@@ -78,16 +78,12 @@
         if self.commit.in_flight.is_some() || now_ms < self.commit.retry_ms || !self.is_loaded {
             return;
         }
-        self.queue_worker_rows();
         self.finished.assign_due_times(now_ms, self.limits.keep_finished_ms);
         let has_finished = !self.finished.due(now_ms, 1).is_empty();
         let has_workers = !self.commit.add_workers.is_empty()
             || !self.commit.remove_workers.is_empty()
             || !self.waves.unwritten().is_empty();
-        let has_unacked = self
-            .workers
-            .values()
-            .any(|worker| worker.processed_end > worker.acked_end);
+        let has_unacked = !self.unacked.is_empty();
         let is_pending_due = now_ms >= self.commit.pending_due_ms && {
             self.commit.pending_due_ms = now_ms + Self::PENDING_INTERVAL_MS;
             !self.changed_pending().is_empty()
@@ -140,17 +136,19 @@
 
     /// Acknowledges run ends that change no job; they need no write.
     fn ack_ends_without_change(&mut self, now_ms: u64) {
-        for worker in self.workers.values_mut() {
-            if worker.processed_end > worker.acked_end {
-                worker.acked_end = worker.processed_end;
-                worker.renew_due_ms = now_ms;
-            }
+        for key in std::mem::take(&mut self.unacked) {
+            let worker = &mut self.workers[key];
+            worker.acked_end = worker.processed_end;
+            self.set_renew_due(key, now_ms);
         }
     }
 
     /// Records workers before their first start, and drops the records of draining workers on which nothing can run any
     /// more: a successor would wait for the reply of a worker that has exited by then.
-    fn queue_worker_rows(&mut self) {
+    pub(super) fn queue_worker_rows(&mut self) {
+        if self.commit.in_flight.is_some() || !self.is_loaded {
+            return;
+        }
         for worker in self.workers.values_mut() {
             let id = &worker.entry.id;
             let is_ready = worker.is_listed && worker.entry.state == EntryState::Ready;
@@ -202,9 +200,9 @@
         if self.dirty.is_empty() {
             // This write contains all changes that the run ends caused.
             write.acked_ends = self
-                .workers
+                .unacked
                 .iter()
-                .filter(|(_, worker)| worker.processed_end > worker.acked_end)
+                .map(|key| (*key, &self.workers[*key]))
                 .map(|(key, worker)| (key, worker.process_started_unix_ms, worker.processed_end))
                 .collect();
         }
@@ -260,7 +258,10 @@
             };
             if worker.process_started_unix_ms == *process_started_unix_ms {
                 worker.acked_end = worker.acked_end.max(*acked_end);
-                worker.renew_due_ms = now_ms;
+                if worker.acked_end >= worker.processed_end {
+                    self.unacked.swap_remove(key);
+                }
+                self.set_renew_due(*key, now_ms);
             }
         }
         for (key, row) in write.jobs.into_iter().zip(&commit.rows) {
@@ -294,12 +295,8 @@
             }
         }
         self.start_bound.observe(now_ms.saturating_sub(write.sent_ms), now_ms);
+        let pause_ms = Self::RETRY_MS << self.commit.failures.min(Self::MAX_RETRY_DOUBLINGS);
         self.commit.failures += 1;
-        let pause = Self::RETRY_MS << self.commit.failures.min(4);
-        self.commit.retry_ms = if current.is_empty() {
-            now_ms + pause.min(Self::RETRY_MAX_MS)
-        } else {
-            now_ms
-        };
+        self.commit.retry_ms = if current.is_empty() { now_ms + pause_ms } else { now_ms };
     }
 }
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -44,7 +44,7 @@
             .filter_map(|run| Some((run, self.workers.get(run.worker)?)))
             .map(|(run, worker)| RunExplanation {
                 index: run.index,
-                run: run.number,
+                run: run.id.run,
                 worker: worker.entry.id.clone(),
                 state: match run.state {
                     RunState::Starting => "starting",
@@ -80,7 +80,7 @@
         if !self.start_bound.allows(job) {
             return WaitCause::StartBound;
         }
-        if self.may_run_unreported(job, now_ms) {
+        if self.may_have_started_before(job) && self.has_unreported_workers(now_ms) {
             let unresponsive = self.workers.values().filter(|worker| worker.may_hold_unreported_runs());
             return WaitCause::SilentWorkers {
                 workers: unresponsive.map(|worker| worker.entry.id.clone()).collect(),
--- a/crates/domain/src/engine/finished.rs
+++ b/crates/domain/src/engine/finished.rs
@@ -1,10 +1,11 @@
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 use compact_str::CompactString;
 
 /// Final jobs whose rows are still in the store.
 #[derive(Debug, Clone, Default)]
 pub(super) struct FinishedJobs {
+    ids: HashSet<CompactString>,
     /// Jobs that became final since the due times were last assigned.
     undated: Vec<CompactString>,
     /// Time from which the rows of a job may be deleted, oldest first.
@@ -13,7 +14,14 @@
 
 impl FinishedJobs {
     pub fn push(&mut self, job: CompactString) {
-        self.undated.push(job);
+        if self.ids.insert(job.clone()) {
+            self.undated.push(job);
+        }
+    }
+
+    /// Returns whether a job is final and its rows are still in the store.
+    pub fn contains(&self, job: &str) -> bool {
+        self.ids.contains(job)
     }
 
     /// Assigns due times to the jobs that became final since the last call.
@@ -30,6 +38,12 @@
 
     /// Removes jobs whose rows were deleted.
     pub fn removed(&mut self, jobs: &[CompactString]) {
+        if jobs.is_empty() {
+            return;
+        }
+        for job in jobs {
+            self.ids.remove(job);
+        }
         self.waiting.retain(|(_, job)| !jobs.contains(job));
     }
 }
--- a/crates/domain/src/engine/forecast.rs
+++ b/crates/domain/src/engine/forecast.rs
@@ -105,10 +105,10 @@
             .map_or(declared_ms, |forecast| forecast.expected_ms(declared_ms) as u64)
     }
 
-    /// Returns the expected work of all tasks of a step, in core-milliseconds.
-    pub(super) fn expected_work(&self, spec: &Job, step: u32) -> u64 {
+    /// Returns the expected work of a number of tasks of a step, in core-milliseconds.
+    pub(super) fn expected_work(&self, spec: &Job, step: u32, tasks: u64) -> u64 {
         let shape: &Step = &spec.steps[step as usize];
-        u64::from(shape.count) * shape.need.weight_milli() * self.expected_ms(spec, step) / 1_000
+        tasks * shape.need.weight_milli() * self.expected_ms(spec, step) / 1_000
     }
 
     /// Returns the expected time from the start of each step to the end of the job, without waiting for workers.
--- a/crates/domain/src/engine/health.rs
+++ b/crates/domain/src/engine/health.rs
@@ -1,7 +1,8 @@
-use std::collections::HashSet;
+use smallvec::SmallVec;
 
 use super::Engine;
 use super::keys::WorkerKey;
+use super::place::Candidate;
 use super::queue::PlacementUnit;
 use crate::Step;
 
@@ -36,19 +37,22 @@
         }
     }
 
-    /// Returns the workers that a unit should use only if it fits nowhere else: it failed or was slow there, or they
-    /// are suspect and the unit is urgent or a gang, which a single bad worker delays.
-    pub(super) fn last_resort_workers(&self, unit: &PlacementUnit, shape: &Step, now_ms: u64) -> HashSet<WorkerKey> {
+    /// Returns the workers on which tasks of a unit failed or were slow.
+    pub(super) fn failed_workers(&self, unit: &PlacementUnit) -> SmallVec<[WorkerKey; 4]> {
         let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
-        let mut last_resort: HashSet<_> = state
-            .failed_on
-            .iter()
-            .filter_map(|id| self.worker_ids.get(id).copied())
-            .collect();
-        if unit.priority == 0 || shape.is_gang {
-            let suspects = self.workers.iter().filter(|(_, worker)| worker.is_suspect(now_ms));
-            last_resort.extend(suspects.map(|(key, _)| key));
-        }
-        last_resort
+        let failed_on = state.failed_on.iter();
+        failed_on.filter_map(|id| self.worker_ids.get(id).copied()).collect()
     }
 }
+
+/// Returns whether a unit should use a worker only if it fits nowhere else: it failed or was slow there, or the worker
+/// is suspect and the unit is urgent or a gang, which a single bad worker delays.
+pub(super) fn is_last_resort(
+    unit: &PlacementUnit,
+    shape: &Step,
+    candidate: &Candidate,
+    failed_on: &[WorkerKey],
+) -> bool {
+    let avoids_suspects = unit.priority == 0 || shape.is_gang;
+    (avoids_suspects && candidate.is_suspect) || failed_on.contains(&candidate.worker)
+}
--- a/crates/domain/src/engine/job_state.rs
+++ b/crates/domain/src/engine/job_state.rs
@@ -93,6 +93,8 @@
         if is_finished && let Some(job) = self.jobs.remove(key) {
             self.job_ids.remove(&job.spec.id);
             self.finished.push(job.spec.id.clone());
+            // Workers that reply late after a takeover may still list runs of the job.
+            self.ended_jobs.insert(job.spec.id.clone(), job.spec);
             self.drop_unneeded_hints();
         }
     }
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -19,7 +19,8 @@
             inserted_version,
             progress_version,
         } = stored;
-        if self.job_ids.contains_key(&spec.id) {
+        // The feed may repeat the row of a job that has become final since; it carries no progress.
+        if self.job_ids.contains_key(&spec.id) || self.finished.contains(&spec.id) {
             return;
         }
         if progress.state.is_final() {
@@ -87,8 +88,14 @@
         let mut worker = Worker::new(entry, false, now_ms);
         worker.is_recorded = true;
         worker.lease_expiry_ms = now_ms + self.limits.store_grace_ms + self.limits.lease_expiry_ms();
+        self.insert_worker(worker);
+    }
+
+    fn insert_worker(&mut self, worker: Worker) {
+        let (id, due_ms) = (worker.entry.id.clone(), worker.renew_due_ms);
         let key = self.workers.insert(worker);
-        self.worker_ids.insert(id.clone(), key);
+        self.worker_ids.insert(id, key);
+        self.renewals.insert(key, due_ms);
     }
 
     /// Adds or updates a worker from its entry in the platform's list.
@@ -115,26 +122,25 @@
             }
             worker.entry = entry;
             if is_restarted {
-                // The next renewal confirms this; until then nothing new is placed on the former incarnation.
-                worker.renew_due_ms = now_ms;
+                // The renewal is sent at once; its reply ends the runs of the former incarnation.
+                worker.is_restart_pending = true;
+                self.set_renew_due(key, now_ms);
             }
             return;
         }
-        let id = entry.id.clone();
         let mut worker = Worker::new(entry, true, now_ms);
         if let EntryState::Draining { remaining_ms } = worker.entry.state {
             worker.draining_since_ms = Some(now_ms);
             worker.earliest_exit_ms = now_ms + remaining_ms;
         }
-        let key = self.workers.insert(worker);
-        self.worker_ids.insert(id, key);
+        self.insert_worker(worker);
     }
 
     /// Marks a worker as no longer in the platform's list.
     pub fn unlist_worker(&mut self, id: &str, now_ms: u64) {
         if let Some(key) = self.worker_ids.get(id).copied() {
             self.workers[key].is_listed = false;
-            self.workers[key].renew_due_ms = now_ms;
+            self.set_renew_due(key, now_ms);
             self.log_lines.push(format!("worker_unlisted worker={id}"));
         }
     }
@@ -157,7 +163,7 @@
     }
 
     /// Opens the occurrences that are due.
-    pub(super) fn open_occurrences(&mut self, now_unix_ms: u64) {
+    pub(super) fn open_occurrences(&mut self, now_ms: u64, now_unix_ms: u64) {
         let scheduled: Vec<_> = self
             .jobs
             .iter()
@@ -165,7 +171,6 @@
             .map(|(key, _)| key)
             .collect();
         for key in scheduled {
-            let now_ms = self.next_schedule_ms;
             self.open_occurrences_of(key, now_ms, now_unix_ms);
         }
     }
@@ -192,11 +197,14 @@
         }
     }
 
-    /// Returns whether a run of an earlier epoch may be on a worker that has not replied since.
-    pub(super) fn may_run_unreported(&self, job: &JobEntry, now_ms: u64) -> bool {
-        job.spec.accept_epoch < self.epoch
-            && self.start_bound.may_have_started_before(job)
-            && now_ms < self.took_over_ms + self.limits.store_grace_ms + self.limits.lease_expiry_ms()
+    /// Returns whether runs of an earlier epoch may be on a worker that has not replied since.
+    pub(super) fn has_unreported_workers(&self, now_ms: u64) -> bool {
+        now_ms < self.took_over_ms + self.limits.store_grace_ms + self.limits.lease_expiry_ms()
             && self.workers.values().any(Worker::may_hold_unreported_runs)
     }
+
+    /// Returns whether an earlier epoch may have started tasks of a job.
+    pub(super) fn may_have_started_before(&self, job: &JobEntry) -> bool {
+        job.spec.accept_epoch < self.epoch && self.start_bound.may_have_started_before(job)
+    }
 }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod records;
 mod renew;
+mod renewal_queue;
 mod run;
 mod run_progress;
 mod slow;
@@ -57,10 +58,17 @@
     worker_ids: HashMap<CompactString, WorkerKey>,
     jobs: SlotMap<JobKey, JobEntry>,
     job_ids: HashMap<CompactString, JobKey>,
-    /// Jobs that were already final at the takeover; their runs may still be stopping.
+    /// Jobs that became final before the takeover or soon after it; workers may still list runs of them.
     ended_jobs: HashMap<CompactString, Rc<Job>>,
     runs: SlotMap<RunKey, Run>,
     run_keys: HashMap<TaskRun, RunKey>,
+    /// Runs whose stop was not confirmed yet.
+    unconfirmed_stops: IndexSet<RunKey>,
+    renewals: renewal_queue::RenewalQueue,
+    /// Workers with run ends that are processed but not durable.
+    unacked: IndexSet<WorkerKey>,
+    /// A worker rejected this epoch because it saw a newer one.
+    is_epoch_rejected: bool,
     actions: Vec<Action>,
     dirty: IndexSet<JobKey>,
     commit: commits::CommitState,
@@ -74,6 +82,7 @@
     next_schedule_ms: u64,
     is_schedule_due: bool,
     next_slow_check_ms: u64,
+    next_scan_ms: u64,
     /// Index of the unit at which the next pass continues in a long queue.
     next_unit: usize,
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
@@ -88,6 +97,10 @@
     /// Longest interval between placement passes, for decisions that depend on time alone.
     const MAX_SCHEDULE_INTERVAL_MS: u64 = 100;
 
+    /// Interval between checks of all workers and jobs for what time alone changes. The engine ticks after every input,
+    /// so checking all of them in each tick would cost the square of the size of the deployment.
+    const SCAN_INTERVAL_MS: u64 = 20;
+
     /// Time after a takeover in which workers may still report runs of jobs that ended before it: several leases.
     const ENDED_JOBS_RETENTION_MS: u64 = 60_000;
 
@@ -105,6 +118,10 @@
             ended_jobs: HashMap::new(),
             runs: SlotMap::with_key(),
             run_keys: HashMap::new(),
+            unconfirmed_stops: IndexSet::new(),
+            renewals: renewal_queue::RenewalQueue::default(),
+            unacked: IndexSet::new(),
+            is_epoch_rejected: false,
             actions: Vec::new(),
             dirty: IndexSet::new(),
             commit: commits::CommitState::default(),
@@ -118,6 +135,7 @@
             next_schedule_ms: now_ms,
             is_schedule_due: true,
             next_slow_check_ms: now_ms,
+            next_scan_ms: now_ms,
             next_unit: 0,
             forecasts: HashMap::new(),
             stats: EngineStats::default(),
@@ -163,6 +181,11 @@
         }
     }
 
+    /// Returns the data centres that are out of service.
+    pub const fn out_of_service(&self) -> &HashSet<CompactString> {
+        &self.out_of_service
+    }
+
     /// Sets the data centres that are out of service.
     pub fn set_out_of_service(&mut self, data_centres: HashSet<CompactString>) {
         if self.out_of_service != data_centres {
@@ -176,11 +199,9 @@
     /// Runs the time-driven work: renews leases, expires unresponsive workers, places tasks and commits changes.
     pub fn tick(&mut self, now_ms: u64, now_unix_ms: u64, may_start: bool) {
         self.renew_due(now_ms, may_start);
-        self.expire_unresponsive(now_ms);
-        self.check_adopted(now_ms);
-        self.open_occurrences(now_unix_ms);
-        if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
-            self.ended_jobs.clear();
+        if now_ms >= self.next_scan_ms {
+            self.next_scan_ms = now_ms + Self::SCAN_INTERVAL_MS;
+            self.scan(now_ms, now_unix_ms);
         }
         let is_due = self.is_schedule_due || now_ms >= self.next_schedule_ms + Self::MAX_SCHEDULE_INTERVAL_MS;
         if may_start && self.is_loaded && is_due && now_ms >= self.next_schedule_ms {
@@ -197,6 +218,17 @@
         self.commit_due(now_ms);
     }
 
+    /// Checks all workers and jobs for what time alone changes.
+    fn scan(&mut self, now_ms: u64, now_unix_ms: u64) {
+        self.expire_unresponsive(now_ms);
+        self.check_adopted(now_ms);
+        self.open_occurrences(now_ms, now_unix_ms);
+        self.queue_worker_rows();
+        if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
+            self.ended_jobs.clear();
+        }
+    }
+
     fn job_of(&self, run: &Run) -> &JobEntry {
         &self.jobs[run.job]
     }
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 
+use super::health::is_last_resort;
 use super::keys::WorkerKey;
 use super::queue::{PlacementUnit, PlacementUnitKey};
 use super::{Engine, Worker};
@@ -15,6 +16,8 @@
     pub capacity: Resources,
     pub rack: CompactString,
     pub service: CompactString,
+    /// The latest evidence of the worker's health was a failure or slowness.
+    pub is_suspect: bool,
     /// Unit for which the worker is reserved; no other unit may use it.
     pub reserved_for: Option<PlacementUnitKey>,
 }
@@ -64,6 +67,8 @@
         worker.is_listed
             && worker.is_recorded
             && worker.is_fenced
+            && !worker.is_restart_pending
+            && worker.runs_of_unknown_need == 0
             && worker.entry.state == EntryState::Ready
             && worker.unresponsive_since_ms.is_none()
             && now_ms < worker.last_reply_ms + Self::MAX_REPLY_AGE_MS
@@ -83,6 +88,7 @@
                 capacity: worker.entry.capacity,
                 rack: worker.entry.rack.clone(),
                 service: worker.entry.service.clone(),
+                is_suspect: worker.is_suspect(now_ms),
                 reserved_for: self
                     .reservations
                     .iter()
@@ -155,34 +161,21 @@
             return true;
         };
         let idle: Vec<_> = state.idle().collect();
+        let mut order = self.best_fit_order(unit, &spec, shape, candidates, now_ms).into_iter();
         let mut per_worker = self.tasks_per_worker(unit);
-        let may_be_remote = self.may_be_remote(unit, &spec, shape, now_ms);
-        let last_resort = self.last_resort_workers(unit, shape, now_ms);
-        let requires_ticket = self.requires_ticket(unit);
+        let mut current = order.next();
         for index in idle {
-            let best = candidates
-                .iter()
-                .enumerate()
-                .filter(|(_, candidate)| shape.charged().fits(&candidate.free) && candidate.is_open_to(unit))
-                .filter(|(_, candidate)| self.is_eligible(candidate, &spec, shape))
-                .filter(|(_, candidate)| !requires_ticket || self.is_permitted(unit, candidate.worker, now_ms))
-                .filter(|(_, candidate)| is_below_worker_limit(shape, per_worker.get(&candidate.worker)))
-                .filter(|(_, candidate)| {
-                    may_be_remote || shape.data_rack.as_ref().is_none_or(|rack| *rack == candidate.rack)
-                })
-                .min_by_key(|(_, candidate)| {
-                    let left = candidate.free.minus(&shape.charged());
-                    let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != candidate.rack);
-                    (
-                        last_resort.contains(&candidate.worker),
-                        is_remote,
-                        left.accelerators,
-                        left.memory_mib,
-                        left.cpu_milli,
-                    )
-                })
-                .map(|(index, _)| index);
-            let Some(best) = best else { return false };
+            // The tasks of a step are alike, and a task makes its worker an even closer fit for the next one.
+            let best = loop {
+                let Some(best) = current else { return false };
+                let candidate = &candidates[best];
+                if shape.charged().fits(&candidate.free)
+                    && is_below_worker_limit(shape, per_worker.get(&candidate.worker))
+                {
+                    break best;
+                }
+                current = order.next();
+            };
             let candidate = &mut candidates[best];
             candidate.free = candidate.free.minus(&shape.charged());
             let worker = candidate.worker;
@@ -193,6 +186,43 @@
         true
     }
 
+    /// Returns the candidates that can hold a task of a unit, in the order in which they should be filled.
+    fn best_fit_order(
+        &self,
+        unit: &PlacementUnit,
+        spec: &Job,
+        shape: &Step,
+        candidates: &[Candidate],
+        now_ms: u64,
+    ) -> Vec<usize> {
+        let need = shape.charged();
+        let requires_ticket = self.requires_ticket(unit);
+        let may_be_remote = self.may_be_remote(unit, spec, shape, now_ms);
+        let failed_on = self.failed_workers(unit);
+        let mut order: Vec<_> = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| need.fits(&candidate.free) && candidate.is_open_to(unit))
+            .filter(|(_, candidate)| self.is_eligible(candidate, spec, shape))
+            .filter(|(_, candidate)| !requires_ticket || self.is_permitted(unit, candidate.worker, now_ms))
+            .map(|(index, candidate)| {
+                let left = candidate.free.minus(&need);
+                let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != candidate.rack);
+                let rank = (
+                    is_last_resort(unit, shape, candidate, &failed_on),
+                    is_remote,
+                    left.accelerators,
+                    left.memory_mib,
+                    left.cpu_milli,
+                );
+                (rank, index)
+            })
+            .filter(|((_, is_remote, ..), _)| may_be_remote || !is_remote)
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, index)| index).collect()
+    }
+
     /// Returns whether a worker may run a step, regardless of its free capacity.
     pub(super) fn is_eligible(&self, candidate: &Candidate, spec: &Job, shape: &Step) -> bool {
         let has_label = |label: &CompactString| {
@@ -241,13 +271,13 @@
             .filter(|index| !requires_ticket || self.is_permitted(unit, candidates[*index].worker, now_ms))
             .collect();
         // Tries a plan without last-resort workers first.
-        let last_resort = self.last_resort_workers(unit, shape, now_ms);
-        if !last_resort.is_empty() {
-            let others: Vec<_> = usable
-                .iter()
-                .copied()
-                .filter(|index| !last_resort.contains(&candidates[*index].worker))
-                .collect();
+        let failed_on = self.failed_workers(unit);
+        let others: Vec<_> = usable
+            .iter()
+            .copied()
+            .filter(|index| !is_last_resort(unit, shape, &candidates[*index], &failed_on))
+            .collect();
+        if others.len() < usable.len() {
             let is_rack_bound = shape.is_same_rack || shape.data_rack.is_some();
             let plan = if is_rack_bound {
                 best_rack(shape, &others, candidates)
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use super::health::is_last_resort;
 use super::keys::{JobKey, RunKey};
 use super::place::{Candidate, PreemptionReservation};
 use super::queue::PlacementUnit;
@@ -58,18 +59,19 @@
             .iter()
             .filter(|candidate| candidate.is_open_to(unit) && self.is_eligible(candidate, &spec, shape))
             .collect();
-        let last_resort = self.last_resort_workers(unit, shape, now_ms);
+        let failed_on = self.failed_workers(unit);
         let healthy: Vec<_> = usable
             .iter()
             .copied()
-            .filter(|candidate| !last_resort.contains(&candidate.worker))
+            .filter(|candidate| !is_last_resort(unit, shape, candidate, &failed_on))
             .collect();
-        let preemption = self
-            .cheapest_victims(unit, shape, needed, &healthy, now_ms)
-            .or_else(|| self.cheapest_victims(unit, shape, needed, &usable, now_ms));
+        let mut preemption = self.cheapest_victims(unit, shape, needed, &healthy, now_ms);
+        if preemption.is_none() && healthy.len() < usable.len() {
+            preemption = self.cheapest_victims(unit, shape, needed, &usable, now_ms);
+        }
         let Some(preemption) = preemption else { return true };
         let is_guaranteed = self.is_within_guarantee(&spec.organisation);
-        if preemption.cost > self.expected_work(&spec, unit.step) {
+        if preemption.cost > self.expected_work(&spec, unit.step, needed) {
             // Stopping would lose more work than the unit needs. Work beyond the guarantee waits for free capacity;
             // guaranteed work waits as long as its objective and its guarantee allow.
             let preemption_ms = self.limits.stop_grace_ms + Self::RESERVATION_MS;
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -51,12 +51,16 @@
     /// Returns the steps that can start now, in queue order.
     pub(super) fn ready_units(&mut self, now_ms: u64) -> Vec<PlacementUnit> {
         let mut units = Vec::new();
+        let has_unreported_workers = self.has_unreported_workers(now_ms);
         for (key, job) in &self.jobs {
-            if job.is_final() || !self.start_bound.allows(job) || self.may_run_unreported(job, now_ms) {
+            if job.is_final()
+                || !self.start_bound.allows(job)
+                || (has_unreported_workers && self.may_have_started_before(job))
+            {
                 continue;
             }
-            let critical_paths = self.critical_paths_ms(&job.spec);
-            let objective_ms = Self::objective_ms(&job.spec, &critical_paths);
+            // Most open jobs have no task to place, so their forecasts are not needed.
+            let mut forecast = None;
             for (number, occurrence) in &job.occurrences {
                 for (step, state) in occurrence.steps.iter().enumerate() {
                     let shape = &job.spec.steps[step];
@@ -73,7 +77,12 @@
                     if !is_ready {
                         continue;
                     }
-                    let critical_path_ms = critical_paths[step];
+                    let (critical_paths, objective_ms) = forecast.get_or_insert_with(|| {
+                        let critical_paths = self.critical_paths_ms(&job.spec);
+                        let objective_ms = Self::objective_ms(&job.spec, &critical_paths);
+                        (critical_paths, objective_ms)
+                    });
+                    let (critical_path_ms, objective_ms) = (critical_paths[step], *objective_ms);
                     let deadline_ms = occurrence.due_ms + objective_ms;
                     let lateness = if now_ms + critical_path_ms <= deadline_ms {
                         0
--- a/crates/domain/src/engine/records.rs
+++ b/crates/domain/src/engine/records.rs
@@ -47,7 +47,7 @@
             occurrence: run.occurrence,
             step: run.step,
             index: run.index,
-            run: run.number,
+            run: run.id.run,
             worker,
             how: EndKind::Lapsed,
             is_assumed: true,
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -21,14 +21,10 @@
             // Reports may name runs of jobs that are not loaded yet; these would be treated as unknown.
             return;
         }
-        let keys: Vec<_> = self.workers.keys().collect();
-        for key in keys {
-            self.repeat_stops(key, now_ms);
-            let limits = self.limits;
+        self.repeat_stops(now_ms);
+        let limits = self.limits;
+        while let Some(key) = self.renewals.pop_due(now_ms) {
             let worker = &mut self.workers[key];
-            if worker.renew_sent_ms.is_some() || now_ms < worker.renew_due_ms {
-                continue;
-            }
             let has_unacked = worker.processed_end > worker.acked_end;
             // An unresponsive worker is only polled: renewals that arrive while their replies are lost would extend the
             // lease indefinitely.
@@ -55,6 +51,18 @@
         }
     }
 
+    /// Sets when the next renewal of a worker is due, unless one is in flight; its reply sets the time.
+    pub(super) fn set_renew_due(&mut self, key: WorkerKey, due_ms: u64) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.renew_sent_ms.is_none() {
+            self.renewals.remove(key, worker.renew_due_ms);
+            worker.renew_due_ms = due_ms;
+            self.renewals.insert(key, due_ms);
+        }
+    }
+
     /// Handles a failed renewal: no reply, or a reply that is not a report.
     pub fn renew_failed(&mut self, key: WorkerKey, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -69,14 +77,15 @@
                 now_ms.saturating_sub(worker.last_reply_ms)
             ));
         }
-        worker.renew_due_ms = now_ms + Self::RENEW_UNRESPONSIVE_MS;
+        self.set_renew_due(key, now_ms + Self::RENEW_UNRESPONSIVE_MS);
     }
 
     /// Handles a renewal that a worker rejected because it saw a newer epoch.
-    pub fn renew_fenced(&mut self, key: WorkerKey) {
+    pub fn renew_fenced(&mut self, key: WorkerKey, now_ms: u64) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.renew_sent_ms = None;
-            worker.has_rejected_epoch = true;
+            self.is_epoch_rejected = true;
+            self.set_renew_due(key, now_ms + Self::RENEW_UNRESPONSIVE_MS);
         }
     }
 
@@ -106,6 +115,7 @@
         }
         worker.process_started_unix_ms = report.process_started_unix_ms.or(worker.process_started_unix_ms);
         worker.is_fenced = true;
+        worker.is_restart_pending = false;
         worker.last_reply_ms = now_ms;
         worker.clock = Some((report.clock_ms, now_ms));
         let known = worker.processed_end;
@@ -124,13 +134,15 @@
         } else if report.ends.len() < WorkerReport::MAX_ENDS {
             self.check_missing(key, &listed, sent_ms, now_ms);
         }
-        let worker = &mut self.workers[key];
+        let worker = &self.workers[key];
         let has_unacked = worker.processed_end > worker.acked_end;
-        worker.renew_due_ms = if has_unacked {
+        let due_ms = if has_unacked {
+            self.unacked.insert(key);
             now_ms + Self::RENEW_UNACKED_MS
         } else {
             now_ms
         };
+        self.set_renew_due(key, due_ms);
         self.is_schedule_due |= !report.ends.is_empty();
     }
 
@@ -142,7 +154,7 @@
         };
         let key = match self.run_keys.get(&task_run) {
             Some(key) => *key,
-            None => self.adopt(worker, task_run, now_ms),
+            None => self.adopt(worker, &task_run, now_ms),
         };
         let run = self.runs.get_mut(key)?;
         if run.worker != worker {
@@ -178,20 +190,25 @@
     }
 
     /// Handles runs that a report must list and does not: they ended and were acknowledged, or never arrived.
+    ///
+    /// A worker may leave a run that it is stopping out of its list, and its capacity is free only once it lists the
+    /// end. A stopped run counts as missing when the report was requested after the time that a stop takes.
     fn check_missing(&mut self, worker: WorkerKey, listed: &HashSet<RunKey>, sent_ms: u64, now_ms: u64) {
         let missing: Vec<_> = self.workers[worker]
             .runs
             .iter()
             .copied()
             .filter(|key| {
-                let is_confirmed = self.runs[*key].confirmed_ms.is_some_and(|at_ms| at_ms < sent_ms);
+                let run = &self.runs[*key];
+                let stop_ms = if run.is_void { self.limits.stop_limit_ms() } else { 0 };
+                let is_confirmed = run.confirmed_ms.is_some_and(|at_ms| at_ms + stop_ms < sent_ms);
                 is_confirmed && !listed.contains(key)
             })
             .collect();
         for key in missing {
             let Some(run) = self.runs.get(key) else { continue };
             if run.is_void {
-                self.remove_run(key);
+                self.remove_run(key, now_ms);
             } else {
                 self.abort_run(key, now_ms);
             }
@@ -212,7 +229,7 @@
             self.apply_run_end(job, worker, &name, end, run_key, now_ms);
         }
         if let Some(key) = run_key {
-            self.remove_run(key);
+            self.remove_run(key, now_ms);
         }
     }
 
@@ -350,6 +367,7 @@
         worker.acked_end = 0;
         worker.clock = None;
         worker.failed_jobs.clear();
+        self.unacked.swap_remove(&key);
     }
 
     /// Drops the runs that ended with the former incarnation of a worker. Runs that the new one lists, and runs whose
@@ -376,7 +394,7 @@
             };
             self.stats.broken += 1;
             self.record_lease_expiry(&run, now_ms);
-            self.remove_run(run_key);
+            self.remove_run(run_key, now_ms);
             let is_gang = !run.is_unwanted
                 && self
                     .jobs
@@ -391,6 +409,8 @@
     fn forget_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.worker_ids.remove(&worker.entry.id);
+            self.renewals.remove(key, worker.renew_due_ms);
+            self.unacked.swap_remove(&key);
             self.commit.remove_worker(&worker.entry.id);
         }
     }
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -2,7 +2,7 @@
 
 use super::keys::{JobKey, WorkerKey};
 use super::run_progress::RunProgress;
-use crate::Resources;
+use crate::{Resources, TaskRun};
 
 /// Scheduler's view of the state of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,11 +19,12 @@
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
 pub(super) struct Run {
+    /// Name and number, as its worker identifies it.
+    pub id: TaskRun,
     pub job: JobKey,
     pub occurrence: u32,
     pub step: u32,
     pub index: u32,
-    pub number: u64,
     pub worker: WorkerKey,
     pub need: Resources,
     pub state: RunState,
@@ -45,4 +46,6 @@
     pub throttle_sent_ms: u64,
     /// No task of this scheduler needs it; it is stopped.
     pub is_unwanted: bool,
+    /// Its job is not known, and so neither are the resources that it takes.
+    pub is_need_unknown: bool,
 }
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -84,11 +84,11 @@
             run: number,
         };
         let run = Run {
+            id: task_run.clone(),
             job,
             occurrence,
             step,
             index,
-            number,
             worker: worker_key,
             need: shape.charged(),
             state: RunState::Starting,
@@ -104,8 +104,9 @@
             work_percent: 100,
             throttle_sent_ms: 0,
             is_unwanted: false,
+            is_need_unknown: false,
         };
-        let key = self.add_run(run, task_run.clone());
+        let key = self.add_run(run);
         if let Some(state) = self.step_mut(job, occurrence, step) {
             state.set_active(index, key);
         }
@@ -126,32 +127,36 @@
         });
     }
 
-    pub(super) fn add_run(&mut self, run: Run, task_run: TaskRun) -> RunKey {
+    pub(super) fn add_run(&mut self, run: Run) -> RunKey {
         let worker_key = run.worker;
-        let need = run.need;
+        let (need, is_need_unknown) = (run.need, run.is_need_unknown);
+        let task_run = run.id.clone();
         let key = self.runs.insert(run);
         self.run_keys.insert(task_run, key);
         let worker = &mut self.workers[worker_key];
         worker.runs.push(key);
         worker.used = worker.used.plus(&need);
+        worker.runs_of_unknown_need += u32::from(is_need_unknown);
         key
     }
 
     /// Removes a run that certainly does not occupy its worker any more.
-    pub(super) fn remove_run(&mut self, key: RunKey) {
+    pub(super) fn remove_run(&mut self, key: RunKey, now_ms: u64) {
         let Some(run) = self.runs.remove(key) else { return };
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.retain(|other| *other != key);
             worker.used = worker.used.minus(&run.need);
+            worker.runs_of_unknown_need -= u32::from(run.is_need_unknown);
         }
-        self.run_keys.retain(|_, other| *other != key);
+        self.run_keys.remove(&run.id);
+        self.unconfirmed_stops.swap_remove(&key);
         if !run.is_unwanted {
             let has_remaining_members = self.step_mut(run.job, run.occurrence, run.step).is_some_and(|state| {
                 state.clear_active(run.index, key);
                 state.gang_run.is_some() && !state.is_done()
             });
             if has_remaining_members {
-                self.end_gang(run.job, run.occurrence, run.step, run.start_sent_ms);
+                self.end_gang(run.job, run.occurrence, run.step, now_ms);
             }
             self.drop_if_finished(run.job);
         }
@@ -177,6 +182,9 @@
     pub(super) fn stop_run(&mut self, key: RunKey, now_ms: u64) {
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = RunState::Stopping;
+        if !run.is_void {
+            self.unconfirmed_stops.insert(key);
+        }
         let is_recent = run
             .stop_sent_ms
             .is_some_and(|sent| now_ms < sent + Self::STOP_REPEAT_MS);
@@ -185,41 +193,21 @@
         }
         run.stop_sent_ms = Some(now_ms);
         let worker = run.worker;
-        let Some(task_run) = self.task_run_of(key) else { return };
+        let task_run = run.id.clone();
         self.stats.stops += 1;
         self.actions.push(Action::Stop { worker, task_run });
     }
 
     /// Repeats stops that were not confirmed.
-    pub(super) fn repeat_stops(&mut self, worker: WorkerKey, now_ms: u64) {
-        let unconfirmed: Vec<_> = self.workers[worker]
-            .runs
-            .iter()
-            .copied()
-            .filter(|key| {
-                let run = &self.runs[*key];
-                run.state == RunState::Stopping && !run.is_void
-            })
-            .collect();
+    pub(super) fn repeat_stops(&mut self, now_ms: u64) {
+        let unconfirmed: Vec<_> = self.unconfirmed_stops.iter().copied().collect();
         for key in unconfirmed {
             self.stop_run(key, now_ms);
         }
     }
 
     pub(super) fn task_run_of(&self, key: RunKey) -> Option<TaskRun> {
-        let run = self.runs.get(key)?;
-        if run.is_unwanted {
-            return self
-                .run_keys
-                .iter()
-                .find(|(_, other)| **other == key)
-                .map(|(task_run, _)| task_run.clone());
-        }
-        let spec = &self.job_of(run).spec;
-        Some(TaskRun {
-            task: Self::task_name(spec, run.occurrence, run.step, run.index),
-            run: run.number,
-        })
+        self.runs.get(key).map(|run| run.id.clone())
     }
 
     /// Handles the reply to a start command.
@@ -274,16 +262,15 @@
         if rejection == Rejection::NoTicket {
             self.drop_ticket(PlacementUnitKey::new(job, occurrence, step), worker_key);
         }
-        self.remove_run(key);
+        self.remove_run(key, now_ms);
         if let Some(state) = self.step_mut(job, occurrence, step) {
             state.not_before_ms = now_ms + Self::REJECTED_PAUSE_MS;
         }
         let Some(worker) = self.workers.get_mut(worker_key) else {
             return;
         };
-        worker.renew_due_ms = now_ms;
         match rejection {
-            Rejection::Fenced => worker.has_rejected_epoch = true,
+            Rejection::Fenced => self.is_epoch_rejected = true,
             Rejection::Unhealthy | Rejection::NotSent => {
                 worker.excluded_until_ms = worker.excluded_until_ms.max(now_ms + Self::REFUSAL_EXCLUSION_MS);
             }
@@ -294,6 +281,7 @@
             Rejection::OtherIncarnation => self.worker_exited(worker_key, now_ms),
             Rejection::Old | Rejection::NoTicket | Rejection::Malformed => {}
         }
+        self.set_renew_due(worker_key, now_ms);
     }
 
     /// Handles the reply to a stop command.
@@ -305,11 +293,12 @@
         if is_confirmed {
             run.is_void = true;
             run.confirmed_ms = Some(now_ms);
+            self.unconfirmed_stops.swap_remove(&key);
         }
     }
 
     /// Returns whether a worker rejected the epoch of this scheduler.
-    pub fn is_epoch_rejected(&self) -> bool {
-        self.workers.values().any(|worker| worker.has_rejected_epoch)
+    pub const fn is_epoch_rejected(&self) -> bool {
+        self.is_epoch_rejected
     }
 }
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -14,6 +14,8 @@
     pub is_recorded: bool,
     /// It replied in this epoch and therefore rejects commands of former schedulers.
     pub is_fenced: bool,
+    /// Its entry names a newer incarnation than its last report; it gets no new work until that incarnation reports.
+    pub is_restart_pending: bool,
     /// When its entry last changed to draining.
     pub draining_since_ms: Option<u64>,
     /// Earliest time, on the scheduler's clock, at which a draining worker may exit.
@@ -34,6 +36,8 @@
     pub acked_end: u64,
     pub runs: Vec<RunKey>,
     pub used: Resources,
+    /// Number of its runs whose resources are not known; while there is one, nothing is placed on it.
+    pub runs_of_unknown_need: u32,
     /// Distinct jobs whose runs failed here since the last success.
     pub failed_jobs: Vec<CompactString>,
     /// A run, alone or in a gang, stalled or was slow here and none was healthy since; expires at this time.
@@ -42,8 +46,6 @@
     pub excluded_until_ms: u64,
     /// Length of the last exclusion; doubles while failures continue.
     pub exclusion_ms: u64,
-    /// It rejected this epoch because it saw a newer one.
-    pub has_rejected_epoch: bool,
 }
 
 impl Worker {
@@ -53,6 +55,7 @@
             is_listed,
             is_recorded: false,
             is_fenced: false,
+            is_restart_pending: false,
             draining_since_ms: None,
             earliest_exit_ms: 0,
             process_started_unix_ms: None,
@@ -66,11 +69,11 @@
             acked_end: 0,
             runs: Vec::new(),
             used: Resources::default(),
+            runs_of_unknown_need: 0,
             failed_jobs: Vec::new(),
             suspect_until_ms: 0,
             excluded_until_ms: 0,
             exclusion_ms: 0,
-            has_rejected_epoch: false,
         }
     }
 
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -24,6 +24,11 @@
     /// Margin for scheduling delays of both processes before a lease counts as expired.
     pub const LEASE_EXPIRY_MARGIN_MS: u64 = 150;
 
+    /// Returns the time after the confirmation of a stop by which the worker has certainly listed the end of the run.
+    pub fn stop_limit_ms(&self) -> u64 {
+        (self.stop_grace_ms as f64 / (1.0 - Self::CLOCK_DRIFT)) as u64 + Self::LEASE_EXPIRY_MARGIN_MS
+    }
+
     /// Returns the time after sending a command by which the lease that it grants has certainly expired.
     pub fn lease_expiry_ms(&self) -> u64 {
         (self.lease_max_ms as f64 / (1.0 - Self::CLOCK_DRIFT)) as u64 + Self::LEASE_EXPIRY_MARGIN_MS
--- a/crates/domain/tests/engine/faults.rs
+++ b/crates/domain/tests/engine/faults.rs
@@ -217,3 +217,79 @@
         sim.assert_no_violations();
     }
 }
+
+/// Guards against work on the capacity of a run that is still stopping: its worker confirmed the stop, and a later report
+/// that another run end caused lists neither the run nor its end.
+#[test]
+fn stopping_run_occupies_its_capacity_until_its_end_is_listed() {
+    const SHORT_MS: u64 = 1_000;
+    let mut sim = Simulation::new(1, 1);
+    sim.workers
+        .values_mut()
+        .for_each(|worker| worker.lists_stopping_runs = false);
+    let long = sim.submit(job("a", 2, step(1, 6, 60_000)));
+    let first = sim.submit(job("b", 2, step(1, 1, SHORT_MS)));
+    let second = sim.submit(job("d", 2, step(1, 1, SHORT_MS + 30)));
+    sim.run_until(500, |sim| sim.starts.len() == 3);
+    let waiting = sim.submit(job("c", 2, step(1, 6, 500)));
+    sim.run_for(SHORT_MS - 30);
+    sim.cancel(&long);
+    sim.run_until(2_000, |sim| sim.state(&first) == JobState::Done);
+    sim.run_until(2_000, |sim| sim.state(&second) == JobState::Done);
+    sim.run_until(3_000, |sim| sim.state(&waiting) == JobState::Done);
+    sim.assert_no_violations();
+}
+
+/// Guards against a job that starts again because the feed repeats its row, which carries no progress, after the job has
+/// become final.
+#[rstest]
+#[case::same_scheduler(false)]
+#[case::successor(true)]
+fn repeated_row_of_a_finished_job_starts_nothing(#[case] has_successor: bool) {
+    let mut sim = Simulation::new(1, 1);
+    let id = sim.submit(job("a", 1, step(2, 4, 500)));
+    sim.run_until(3_000, |sim| sim.state(&id) == JobState::Done);
+    sim.run_for(500);
+    if has_successor {
+        sim.take_over();
+        sim.run_for(500);
+    }
+    sim.repeat_job_row(&id);
+    sim.run_for(3_000);
+    assert_eq!(sim.starts.len(), 2, "{:?}", sim.starts);
+    sim.assert_no_violations();
+}
+
+/// Guards against a worker whose entry names a newer incarnation and that gets work before this incarnation has reported:
+/// the lease would follow the clock of the former one.
+#[test]
+fn restarted_worker_gets_no_work_before_it_reports() {
+    let mut sim = Simulation::new(1, 1);
+    let worker: compact_str::CompactString = "w0-0".into();
+    let now_ms = sim.now_ms;
+    let restarted = sim.workers.get_mut(&worker).unwrap();
+    restarted.restart(now_ms);
+    restarted.is_unresponsive = true;
+    sim.refresh_entries();
+    sim.submit(job("a", 0, step(1, 1, 500)));
+    sim.run_for(600);
+    assert_eq!(sim.starts, []);
+    sim.workers.get_mut(&worker).unwrap().is_unresponsive = false;
+    sim.run_until(1_000, |sim| sim.starts.len() == 1);
+    sim.assert_no_violations();
+}
+
+/// Guards against a first pause after a failed write that is longer than stated: the reply to a job's end waits for it.
+#[test]
+fn failed_write_is_repeated_after_a_short_pause() {
+    let mut sim = Simulation::new(1, 1);
+    let id = sim.submit(job("a", 1, step(1, 1, 500)));
+    sim.lose_commit_replies = 0;
+    sim.run_until(2_000, |sim| sim.starts.len() == 1);
+    sim.run_for(450);
+    sim.is_store_down = true;
+    sim.run_until(1_000, |sim| sim.log_lines.iter().any(|line| line.contains("job_done")));
+    sim.is_store_down = false;
+    let waited_ms = sim.run_until(1_000, |sim| sim.state(&id) == JobState::Done);
+    assert!(waited_ms <= 60, "{waited_ms} ms");
+}
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -64,6 +64,8 @@
     pub start_bound: Option<u64>,
     /// Durable run records by job, epoch and sequence number of the row.
     pub records: BTreeMap<(CompactString, u64, u32), Vec<RunRecord>>,
+    /// Whether a new scheduler reads the list of workers only after their first reports.
+    pub is_list_late: bool,
     /// Whether the store refuses writes.
     pub is_store_down: bool,
     /// The next start command gets no reply and takes effect after this time.
@@ -149,6 +151,7 @@
             used_workers: BTreeMap::new(),
             start_bound: None,
             records: BTreeMap::new(),
+            is_list_late: false,
             is_store_down: false,
             start_delay_ms: None,
             lose_starts: 0,
@@ -196,8 +199,8 @@
             self.engine.add_recorded_worker(id, address, self.now_ms);
         }
         self.engine.set_former_start_bound(self.start_bound);
-        for worker in self.workers.values().filter(|worker| worker.is_listed) {
-            self.engine.set_worker(worker.entry(), self.now_ms);
+        if !self.is_list_late {
+            self.refresh_entries();
         }
         // Workers may reply before the rows are loaded.
         self.tick();
@@ -240,6 +243,22 @@
         id
     }
 
+    /// Repeats the row of a job as the feed delivers it: without progress, at the version of its insertion.
+    pub fn repeat_job_row(&mut self, id: &str) {
+        let stored = &self.store[id];
+        let repeated = StoredJob {
+            job: stored.job.clone(),
+            progress: Progress {
+                route: stored.job.route.clone(),
+                organisation: stored.job.organisation.clone(),
+                ..Progress::default()
+            },
+            inserted_version: stored.inserted_version,
+            progress_version: stored.inserted_version,
+        };
+        self.engine.add_job(repeated, self.now_ms, self.now_ms);
+    }
+
     pub fn cancel(&mut self, id: &str) {
         self.store.get_mut(id).expect("the job was submitted").is_cancelled = true;
         self.engine.cancel(id, self.now_ms);
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -42,7 +42,7 @@
                                 reply_by_ms: self.now_ms + wait_ms,
                             });
                         } else {
-                            self.engine.renew_fenced(worker);
+                            self.engine.renew_fenced(worker, self.now_ms);
                         }
                     }
                     None => self.engine.renew_failed(worker, self.now_ms),
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -28,6 +28,8 @@
     pub is_listed: bool,
     pub is_unresponsive: bool,
     pub is_draining: bool,
+    /// Whether reports list runs that are being stopped.
+    pub lists_stopping_runs: bool,
     /// All runs fail shortly after their start.
     pub fails_all: bool,
     /// Runs make no progress.
@@ -67,6 +69,7 @@
             is_listed: true,
             is_unresponsive: false,
             is_draining: false,
+            lists_stopping_runs: true,
             fails_all: false,
             hangs: false,
             speed: 1.0,
@@ -184,6 +187,7 @@
             running: self
                 .runs
                 .iter()
+                .filter(|run| self.lists_stopping_runs || run.stop_at_ms.is_none())
                 .map(|run| RunningTask {
                     task: run.task_run.task.clone(),
                     run: run.task_run.run,
--- a/crates/domain/tests/engine/takeover.rs
+++ b/crates/domain/tests/engine/takeover.rs
@@ -1,6 +1,7 @@
 //! Takeover by a new lease holder that knows only the contents of the store and the workers.
 
 use domain::JobState;
+use rstest::rstest;
 
 use crate::simulation::{Simulation, job, step};
 
@@ -152,3 +153,22 @@
         );
     }
 }
+
+/// Guards against work on the capacity of a cancelled job's runs at a worker that replies to a new scheduler before this
+/// has read the list of workers: the job's rows are final by then, and the capacity of the worker is not known yet.
+#[rstest]
+#[case::list_read_first(false)]
+#[case::reports_first(true)]
+fn runs_of_a_cancelled_job_occupy_their_worker_until_they_end(#[case] is_list_late: bool) {
+    let mut sim = Simulation::new(1, 1);
+    let old = sim.submit(job("a", 2, step(7, 1, 60_000)));
+    sim.run_until(500, |sim| sim.starts.len() == 7);
+    let waiting = sim.submit(job("c", 2, step(1, 7, 500)));
+    sim.cancel(&old);
+    sim.is_list_late = is_list_late;
+    sim.take_over();
+    sim.run_for(20);
+    sim.refresh_entries();
+    sim.run_until(3_000, |sim| sim.state(&waiting) == JobState::Done);
+    sim.assert_no_violations();
+}
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -36,6 +36,8 @@
     MaintenanceReplied(u64, CompactString, MaintenanceReply),
     /// Start bound of earlier epochs and the version of its row.
     FormerStartBound(Option<(u64, u64)>),
+    /// Version of the row with the revision of the list of used workers; 0 if there is none.
+    WorkerListRevision(u64),
     /// Start bound, send time and result of its write.
     StartBoundWritten(u64, u64, Result<u64, TxnError>),
     /// Commit, send time and result of its write.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -20,7 +20,7 @@
 use crate::lease::{Deposed, LeaseActor};
 use crate::log;
 use crate::ports::{OwnRow, RenewError, Store, Target, TxnError, WorkerChange, Workers};
-use crate::rows::{EPOCH_KEY, LEASE, PROGRESS, START_BOUND};
+use crate::rows::{EPOCH_KEY, LEASE, PROGRESS, START_BOUND, WORKER_LIST};
 use crate::shared::SharedRef;
 
 /// Drives the scheduler while this instance holds the lease.
@@ -31,6 +31,8 @@
     epoch_row_version: u64,
     /// Version of the start bound's row; 0 if there is none.
     start_bound_row_version: u64,
+    /// Version of the row with the revision of the list of used workers; 0 if there is none.
+    worker_list_row_version: u64,
     /// Send time of the newest confirmed renewal of the lease.
     confirmed_ms: Rc<Cell<u64>>,
     config_version: u64,
@@ -41,9 +43,16 @@
     last_heartbeat_ms: u64,
     /// When channels to removed workers were last closed.
     channels_closed_ms: u64,
+    /// An [`Advance`] is queued behind the messages that wait.
+    is_advance_queued: bool,
     is_stopped: bool,
 }
 
+/// Runs the scheduler once for all messages handled since the last time.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Advance;
+
 impl<S: Store, W: Workers> SchedulerDriver<S, W> {
     /// Interval at which the scheduler runs without other input.
     pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -62,6 +71,7 @@
             engine,
             epoch_row_version,
             start_bound_row_version: 0,
+            worker_list_row_version: 0,
             confirmed_ms,
             config_version: 0,
             waves_revision: None,
@@ -69,6 +79,7 @@
             last_heartbeat: 0,
             last_heartbeat_ms: 0,
             channels_closed_ms: boot_ms(),
+            is_advance_queued: false,
             is_stopped: false,
         }
     }
@@ -87,7 +98,9 @@
                 self.config_version = config.version;
                 self.engine.set_config(config.as_ref().clone());
             }
-            self.engine.set_out_of_service(view.out_of_service.clone());
+            if *self.engine.out_of_service() != view.out_of_service {
+                self.engine.set_out_of_service(view.out_of_service.clone());
+            }
             if self.waves_revision != Some(view.waves_revision) {
                 self.waves_revision = Some(view.waves_revision);
                 for number in self.waves.iter().filter(|number| !view.waves.contains_key(number)) {
@@ -128,12 +141,20 @@
         match result {
             Ok(version) => {
                 self.confirmed_ms.set(self.confirmed_ms.get().max(sent_ms));
+                if commit.changes_workers() {
+                    self.worker_list_row_version = version;
+                }
                 self.engine.committed(commit, version, now_ms);
             }
             Err(TxnError::Conflict(conflict)) => {
                 if self.is_deposed_by(&conflict) {
                     return;
                 }
+                if commit.changes_workers() {
+                    // An earlier write may have taken effect although its reply was lost.
+                    let own = conflict.iter().find(|row| row.table == WORKER_LIST);
+                    self.worker_list_row_version = own.map_or(0, |row| row.version);
+                }
                 let current: Vec<_> = conflict
                     .iter()
                     .filter(|row| row.table == PROGRESS)
@@ -315,7 +336,7 @@
             Input::Started(worker, task_run, outcome) => self.engine.start_replied(worker, &task_run, outcome, now_ms),
             Input::StopDone(task_run, is_confirmed) => self.engine.stop_replied(&task_run, is_confirmed, now_ms),
             Input::Renewed(worker, Ok(report)) => self.engine.renewed(worker, &report, now_ms),
-            Input::Renewed(worker, Err(RenewError::Fenced)) => self.engine.renew_fenced(worker),
+            Input::Renewed(worker, Err(RenewError::Fenced)) => self.engine.renew_fenced(worker, now_ms),
             Input::Renewed(worker, Err(RenewError::OtherIncarnation)) => {
                 self.engine.renew_other_incarnation(worker, now_ms);
             }
@@ -329,6 +350,7 @@
                 self.start_bound_row_version = bound.map_or(0, |(_, row_version)| row_version);
                 self.engine.set_former_start_bound(bound.map(|(version, _)| version));
             }
+            Input::WorkerListRevision(row_version) => self.worker_list_row_version = row_version,
             Input::StartBoundWritten(version, sent_ms, result) => self.start_bound_written(version, sent_ms, &result),
             Input::Committed(commit, sent_ms, result) => self.committed(&commit, sent_ms, result),
             Input::Stop => {
@@ -337,6 +359,19 @@
                 return;
             }
         }
+        // Under load many replies wait; they are handled with one run of the scheduler.
+        if !self.is_advance_queued {
+            self.is_advance_queued = true;
+            ctx.notify(Advance);
+        }
+    }
+}
+
+impl<S: Store, W: Workers> Handler<Advance> for SchedulerDriver<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, _advance: Advance, ctx: &mut Self::Context) {
+        self.is_advance_queued = false;
         self.advance(ctx);
     }
 }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -14,6 +14,9 @@
 pub(crate) const PENDING: &str = "pending";
 /// Workers that may have running tasks, with their addresses.
 pub(crate) const USED_WORKERS: &str = "workers";
+/// Revision of the list of used workers. Each change of the list is conditional on it, so that a write without a reply
+/// cannot take effect after a newer one.
+pub(crate) const WORKER_LIST: &str = "worker_list";
 /// Start bound: newest version up to which jobs may have been started, written by the lease holder before their first
 /// start. In a table of its own, since each change of the lease table wakes all instances.
 pub(crate) const START_BOUND: &str = "start_bound";
@@ -82,6 +85,8 @@
 /// Key of the row that changes with each epoch.
 pub(crate) const EPOCH_KEY: &str = "epoch";
 /// Key of the only row in its table.
+pub(crate) const WORKER_LIST_KEY: &str = "revision";
+/// Key of the only row in its table.
 pub(crate) const START_BOUND_KEY: &str = "version";
 /// Key of the row that changes with each renewal.
 pub(crate) const HEARTBEAT_KEY: &str = "beat";
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -9,11 +9,11 @@
 use compact_str::CompactString;
 use domain::{
     Config, Limits, Machine, MaintenanceReply, Organisation, Route, StartCommand, StartOutcome, Step, TaskRun,
-    WorkerReport,
+    WorkerEntry, WorkerReport,
 };
 use node::{
     FeedError, Fleet, JobRequest, Node, NodeSettings, OperatorChange, OperatorPage, OwnRow, Page, Place, RenewError,
-    RequestHandler, RowsPage, Store, StoreError, Submission, Target, Txn, TxnError, WorkerPage, Workers,
+    RequestHandler, RowsPage, Store, StoreError, Submission, Target, Txn, TxnError, WorkerChange, WorkerPage, Workers,
 };
 
 /// Fault of a write.
@@ -38,6 +38,8 @@
     pub config: RefCell<Option<Config>>,
     /// Faults of the next writes to the jobs table, in order.
     pub faults: RefCell<Vec<WriteFault>>,
+    /// Entries of the worker list.
+    pub workers: RefCell<Vec<WorkerEntry>>,
     /// Transactions that were attempted, in order.
     pub txns: RefCell<Vec<Txn>>,
     /// The store answers no calls.
@@ -192,7 +194,11 @@
 
     async fn worker_list(&self) -> Result<WorkerPage, StoreError> {
         self.check_responsive().await?;
-        Ok(self.page(Vec::new()))
+        let workers = self.0.workers.borrow();
+        let listed = workers
+            .iter()
+            .map(|entry| WorkerChange::Listed(Box::new(entry.clone())));
+        Ok(self.page(listed.collect()))
     }
 
     async fn worker_changes(&self, _after: u64, wait_ms: u64) -> Result<WorkerPage, FeedError> {
