fix(node): give the lease to an instance that can carry the deployment

A small holder also kept the lease for good. Change: the delay counts from when this instance could take the lease. The epoch row states the holder's share of a core; an instance with at least twice of it claims the lease after a second, and the holder hands over as at a planned stop. The claim gives no right; at most one a epoch is written.

--- a/crates/node/src/lease/handlers.rs
+++ b/crates/node/src/lease/handlers.rs
@@ -1,15 +1,12 @@
 use std::rc::Rc;
 
 use actix::prelude::*;
-use compact_str::CompactString;
 use timer::{Subscribe, Tick};
 
-use super::messages::{Deposed, FeedFailed, LeaseRows, Release, RenewalReply, TakeoverReply};
-use super::{LeaseActor, ObservedLease, heartbeat_txn, watch_lease};
+use super::messages::{ClaimReply, Deposed, FeedFailed, LeaseRows, Release, RenewalReply, TakeoverReply};
+use super::{LeaseActor, ObservedLease, watch_lease};
 use crate::clock::boot_ms;
-use crate::driver::Input;
 use crate::ports::{Store, TxnError, Workers};
-use crate::rows::LEASE;
 
 impl<S: Store, W: Workers> Actor for LeaseActor<S, W> {
     type Context = Context<Self>;
@@ -38,12 +35,7 @@
         for row in &message.rows {
             self.apply_row(row, now_ms);
         }
-        let observed = self.observed.get_or_insert(ObservedLease {
-            epoch: None,
-            heartbeat: None,
-            last_change_ms: now_ms,
-            last_reply_ms: now_ms,
-        });
+        let observed = self.observed.get_or_insert(ObservedLease::new(now_ms));
         observed.last_reply_ms = now_ms;
         if message.is_first_read {
             // The lease holder may have been disconnected from the store too; leave it time for a renewal.
@@ -51,6 +43,7 @@
             observed.last_change_ms = observed.last_change_ms.max(now_ms.saturating_sub(grace_ms));
         }
         self.check_held_lease(ctx);
+        self.hand_over_if_claimed();
         self.evaluate(ctx);
     }
 }
@@ -115,6 +108,20 @@
     }
 }
 
+impl<S: Store, W: Workers> Handler<ClaimReply> for LeaseActor<S, W> {
+    type Result = ();
+
+    fn handle(&mut self, ClaimReply(result): ClaimReply, _ctx: &mut Self::Context) {
+        self.is_claim_in_flight = false;
+        self.claim_not_before_ms = boot_ms() + Self::claim_delay_ms();
+        match result {
+            Ok(version) => spdlog::info!("lease_claimed", kv: { version }),
+            Err(TxnError::Conflict(_)) => {}
+            Err(error) => spdlog::warn!("lease_claim_failed", kv: { cause = error.to_string() }),
+        }
+    }
+}
+
 impl<S: Store, W: Workers> Handler<Deposed> for LeaseActor<S, W> {
     type Result = ();
 
@@ -129,23 +136,9 @@
     type Result = ResponseFuture<()>;
 
     fn handle(&mut self, _release: Release, _ctx: &mut Self::Context) -> Self::Result {
-        let Some(held) = self.held.take() else {
-            return Box::pin(async {});
-        };
-        held.driver.do_send(Input::Stop);
-        let place = self.shared.parts.of_lease_holder(LEASE);
-        let txn = heartbeat_txn(
-            &place,
-            held.epoch,
-            held.epoch_row_version,
-            held.last_heartbeat + 1,
-            true,
-        );
-        let shared = Rc::clone(&self.shared);
-        Box::pin(async move {
-            let result = shared.transact(&txn).await;
-            let outcome = result.map_or_else(|error| CompactString::from(error.to_string()), |_| "ok".into());
-            spdlog::info!("lease_released", kv: { epoch = held.epoch, outcome = outcome.as_str() });
-        })
+        match self.release_held() {
+            Some(release) => Box::pin(release),
+            None => Box::pin(async {}),
+        }
     }
 }
--- a/crates/node/src/lease/messages.rs
+++ b/crates/node/src/lease/messages.rs
@@ -34,6 +34,11 @@
     pub result: Result<u64, TxnError>,
 }
 
+/// Reply to the write of a claim.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct ClaimReply(pub Result<u64, TxnError>);
+
 /// The scheduler found evidence of a newer epoch.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduling lease: watching, taking over, renewing and releasing it.
 
+mod claim;
 mod handlers;
 mod messages;
 mod watch;
@@ -18,7 +19,7 @@
 use crate::clock::boot_ms;
 use crate::driver::{Input, SchedulerDriver};
 use crate::ports::{Condition, OwnRow, Place, Store, Txn, Workers};
-use crate::rows::{EPOCH_KEY, EpochRow, HEARTBEAT_KEY, HeartbeatRow, LEASE, decode, put};
+use crate::rows::{CLAIM_KEY, ClaimRow, EPOCH_KEY, EpochRow, HEARTBEAT_KEY, HeartbeatRow, LEASE, decode, put};
 use crate::shared::SharedRef;
 
 /// Watches the scheduling lease, takes it over when its holder is unresponsive, and renews it while this instance is
@@ -32,6 +33,11 @@
     last_lost_epoch: u64,
     is_takeover_in_flight: bool,
     takeover_not_before_ms: u64,
+    /// Since when the lease is free for this instance to take.
+    free_since_ms: Option<u64>,
+    is_claim_in_flight: bool,
+    /// Time before which this instance claims the lease of no smaller holder.
+    claim_not_before_ms: u64,
 }
 
 /// State of the lease as observed through the feed.
@@ -39,12 +45,25 @@
 struct ObservedLease {
     epoch: Option<(EpochRow, u64)>,
     heartbeat: Option<(HeartbeatRow, u64)>,
+    claim: Option<(ClaimRow, u64)>,
     /// Local time of the last change; moved forward by the first read after the feed failed.
     last_change_ms: u64,
     /// Local time of the newest reply of the feed; 0 after a failure.
     last_reply_ms: u64,
 }
 
+impl ObservedLease {
+    const fn new(now_ms: u64) -> Self {
+        Self {
+            epoch: None,
+            heartbeat: None,
+            claim: None,
+            last_change_ms: now_ms,
+            last_reply_ms: now_ms,
+        }
+    }
+}
+
 /// Lease that this instance holds.
 struct HeldLease<S: Store, W: Workers> {
     epoch: u64,
@@ -80,6 +99,9 @@
             last_lost_epoch: 0,
             is_takeover_in_flight: false,
             takeover_not_before_ms: 0,
+            free_since_ms: None,
+            is_claim_in_flight: false,
+            claim_not_before_ms: 0,
         }
     }
 
@@ -91,12 +113,22 @@
         let now_ms = boot_ms();
         if self.held.is_some() {
             self.renew(now_ms, ctx);
-        } else if self.may_take_over(now_ms) {
+            return;
+        }
+        if !self.is_lease_free(now_ms) {
+            self.free_since_ms = None;
+            self.claim_from_smaller_holder(now_ms, ctx);
+            return;
+        }
+        // Counted from the moment at which this instance could take the lease, which at the start of a deployment is when
+        // its configuration arrives: all instances then find a lease that has been free for long.
+        let free_since_ms = *self.free_since_ms.get_or_insert(now_ms);
+        if now_ms >= free_since_ms + self.shared.settings.takeover_delay_ms() {
             self.take_over(now_ms, ctx);
         }
     }
 
-    fn may_take_over(&self, now_ms: u64) -> bool {
+    fn is_lease_free(&self, now_ms: u64) -> bool {
         let Some(observed) = &self.observed else { return false };
         let has_config = self.shared.view.borrow().config.is_some();
         if self.is_takeover_in_flight
@@ -118,12 +150,7 @@
             .as_ref()
             .is_none_or(|(epoch, _)| is_released || self.is_from_previous_incarnation(epoch));
         let silence_ms = now_ms.saturating_sub(observed.last_change_ms);
-        let delay_ms = self.shared.settings.takeover_delay_ms();
-        if is_free {
-            silence_ms >= delay_ms
-        } else {
-            silence_ms > self.shared.settings.lease_ttl_ms + delay_ms
-        }
+        is_free || silence_ms > self.shared.settings.lease_ttl_ms
     }
 
     /// Returns whether an earlier process of this instance acquired the lease, so that no process holds it now.
@@ -145,6 +172,7 @@
             epoch,
             holder: self.shared.settings.instance.clone(),
             holder_started_unix_ms: self.shared.started_unix_ms,
+            holder_cpu_milli: self.shared.settings.cpu_milli(),
         };
         let heartbeat = HeartbeatRow {
             epoch,
@@ -242,12 +270,7 @@
     }
 
     fn apply_row(&mut self, row: &OwnRow, now_ms: u64) {
-        let observed = self.observed.get_or_insert(ObservedLease {
-            epoch: None,
-            heartbeat: None,
-            last_change_ms: now_ms,
-            last_reply_ms: now_ms,
-        });
+        let observed = self.observed.get_or_insert(ObservedLease::new(now_ms));
         if row.key == EPOCH_KEY {
             if observed
                 .epoch
@@ -258,6 +281,7 @@
             }
             let Some(epoch) = decode::<EpochRow>(row) else { return };
             observed.last_change_ms = now_ms;
+            self.claim_not_before_ms = now_ms + Self::claim_delay_ms();
             observed.epoch = Some((epoch.clone(), row.version));
             let mut view = self.shared.view.borrow_mut();
             if row.version > view.epoch_row_version {
@@ -278,6 +302,14 @@
             };
             observed.last_change_ms = now_ms;
             observed.heartbeat = Some((heartbeat, row.version));
+        } else if row.key == CLAIM_KEY
+            && observed
+                .claim
+                .as_ref()
+                .is_none_or(|(_, version)| *version < row.version)
+            && let Some(claim) = decode::<ClaimRow>(row)
+        {
+            observed.claim = Some((claim, row.version));
         }
     }
 
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -88,6 +88,8 @@
 pub(crate) const WORKER_LIST_KEY: &str = "revision";
 /// Key of the only row in its table.
 pub(crate) const START_BOUND_KEY: &str = "version";
+/// Key of the newest claim of a larger instance.
+pub(crate) const CLAIM_KEY: &str = "claim";
 /// Key of the row that changes with each renewal.
 pub(crate) const HEARTBEAT_KEY: &str = "beat";
 
@@ -100,6 +102,18 @@
     pub holder: CompactString,
     /// Start time of the holder's process; tells a restarted instance apart from its previous incarnation.
     pub holder_started_unix_ms: u64,
+    /// CPU share of the holder in thousandths of a core; 0 if the holder did not state it.
+    #[serde(default)]
+    pub holder_cpu_milli: u64,
+}
+
+/// Claim of an instance with much more processor time than the lease holder. The holder answers it by releasing the
+/// lease; the claim itself gives no right.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ClaimRow {
+    /// Epoch whose holder should hand over.
+    pub epoch: u64,
+    pub instance: CompactString,
 }
 
 /// Heartbeat of the lease holder.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -48,6 +48,18 @@
         ((1.0 - (self.cpu_share / SUFFICIENT_CPU_SHARE).min(1.0)) * MAX_DELAY_MS) as u64
     }
 
+    /// Returns the CPU share in thousandths of a core.
+    pub fn cpu_milli(&self) -> u64 {
+        (self.cpu_share * 1_000.0) as u64
+    }
+
+    /// Returns whether an instance with the given CPU share should hand the lease over to this one, which is worth a
+    /// takeover only if it has much more.
+    pub fn is_much_larger_than(&self, holder_cpu_milli: u64) -> bool {
+        const MIN_RATIO: u64 = 2;
+        holder_cpu_milli > 0 && self.takeover_delay_ms() == 0 && self.cpu_milli() >= holder_cpu_milli * MIN_RATIO
+    }
+
     /// Returns the maximum age of the configuration for keys to be accepted: `revoke_ms` less a fifth for the time
     /// between the check and its effect.
     pub const fn config_age_max_ms(&self) -> u64 {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use actix_rt::time::sleep;
 use compact_str::CompactString;
 use domain::{
-    Config, Limits, Machine, MaintenanceReply, Organisation, Route, StartCommand, StartOutcome, Step, TaskRun,
+    Config, Limits, Machine, MaintenanceReply, Organisation, Route, StartCommand, StartOutcome, Step, TaskRun, Wave,
     WorkerEntry, WorkerReport,
 };
 use node::{
@@ -38,6 +38,8 @@
     pub config: RefCell<Option<Config>>,
     /// Faults of the next writes to the jobs table, in order.
     pub faults: RefCell<Vec<WriteFault>>,
+    /// Maintenance wave that the operators request.
+    pub wave: RefCell<Option<Wave>>,
     /// Entries of the worker list.
     pub workers: RefCell<Vec<WorkerEntry>>,
     /// Transactions that were attempted, in order.
@@ -101,10 +103,10 @@
 
     fn operator_changes_now(&self) -> Vec<OperatorChange> {
         let config = self.0.config.borrow().clone();
-        config
-            .map(|config| OperatorChange::Config(Box::new(config), 1))
-            .into_iter()
-            .collect()
+        let config = config.map(|config| OperatorChange::Config(Box::new(config), 1));
+        let wave = self.0.wave.borrow().clone();
+        let wave = wave.map(|wave| OperatorChange::Wave(wave.number, Some(Box::new(wave))));
+        config.into_iter().chain(wave).collect()
     }
 }
 
@@ -207,16 +209,24 @@
     }
 }
 
-/// Workers that do not answer.
 #[derive(Debug, Default)]
-pub struct NoWorkers;
+pub struct FleetState {
+    pub machines: RefCell<Vec<Machine>>,
+    /// Times of the maintenance commands.
+    pub maintenance_ms: RefCell<Vec<u64>>,
+}
+
+/// Workers that do not answer, on machines whose maintenance is refused.
+#[derive(Debug, Clone, Default)]
+pub struct NoWorkers(pub Rc<FleetState>);
 
 impl Fleet for NoWorkers {
     async fn machines(&self) -> Option<Vec<Machine>> {
-        None
+        Some(self.0.machines.borrow().clone())
     }
 
     async fn start_maintenance(&self, _machine: &str, _wave: u64, _holder: &str, _epoch: u64) -> MaintenanceReply {
+        self.0.maintenance_ms.borrow_mut().push(node::boot_ms());
         MaintenanceReply::Refused
     }
 
@@ -301,20 +311,24 @@
     }
 }
 
-/// Starts an instance on a store and waits until it has read the configuration, if there is one.
-pub async fn start(store: &FakeStore) -> (Node<FakeStore, NoWorkers>, RequestHandler<FakeStore, NoWorkers>) {
-    let settings = NodeSettings {
-        instance: "entry-1".into(),
+/// Returns the settings of an instance with a share of a core.
+pub fn settings(instance: &str, cpu_share: f64) -> NodeSettings {
+    NodeSettings {
+        instance: instance.into(),
         data_centre: "dc1".into(),
         limits: Limits::default(),
         revoke_ms: 2_000,
         stop_grace_ms: 1_000,
         has_cross_part_txns: true,
         row_bytes: 65_536,
-        cpu_share: 1.0,
+        cpu_share,
         lease_ttl_ms: 600,
-    };
-    let node = Node::start(settings, store.clone(), NoWorkers);
+    }
+}
+
+/// Starts an instance on a store and waits until it has read the configuration, if there is one.
+pub async fn start(store: &FakeStore) -> (Node<FakeStore, NoWorkers>, RequestHandler<FakeStore, NoWorkers>) {
+    let node = Node::start(settings("entry-1", 1.0), store.clone(), NoWorkers::default());
     let handler = node.request_handler();
     sleep(Duration::from_millis(100)).await;
     (node, handler)
