fix(node): order maintenance only under a lease that nobody else can hold

A holder without the store goes on for the store grace period, since workers check the epoch; machines need not, and a successor may act after a third of that time. Change: a maintenance command is held back once the lease was not confirmed within its time to live.

--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use actix::{AsyncContext, Context};
-use domain::{Action, Commit, Rejection, StartCommand, StartOutcome};
+use domain::{Action, Commit, MaintenanceReply, Rejection, StartCommand, StartOutcome};
 
 use super::{Input, SchedulerDriver};
 use crate::clock::boot_ms;
@@ -118,6 +118,13 @@
             }
             Action::StartMaintenance { machine, wave } => {
                 let epoch = self.engine.epoch();
+                // Machines need not check the epoch as workers do, so only a lease that nobody else can hold permits this.
+                if !self.is_lease_certain() {
+                    let refused = MaintenanceReply::Refused;
+                    spdlog::warn!("upkeep_held_back", kv: { machine = machine.as_str(), wave, epoch });
+                    driver.do_send(Input::MaintenanceReplied(wave, machine, refused));
+                    return;
+                }
                 spdlog::info!("upkeep", kv: { machine = machine.as_str(), wave, epoch });
                 actix_rt::spawn(async move {
                     let instance = shared.settings.instance.clone();
@@ -144,6 +151,11 @@
         }
     }
 
+    /// Returns whether no other instance can have taken the lease over yet.
+    fn is_lease_certain(&self) -> bool {
+        boot_ms() < self.confirmed_ms.get() + self.shared.settings.lease_ttl_ms
+    }
+
     /// Returns the condition under which a write takes effect in this epoch only.
     fn epoch_condition(&self) -> Condition {
         Condition {
