--- /dev/null
+++ b/crates/domain/src/engine/gangs.rs
@@ -0,0 +1,184 @@
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+
+use super::Engine;
+use super::health::is_last_resort;
+use super::place::{Candidate, tasks_that_fit};
+use super::queue::PlacementUnit;
+use crate::{Job, Step};
+
+/// Number of tasks that a plan assigns to a candidate, given by its index.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Share {
+    pub candidate: usize,
+    pub tasks: u32,
+}
+
+/// Placement of gangs.
+impl Engine {
+    /// Finds workers for a whole gang.
+    pub(super) fn plan_gang(
+        &self,
+        unit: &PlacementUnit,
+        spec: &Job,
+        shape: &Step,
+        candidates: &[Candidate],
+        now_ms: u64,
+    ) -> Option<Vec<Share>> {
+        let requires_ticket = self.requires_ticket(unit);
+        let usable: Vec<_> = (0..candidates.len())
+            .filter(|index| shape.charged().fits(&candidates[*index].free) && candidates[*index].is_open_to(unit))
+            .filter(|index| self.is_eligible(&candidates[*index], spec, shape))
+            .filter(|index| !requires_ticket || self.is_permitted(unit, candidates[*index].worker, now_ms))
+            .collect();
+        // Tries a plan without last-resort workers first.
+        let failed_on = self.failed_workers(unit);
+        let others: Vec<_> = usable
+            .iter()
+            .copied()
+            .filter(|index| !is_last_resort(unit, shape, &candidates[*index], &failed_on))
+            .collect();
+        if others.len() < usable.len() {
+            let is_rack_bound = shape.is_same_rack || shape.data_rack.is_some();
+            let plan = if is_rack_bound {
+                best_rack(shape, &others, candidates)
+            } else {
+                pack(shape, &others, candidates)
+            };
+            if plan.is_some() {
+                return plan;
+            }
+        }
+        if !shape.is_same_rack && shape.data_rack.is_none() {
+            return pack(shape, &usable, candidates);
+        }
+        if let Some(plan) = best_rack(shape, &usable, candidates) {
+            return Some(plan);
+        }
+        let fits_some_rack = self.fits_some_rack(spec, shape);
+        if fits_some_rack && !self.may_be_remote(unit, spec, shape, now_ms) {
+            return None;
+        }
+        pack(shape, &usable, candidates)
+    }
+
+    /// Returns whether some rack could hold the gang if it were empty.
+    fn fits_some_rack(&self, spec: &Job, shape: &Step) -> bool {
+        let mut racks: HashMap<&CompactString, u64> = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            let has_label = shape
+                .required_label
+                .as_ref()
+                .is_none_or(|label| worker.entry.labels.contains(label));
+            if worker.entry.service == spec.service && has_label {
+                *racks.entry(&worker.entry.rack).or_default() += tasks_that_fit(shape, &worker.entry.capacity);
+            }
+        }
+        racks.values().any(|tasks| *tasks >= u64::from(shape.count))
+    }
+
+    pub(super) fn start_gang(
+        &mut self,
+        unit: &PlacementUnit,
+        shape: &Step,
+        plan: &[Share],
+        hosts: &mut [Candidate],
+        now_ms: u64,
+    ) {
+        let number = self.next_run(unit.job, unit.occurrence, unit.step);
+        if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
+            state.gang_run = Some(number);
+        }
+        let mut index = 0;
+        for share in plan {
+            let host = &mut hosts[share.candidate];
+            for _ in 0..share.tasks {
+                host.free = host.free.minus(&shape.charged());
+                self.start_run(
+                    (unit.job, unit.occurrence, unit.step, index),
+                    number,
+                    host.worker,
+                    now_ms,
+                );
+                index += 1;
+            }
+        }
+    }
+
+    /// Reserves the rack that is closest to holding a blocked gang against later units; returns whether one was found.
+    pub(super) fn reserve_rack(&self, unit: &PlacementUnit, candidates: &mut [Candidate]) -> bool {
+        let spec = &self.jobs[unit.job].spec;
+        let shape = &spec.steps[unit.step as usize];
+        if !shape.is_gang || shape.count < 2 {
+            return false;
+        }
+        let mut racks: HashMap<CompactString, (u64, u64)> = HashMap::new();
+        for candidate in candidates
+            .iter()
+            .filter(|candidate| candidate.is_open_to(unit) && self.is_eligible(candidate, spec, shape))
+        {
+            let (now, empty) = racks.entry(candidate.rack.clone()).or_default();
+            *now += tasks_that_fit(shape, &candidate.free);
+            *empty += tasks_that_fit(shape, &candidate.capacity);
+        }
+        let best = racks
+            .iter()
+            .filter(|(_, (_, empty))| *empty >= u64::from(shape.count))
+            .max_by_key(|(rack, (now, _))| (*now, (*rack).clone()))
+            .map(|(rack, _)| rack.clone());
+        let Some(rack) = best else { return false };
+        for candidate in candidates.iter_mut().filter(|candidate| candidate.rack == rack) {
+            candidate.reserved_for.get_or_insert(unit.key());
+        }
+        true
+    }
+}
+
+/// Places the gang on the fullest of the given candidates that can hold it.
+fn pack(shape: &Step, usable: &[usize], candidates: &[Candidate]) -> Option<Vec<Share>> {
+    let mut order: Vec<_> = usable
+        .iter()
+        .map(|candidate| (*candidate, tasks_that_fit(shape, &candidates[*candidate].free)))
+        .filter(|(_, tasks)| *tasks > 0)
+        .collect();
+    // Workers near the data first, then the fullest, so that empty workers stay free for wide gangs.
+    order.sort_by_key(|(candidate, _)| {
+        let candidate = &candidates[*candidate];
+        let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != candidate.rack);
+        (is_remote, candidate.free.accelerators, candidate.free.memory_mib)
+    });
+    let mut left = u64::from(shape.count);
+    let mut plan = Vec::new();
+    for (candidate, tasks) in order {
+        let tasks = tasks.min(left);
+        if tasks > 0 {
+            plan.push(Share {
+                candidate,
+                tasks: tasks as u32,
+            });
+            left -= tasks;
+        }
+    }
+    (left == 0).then_some(plan)
+}
+
+/// Places the gang in one rack: that of its data if it has one, else the fullest that can hold it.
+fn best_rack(shape: &Step, usable: &[usize], candidates: &[Candidate]) -> Option<Vec<Share>> {
+    let mut racks: HashMap<&CompactString, Vec<usize>> = HashMap::new();
+    for candidate in usable {
+        racks.entry(&candidates[*candidate].rack).or_default().push(*candidate);
+    }
+    racks
+        .into_iter()
+        .filter(|(rack, _)| shape.data_rack.as_ref().is_none_or(|data| data == *rack))
+        .filter_map(|(rack, members)| {
+            let free: u64 = members
+                .iter()
+                .map(|candidate| candidates[*candidate].free.accelerators)
+                .sum();
+            Some((free, rack, pack(shape, &members, candidates)?))
+        })
+        .min_by_key(|(free, rack, _)| (*free, (*rack).clone()))
+        .map(|(_, _, plan)| plan)
+}
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod finished;
 mod forecast;
+mod gangs;
 mod health;
 mod hints;
 mod job_entry;
@@ -28,6 +29,7 @@
 mod victims;
 mod waves;
 mod worker;
+mod worker_loss;
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
--- /dev/null
+++ b/crates/domain/src/engine/worker_loss.rs
@@ -0,0 +1,95 @@
+use std::collections::HashSet;
+
+use super::keys::RunKey;
+use super::{Engine, WorkerKey};
+
+/// Workers whose runs have ended: their leases expired, or their processes exited or restarted.
+impl Engine {
+    /// Declares runs lost whose workers were unresponsive until the leases had certainly expired.
+    pub(super) fn expire_unresponsive(&mut self, now_ms: u64) {
+        let expired: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| now_ms > worker.lease_expiry_ms)
+            .filter(|(_, worker)| !worker.runs.is_empty() || !worker.is_listed)
+            .filter(|(_, worker)| worker.unresponsive_since_ms.is_some() || !worker.is_fenced)
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.log_lines
+                .push(format!("worker_expired worker={}", self.workers[key].entry.id));
+            self.drop_all_runs(key, now_ms);
+            if !self.workers[key].is_listed {
+                self.forget_worker(key);
+            }
+        }
+    }
+
+    /// Handles a worker whose process has certainly exited.
+    pub(super) fn worker_exited(&mut self, key: WorkerKey, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        self.log_lines.push(format!("worker_gone worker={}", worker.entry.id));
+        worker.is_listed = false;
+        self.drop_all_runs(key, now_ms);
+        self.forget_worker(key);
+    }
+
+    /// Handles a worker process that restarted under the same id.
+    pub(super) fn worker_restarted(&mut self, key: WorkerKey) {
+        self.log_lines
+            .push(format!("worker_reborn worker={}", self.workers[key].entry.id));
+        let worker = &mut self.workers[key];
+        worker.processed_end = 0;
+        worker.acked_end = 0;
+        worker.clock = None;
+        worker.failed_jobs.clear();
+        self.unacked.swap_remove(&key);
+    }
+
+    /// Drops the runs that ended with the former incarnation of a worker. Runs that the new one lists, and runs whose
+    /// start or stop was confirmed after the report was requested, may be on the new one.
+    pub(super) fn drop_unlisted(&mut self, key: WorkerKey, listed: &HashSet<RunKey>, sent_ms: u64, now_ms: u64) {
+        let lost = self.workers[key]
+            .runs
+            .iter()
+            .copied()
+            .filter(|run| !listed.contains(run))
+            .filter(|run| self.runs[*run].confirmed_ms.is_some_and(|at_ms| at_ms < sent_ms))
+            .collect();
+        self.drop_runs_of(lost, now_ms);
+    }
+
+    fn drop_all_runs(&mut self, key: WorkerKey, now_ms: u64) {
+        self.drop_runs_of(self.workers[key].runs.clone(), now_ms);
+    }
+
+    fn drop_runs_of(&mut self, runs: Vec<RunKey>, now_ms: u64) {
+        for run_key in runs {
+            let Some(run) = self.runs.get(run_key).cloned() else {
+                continue;
+            };
+            self.stats.broken += 1;
+            self.record_lease_expiry(&run, now_ms);
+            self.remove_run(run_key, now_ms);
+            let is_gang = !run.is_unwanted
+                && self
+                    .jobs
+                    .get(run.job)
+                    .is_some_and(|job| job.spec.steps[run.step as usize].is_gang);
+            if is_gang {
+                self.end_gang(run.job, run.occurrence, run.step, now_ms);
+            }
+        }
+    }
+
+    fn forget_worker(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.remove(key) {
+            self.worker_ids.remove(&worker.entry.id);
+            self.renewals.remove(key, worker.renew_due_ms);
+            self.unacked.swap_remove(&key);
+            self.commit.remove_worker(&worker.entry.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/engine/simulation/invariants.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// What must hold after every step.
+impl Simulation {
+    /// Checks that no worker is over its capacity, that no task runs twice and that all workers with runs are recorded.
+    pub(super) fn check_invariants(&mut self) {
+        let mut tasks: BTreeMap<CompactString, u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            if worker.is_over_capacity() {
+                self.violations
+                    .push(format!("{} ms: {} is over its capacity", self.now_ms, worker.id));
+            }
+            if !worker.runs.is_empty() && !self.used_workers.contains_key(&worker.id) {
+                self.violations
+                    .push(format!("{} has runs but is not recorded as used", worker.id));
+            }
+            for run in &worker.runs {
+                *tasks.entry(run.task_run.task.clone()).or_default() += 1;
+            }
+        }
+        for (task, count) in tasks.into_iter().filter(|(_, count)| *count > 1) {
+            self.violations
+                .push(format!("{} ms: {task} runs {count} times", self.now_ms));
+        }
+    }
+}
--- a/crates/entry/src/urgent/mod.rs
+++ b/crates/entry/src/urgent/mod.rs
@@ -9,6 +9,7 @@
 mod recent_ids;
 mod record_rejection;
 mod recorder;
+mod resolve;
 mod retry_budget;
 mod retry_placement;
 mod sent_attempt;
--- a/crates/entry/tests/urgent.rs
+++ b/crates/entry/tests/urgent.rs
@@ -14,6 +14,17 @@
 use store::{Expected, PlatformClient, PlatformClientOptions, Table, Txn, Urgency};
 use support::{TestSystem, job};
 
+/// Returns the request that makes all workers stop responding, or respond again.
+fn freeze(freeze: bool) -> WorkerFaultRequest {
+    WorkerFaultRequest {
+        faults: WorkerFaults {
+            freeze,
+            ..WorkerFaults::default()
+        },
+        ..WorkerFaultRequest::default()
+    }
+}
+
 async fn count_starts(system: &TestSystem, request_id: &str) -> usize {
     let log = system.cluster.log().await;
     let is_start =
@@ -95,13 +106,6 @@
 #[actix_web::test]
 async fn silent_worker_makes_the_outcome_indeterminate_until_it_answers() {
     let system = TestSystem::start(3).await;
-    let freeze = |freeze| WorkerFaultRequest {
-        faults: WorkerFaults {
-            freeze,
-            ..WorkerFaults::default()
-        },
-        ..WorkerFaultRequest::default()
-    };
     system.cluster.fault_workers(&freeze(true)).await;
     let mut body = job("appraisal", "urgent", false, 10);
     body["deadline_ms"] = json!(400);
@@ -131,13 +135,6 @@
 async fn lapsed_lease_of_a_worker_that_did_not_restart_decides_the_outcome() {
     const FREEZE: Duration = Duration::from_secs(2);
     let system = TestSystem::start(3).await;
-    let freeze = |freeze| WorkerFaultRequest {
-        faults: WorkerFaults {
-            freeze,
-            ..WorkerFaults::default()
-        },
-        ..WorkerFaultRequest::default()
-    };
     system.cluster.fault_workers(&freeze(true)).await;
     let mut body = job("appraisal", "urgent", false, 10);
     body["deadline_ms"] = json!(400);
