refactor: one name for one thing, after reading the diff as a newcomer

The revision of the list of used workers was called worker list, as the platform's list is; 600,000 ms stood twice, as the retention of a worker's reports and as the time limit of asking for them; a margin named after lease expiry also bounds stops; two comments restated a name; the filter of candidates and the conditions on lease rows were written twice. Change: names, one filter, one condition. The table workers_revision has not been released under its former name.

--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -28,8 +28,7 @@
     ) -> Option<Vec<Share>> {
         let requires_ticket = self.requires_ticket(unit);
         let usable: Vec<_> = (0..candidates.len())
-            .filter(|index| shape.charged().fits(&candidates[*index].free) && candidates[*index].is_open_to(unit))
-            .filter(|index| self.is_eligible(&candidates[*index], spec, shape))
+            .filter(|index| self.can_hold_task(&candidates[*index], unit, spec, shape))
             .filter(|index| !requires_ticket || self.is_permitted(unit, candidates[*index].worker, now_ms))
             .collect();
         // Tries a plan without last-resort workers first.
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -195,8 +195,7 @@
         let mut order: Vec<_> = candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| need.fits(&candidate.free) && candidate.is_open_to(unit))
-            .filter(|(_, candidate)| self.is_eligible(candidate, spec, shape))
+            .filter(|(_, candidate)| self.can_hold_task(candidate, unit, spec, shape))
             .filter(|(_, candidate)| !requires_ticket || self.is_permitted(unit, candidate.worker, now_ms))
             .map(|(index, candidate)| {
                 let left = candidate.free.minus(&need);
@@ -216,6 +215,11 @@
         order.into_iter().map(|(_, index)| index).collect()
     }
 
+    /// Returns whether a worker has room for a task of a unit and may run it, tickets aside.
+    pub(super) fn can_hold_task(&self, candidate: &Candidate, unit: &PlacementUnit, spec: &Job, shape: &Step) -> bool {
+        shape.charged().fits(&candidate.free) && candidate.is_open_to(unit) && self.is_eligible(candidate, spec, shape)
+    }
+
     /// Returns whether a worker may run a step, regardless of its free capacity.
     pub(super) fn is_eligible(&self, candidate: &Candidate, spec: &Job, shape: &Step) -> bool {
         let has_label = |label: &CompactString| {
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -21,8 +21,8 @@
     /// Fraction by which a worker's clock may run slow, as specified by the platform.
     pub const CLOCK_DRIFT: f64 = 0.02;
 
-    /// Margin for scheduling delays of both processes before a lease counts as expired.
-    pub const LEASE_EXPIRY_MARGIN_MS: u64 = 150;
+    /// Margin for scheduling delays of both processes before a lease counts as expired or a stop as carried out.
+    pub const SCHEDULING_MARGIN_MS: u64 = 150;
 
     /// Returns the store grace period as another instance has to count it, whose clock may run faster.
     pub fn former_grace_ms(&self) -> u64 {
@@ -31,12 +31,12 @@
 
     /// Returns the time after the confirmation of a stop by which the worker has certainly listed the end of the run.
     pub fn stop_limit_ms(&self) -> u64 {
-        (self.stop_grace_ms as f64 / (1.0 - Self::CLOCK_DRIFT)) as u64 + Self::LEASE_EXPIRY_MARGIN_MS
+        (self.stop_grace_ms as f64 / (1.0 - Self::CLOCK_DRIFT)) as u64 + Self::SCHEDULING_MARGIN_MS
     }
 
     /// Returns the time after sending a command by which the lease that it grants has certainly expired.
     pub fn lease_expiry_ms(&self) -> u64 {
-        (self.lease_max_ms as f64 / (1.0 - Self::CLOCK_DRIFT)) as u64 + Self::LEASE_EXPIRY_MARGIN_MS
+        (self.lease_max_ms as f64 / (1.0 - Self::CLOCK_DRIFT)) as u64 + Self::SCHEDULING_MARGIN_MS
     }
 }
 
--- a/crates/entry/src/urgent/resolve.rs
+++ b/crates/entry/src/urgent/resolve.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use model::JobRow;
+use model::{Inventory, JobRow};
 use trace::{Event, EventKind};
 
 use super::attempt_record::{AttemptResult, apply_result};
@@ -11,8 +11,6 @@
 
 /// Poll interval once the caller has its reply.
 const BACKGROUND_POLL_INTERVAL: Duration = Duration::from_secs(2);
-/// Time limit for resolving an unknown outcome; workers keep reports for 10 min.
-const RESOLVE_TIMEOUT_MS: u64 = 600_000;
 
 /// Outcomes of attempts: asking workers for them and writing them.
 impl UrgentCore {
@@ -58,7 +56,7 @@
     }
 
     pub(super) async fn resolve_in_background(&self, row: JobRow, version: u64, attempt: SentAttempt) {
-        let until_ms = self.shared.clock.now_ms() + RESOLVE_TIMEOUT_MS;
+        let until_ms = self.shared.clock.now_ms() + Inventory::RETENTION_MS;
         let attempt_result = self.poll_task(&attempt, until_ms, BACKGROUND_POLL_INTERVAL).await;
         self.write_final_state(row, version, &attempt_result.unwrap_or(AttemptResult::Unknown));
     }
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -9,7 +9,7 @@
 use crate::ports::{Condition, Put, Store, Target, Txn, Workers};
 use crate::rows::{
     EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, JOBS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND,
-    START_BOUND_KEY, USED_WORKERS, WORKER_LIST, WORKER_LIST_KEY, cancel_key, put, records_key,
+    START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, cancel_key, put, records_key,
 };
 
 /// Time-out of a command; workers reply within a few round trips of some milliseconds.
@@ -194,13 +194,14 @@
             }
         }
         if commit.changes_workers() {
-            let place = parts.of_lease_holder(WORKER_LIST);
+            let place = parts.of_lease_holder(USED_WORKERS_REVISION);
             txn.conditions.push(Condition {
                 place: place.clone(),
-                key: WORKER_LIST_KEY.into(),
-                version: self.worker_list_row_version,
+                key: USED_WORKERS_REVISION_KEY.into(),
+                version: self.used_workers_revision,
             });
-            txn.puts.push(put(place, WORKER_LIST_KEY, &self.engine.epoch()));
+            txn.puts
+                .push(put(place, USED_WORKERS_REVISION_KEY, &self.engine.epoch()));
         }
         let workers = parts.of_lease_holder(USED_WORKERS);
         for (id, address) in &commit.add_workers {
--- a/crates/node/src/driver/feeds.rs
+++ b/crates/node/src/driver/feeds.rs
@@ -9,7 +9,7 @@
 
 use super::{Input, SchedulerDriver};
 use crate::ports::{FeedError, OwnRow, Place, Store, Workers};
-use crate::rows::{JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, WORKER_LIST, decode};
+use crate::rows::{JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, decode};
 use crate::shared::SharedRef;
 
 /// Delay before a read of the store is retried.
@@ -36,7 +36,8 @@
 
 /// Reads the rows that a new lease holder needs, then follows their changes.
 pub(super) async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, driver: Addr<SchedulerDriver<S, W>>) {
-    let places = [USED_WORKERS, WORKER_LIST, START_BOUND, PENDING].map(|table| shared.parts.of_lease_holder(table));
+    let places =
+        [USED_WORKERS, USED_WORKERS_REVISION, START_BOUND, PENDING].map(|table| shared.parts.of_lease_holder(table));
     let Some((rows, _)) = read_until_success(&shared, &driver, &places).await else {
         return;
     };
@@ -45,8 +46,8 @@
         .filter_map(|row| Some((row.key.clone(), decode::<CompactString>(row)?)))
         .collect();
     driver.do_send(Input::UsedWorkers(used));
-    let revision = rows_of(WORKER_LIST).next().map_or(0, |row| row.version);
-    driver.do_send(Input::WorkerListRevision(revision));
+    let revision = rows_of(USED_WORKERS_REVISION).next().map_or(0, |row| row.version);
+    driver.do_send(Input::UsedWorkersRevision(revision));
     let bound = rows_of(START_BOUND).find_map(|row| Some((decode(row)?, row.version)));
     driver.do_send(Input::FormerStartBound(bound));
     let pending = rows_of(PENDING)
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -44,7 +44,7 @@
     /// Start bound of earlier epochs and the version of its row.
     FormerStartBound(Option<(u64, u64)>),
     /// Version of the row with the revision of the list of used workers; 0 if there is none.
-    WorkerListRevision(u64),
+    UsedWorkersRevision(u64),
     /// Start bound and result of its write.
     StartBoundWritten(u64, SentWrite, Result<u64, TxnError>),
     /// Commit and result of its write.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -21,7 +21,7 @@
 use crate::lease::{Deposed, LeaseActor};
 use crate::log;
 use crate::ports::{OwnRow, RenewError, Store, Target, TxnError, WorkerChange, Workers};
-use crate::rows::{EPOCH_KEY, LEASE, PROGRESS, START_BOUND, WORKER_LIST};
+use crate::rows::{EPOCH_KEY, LEASE, PROGRESS, START_BOUND, USED_WORKERS_REVISION};
 use crate::shared::SharedRef;
 
 /// Drives the scheduler while this instance holds the lease.
@@ -33,7 +33,7 @@
     /// Version of the start bound's row; 0 if there is none.
     start_bound_row_version: u64,
     /// Version of the row with the revision of the list of used workers; 0 if there is none.
-    worker_list_row_version: u64,
+    used_workers_revision: u64,
     /// Send time of the newest confirmed renewal of the lease.
     confirmed_ms: Rc<Cell<u64>>,
     /// Time by which all former holders have stopped acting.
@@ -75,7 +75,7 @@
             engine,
             epoch_row_version,
             start_bound_row_version: 0,
-            worker_list_row_version: 0,
+            used_workers_revision: 0,
             confirmed_ms,
             former_acts_until_ms,
             config_version: 0,
@@ -147,7 +147,7 @@
             Ok(version) => {
                 self.confirm(sent);
                 if commit.changes_workers() {
-                    self.worker_list_row_version = version;
+                    self.used_workers_revision = version;
                 }
                 self.engine.committed(commit, version, now_ms);
             }
@@ -157,8 +157,8 @@
                 }
                 if commit.changes_workers() {
                     // An earlier write may have taken effect although its reply was lost.
-                    let own = conflict.iter().find(|row| row.table == WORKER_LIST);
-                    self.worker_list_row_version = own.map_or(0, |row| row.version);
+                    let own = conflict.iter().find(|row| row.table == USED_WORKERS_REVISION);
+                    self.used_workers_revision = own.map_or(0, |row| row.version);
                 }
                 let current: Vec<_> = conflict
                     .iter()
@@ -363,7 +363,7 @@
                 self.start_bound_row_version = bound.map_or(0, |(_, row_version)| row_version);
                 self.engine.set_former_start_bound(bound.map(|(version, _)| version));
             }
-            Input::WorkerListRevision(row_version) => self.worker_list_row_version = row_version,
+            Input::UsedWorkersRevision(row_version) => self.used_workers_revision = row_version,
             Input::StartBoundWritten(version, sent, result) => self.start_bound_written(version, sent, &result),
             Input::Committed(commit, sent, result) => self.committed(&commit, sent, result),
             Input::Stop => {
--- a/crates/node/src/lease/claim.rs
+++ b/crates/node/src/lease/claim.rs
@@ -4,11 +4,11 @@
 use compact_str::CompactString;
 use rand::Rng;
 
-use super::LeaseActor;
 use super::messages::ClaimReply;
+use super::{LeaseActor, lease_condition};
 use crate::clock::boot_ms;
 use crate::driver::Input;
-use crate::ports::{Condition, Store, Txn, Workers};
+use crate::ports::{Store, Txn, Workers};
 use crate::rows::{CLAIM_KEY, ClaimRow, EPOCH_KEY, LEASE, put};
 
 /// Hand-over of the lease: at a planned stop, and from a small instance to a much larger one.
@@ -48,11 +48,6 @@
             return;
         }
         let place = self.shared.parts.of_lease_holder(LEASE);
-        let condition = |key: &str, version| Condition {
-            place: place.clone(),
-            key: key.into(),
-            version,
-        };
         let claim = ClaimRow {
             epoch: epoch.epoch,
             instance: self.shared.settings.instance.clone(),
@@ -60,8 +55,8 @@
         let claim_version = observed.claim.as_ref().map_or(0, |(_, version)| *version);
         let txn = Txn {
             conditions: vec![
-                condition(EPOCH_KEY, *epoch_version),
-                condition(CLAIM_KEY, claim_version),
+                lease_condition(&place, EPOCH_KEY, *epoch_version),
+                lease_condition(&place, CLAIM_KEY, claim_version),
             ],
             puts: vec![put(place.clone(), CLAIM_KEY, &claim)],
             ..Txn::default()
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -165,11 +165,7 @@
         let epoch = observed.epoch.as_ref().map_or(0, |(row, _)| row.epoch) + 1;
         let version = |row: Option<u64>| row.unwrap_or(0);
         let place = self.shared.parts.of_lease_holder(LEASE);
-        let condition = |key: &str, version| Condition {
-            place: place.clone(),
-            key: key.into(),
-            version,
-        };
+        let condition = |key: &str, version| lease_condition(&place, key, version);
         let row = EpochRow {
             epoch,
             holder: self.shared.settings.instance.clone(),
@@ -377,13 +373,18 @@
             is_settled: boot_ms() >= self.former_acts_until_ms,
         };
         Txn {
-            conditions: vec![Condition {
-                place: place.clone(),
-                key: EPOCH_KEY.into(),
-                version: self.epoch_row_version,
-            }],
+            conditions: vec![lease_condition(place, EPOCH_KEY, self.epoch_row_version)],
             puts: vec![put(place.clone(), HEARTBEAT_KEY, &row)],
             ..Txn::default()
         }
     }
 }
+
+/// Returns the condition that a row of the lease has a version.
+fn lease_condition(place: &Place, key: &str, version: u64) -> Condition {
+    Condition {
+        place: place.clone(),
+        key: key.into(),
+        version,
+    }
+}
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -16,7 +16,7 @@
 pub(crate) const USED_WORKERS: &str = "workers";
 /// Revision of the list of used workers. Each change of the list is conditional on it, so that a write without a reply
 /// cannot take effect after a newer one.
-pub(crate) const WORKER_LIST: &str = "worker_list";
+pub(crate) const USED_WORKERS_REVISION: &str = "workers_revision";
 /// Start bound: newest version up to which jobs may have been started, written by the lease holder before their first
 /// start. In a table of its own, since each change of the lease table wakes all instances.
 pub(crate) const START_BOUND: &str = "start_bound";
@@ -84,9 +84,9 @@
 
 /// Key of the row that changes with each epoch.
 pub(crate) const EPOCH_KEY: &str = "epoch";
-/// Key of the only row in its table.
-pub(crate) const WORKER_LIST_KEY: &str = "revision";
-/// Key of the only row in its table.
+/// Key of the row with the revision of the list of used workers.
+pub(crate) const USED_WORKERS_REVISION_KEY: &str = "revision";
+/// Key of the row with the start bound.
 pub(crate) const START_BOUND_KEY: &str = "version";
 /// Key of the newest claim of a larger instance.
 pub(crate) const CLAIM_KEY: &str = "claim";
