test(node): the fake store's feed of workers does not answer while the store is unresponsive

Traced: the fake store answered the feed of workers every 1.25 s although it was set to answer nothing; a reply ends the outage that the instance has seen, as it should, so the length of the outage began anew. Whether the test passed was a matter of phase. Ruled out: load (nothing ran beside it); the check, which stays as it is. Change: that feed obeys the fault as all other calls of the fake store do.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -204,7 +204,9 @@
     }
 
     async fn worker_changes(&self, _after: u64, wait_ms: u64) -> Result<WorkerPage, FeedError> {
+        self.check_responsive().await?;
         sleep(Duration::from_millis(wait_ms)).await;
+        self.check_responsive().await?;
         Ok(self.page(Vec::new()))
     }
 }
