--- a/review/standin/src/base64.rs
+++ b/review/standin/src/base64.rs
@@ -5,10 +5,7 @@
 pub fn encode(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk
-            .iter()
-            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte))
-            << (8 * (3 - chunk.len()));
+        let bits = chunk.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
         for index in 0..4 {
             if index <= chunk.len() {
                 text.push(ALPHABET[(bits >> (18 - 6 * index) & 63) as usize] as char);
--- a/review/standin/src/cases/pending.rs
+++ b/review/standin/src/cases/pending.rs
@@ -43,7 +43,8 @@
             "round {round}: {accepted} jobs accepted in {queue}, none begun; the lowest number given as pending is {lowest}"
         ));
         if lowest * 2 < accepted {
-            case.record.say("MIXED: fewer than half of the waiting jobs are given as pending");
+            case.record
+                .say("MIXED: fewer than half of the waiting jobs are given as pending");
             return Some(Verdict::Broken);
         }
     }
@@ -63,7 +64,8 @@
     }
     let accepted = AtomicU64::new(0);
     let submit = |number: u64| {
-        let body = r#"{"spec":"run 1000 ms","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":1000,"requires":"b"}]}"#;
+        let body =
+            r#"{"spec":"run 1000 ms","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":1000,"requires":"b"}]}"#;
         let id = job_id(round * JOBS + number);
         if world.submit(&format!("{prefix}{id}"), body, number as usize) {
             accepted.fetch_add(1, Ordering::SeqCst);
--- a/review/standin/src/cases/schedule.rs
+++ b/review/standin/src/cases/schedule.rs
@@ -1,11 +1,8 @@
 //! Work that never starts again: the progress of a scheduled job outgrows a row of the store, and from then on nothing
 //! that the scheduler has to write down becomes durable.
 
-use std::collections::HashMap;
-
-use super::{Case, job_id};
+use super::{Case, idle_ms, job_id};
 use crate::Verdict;
-use crate::worker::Execution;
 use crate::world::World;
 
 const MACHINES: usize = 8;
@@ -44,7 +41,11 @@
     }
     let traffic_end_ms = case.now_ms();
     case.sleep_ms(2_000);
-    let busy = world.fleet.machines.iter().find(|machine| world.fleet.running_on(machine) > 0)?;
+    let busy = world
+        .fleet
+        .machines
+        .iter()
+        .find(|machine| world.fleet.running_on(machine) > 0)?;
     if case.has_trouble {
         let former = world.fleet.crash_worker(busy, "crash")?;
         case.sleep_ms(DOWN_MS);
@@ -73,13 +74,17 @@
         .iter()
         .filter(|machine| world.fleet.worker_id(machine).is_some() && world.fleet.running_on(machine) == 0)
         .count();
-    case.record.say(format!("{free} of {MACHINES} workers are up and run nothing"));
+    case.record
+        .say(format!("{free} of {MACHINES} workers are up and run nothing"));
     let mut is_broken = false;
     for number in &accepted {
         let idle_ms = idle_ms(&executions, &job_id(*number), now_ms, traffic_end_ms);
         if idle_ms > IDLE_MS {
             is_broken = true;
-            case.record.say(format!("LOST: job {} has had nothing running for {idle_ms} ms", job_id(*number)));
+            case.record.say(format!(
+                "LOST: job {} has had nothing running for {idle_ms} ms",
+                job_id(*number)
+            ));
         }
     }
     // Each of the tasks takes less than half a worker, and half of the workers are at most half in use.
@@ -96,24 +101,7 @@
         .map_or(0, |time| time.as_millis() as u64 + 1_000);
     let body = format!(
         r#"{{"spec":"run {SHORT_MS} ms","steps":[{}],"times":{TIMES},"first_run_ms":{first_run_ms},"interval_ms":{INTERVAL_MS}}}"#,
-        vec![step; STEPS].join(",")
+        [step; STEPS].join(",")
     );
     world.submit(&format!("/bulk/{}", job_id(0)), &body, 0);
 }
-
-/// Returns for how long a job that is not done has had no task running.
-fn idle_ms(executions: &[Execution], job: &str, now_ms: u64, accepted_ms: u64) -> u64 {
-    let mut last_by_task: HashMap<&str, &Execution> = HashMap::new();
-    for execution in executions.iter().filter(|execution| execution.task.starts_with(job)) {
-        last_by_task.insert(&execution.task, execution);
-    }
-    let mut idle_since_ms = accepted_ms;
-    for execution in last_by_task.values() {
-        match execution.ended_ms {
-            None => return 0,
-            Some(_) if execution.how == "done" => return 0,
-            Some(ended_ms) => idle_since_ms = idle_since_ms.max(ended_ms),
-        }
-    }
-    now_ms.saturating_sub(idle_since_ms)
-}
--- a/review/standin/src/cases/upkeep.rs
+++ b/review/standin/src/cases/upkeep.rs
@@ -50,7 +50,8 @@
         world.spawn(holder)?;
     }
     until(40_000);
-    case.record.line(format!("status/wave/1: {:?}", world.store.text("status", "wave/1")));
+    case.record
+        .line(format!("status/wave/1: {:?}", world.store.text("status", "wave/1")));
     world.stop();
     let executions = world.fleet.executions.lock().unwrap().clone();
     let pairs = concurrent_runs(&executions);
@@ -78,7 +79,11 @@
     if executions.is_empty() {
         return None;
     }
-    Some(if pairs.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Some(if pairs.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
 
 fn submit(world: &World, number: u64, length_ms: u64) {
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -41,7 +41,10 @@
 
 impl Server {
     /// Serves on a loopback address; port 0 takes a free one.
-    pub fn start(address: &str, handler: impl Fn(&Request) -> Response + Send + Sync + 'static) -> std::io::Result<Self> {
+    pub fn start(
+        address: &str,
+        handler: impl Fn(&Request) -> Response + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
--- a/review/standin/src/json.rs
+++ b/review/standin/src/json.rs
@@ -52,10 +52,6 @@
             _ => &[],
         }
     }
-
-    pub fn is_true(&self, key: &str) -> bool {
-        matches!(self.get(key), Some(Self::Bool(true)))
-    }
 }
 
 /// Quotes a text as a JSON string.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -29,7 +29,7 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, program, record, folder] = arguments.as_slice() else {
+    let [_, name, program, record, folder] = arguments.as_slice() else {
         eprintln!("usage: review-standin CASE PROGRAM RECORD FOLDER");
         return ExitCode::from(2);
     };
@@ -45,7 +45,7 @@
         has_trouble,
         record: Arc::clone(&record),
     };
-    let verdict = case.play(&arguments[1]);
+    let verdict = case.play(name);
     let code = match verdict {
         Verdict::Broken => {
             record.say("the rule was broken");
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in of the platform's metadata store, as PROTOCOL.md describes it.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -40,6 +40,8 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     lost: Mutex<Option<LostReplies>>,
+    /// How often the open feeds of a table have gone silent.
+    silenced: Mutex<HashMap<String, u64>>,
     random: Random,
     record: Arc<Record>,
     began: Instant,
@@ -58,6 +60,7 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             lost: Mutex::new(None),
+            silenced: Mutex::default(),
             random: Random::new(seed),
             record,
             began: Instant::now(),
@@ -68,6 +71,17 @@
         *self.lost.lock().unwrap() = lost;
     }
 
+    /// Lets the open connections that wait for changes of a table go silent; new ones work.
+    pub fn silence_feeds(&self, table: &str) {
+        *self.silenced.lock().unwrap().entry(table.to_owned()).or_default() += 1;
+        let _rows = self.rows.lock().unwrap();
+        self.changed.notify_all();
+    }
+
+    fn times_silenced(&self, table: &str) -> u64 {
+        self.silenced.lock().unwrap().get(table).copied().unwrap_or(0)
+    }
+
     /// Writes a row of the operator or of a worker.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.change(table, key, Some(base64::encode(value.as_bytes())));
@@ -198,8 +212,15 @@
     fn feed(&self, request: &Request) -> Response {
         let (table, after) = (request.query_text("table"), request.query_number("after"));
         let until = Instant::now() + Duration::from_millis(request.query_number("wait_ms").min(30_000));
+        let times_silenced = self.times_silenced(table);
         let mut rows = self.rows.lock().unwrap();
         loop {
+            if self.times_silenced(table) != times_silenced {
+                self.record.line(format!(
+                    "an open connection that waits for changes of {table} goes silent"
+                ));
+                return Response::Silence;
+            }
             let from = rows.log.partition_point(|(version, _)| *version <= after);
             let mut seen = HashSet::new();
             // The newest change of each row, in the order of the versions.
@@ -261,9 +282,9 @@
             r#"{{"table":{table},"part":{part},"key":{name},"value":"{}","row_version":{}}}"#,
             row.value, row.version
         ),
-        None => format!(
-            r#"{{"table":{table},"part":{part},"key":{name},"deleted":true,"row_version":{removed_version}}}"#
-        ),
+        None => {
+            format!(r#"{{"table":{table},"part":{part},"key":{name},"deleted":true,"row_version":{removed_version}}}"#)
+        }
     }
 }
 
@@ -277,7 +298,10 @@
     let too_large = puts.find(|put| base64::decoded_len(put.text("value").unwrap_or("")) > ROW_BYTES)?;
     let key = key_of(too_large);
     let bytes = base64::decoded_len(too_large.text("value").unwrap_or(""));
-    Some(format!("row {}/{} has {bytes} bytes of at most {ROW_BYTES}", key.0, key.2))
+    Some(format!(
+        "row {}/{} has {bytes} bytes of at most {ROW_BYTES}",
+        key.0, key.2
+    ))
 }
 
 /// Returns the rows that a transaction writes, with the values of short ones.
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -13,9 +13,8 @@
 
 pub const HOLD_MAX_MS: u64 = 6_000;
 pub const HEARTBEAT_MS: u64 = 1_500;
-pub const STOP_GRACE_MS: u64 = 200;
 const MAINTENANCE_MS: u64 = 2_000;
-/// Time until a stopped run has ended.
+/// Time until a stopped run has ended; `stop_grace_ms` is 200.
 const STOP_MS: u64 = 50;
 
 /// Capacity of every worker.
@@ -40,6 +39,8 @@
     began: Instant,
     /// `None` for a task that runs until it is stopped.
     length_ms: Option<u64>,
+    /// It fails by its own fault at the end.
+    fails: bool,
     stop_at: Option<Instant>,
 }
 
@@ -253,7 +254,7 @@
             let how = if run.stop_at.is_some_and(|at| Instant::now() >= at) {
                 "stopped"
             } else if run.length_ms.is_some_and(|length_ms| elapsed_ms >= length_ms) {
-                "done"
+                if run.fails { "failed" } else { "done" }
             } else if has_lapsed {
                 "lapsed"
             } else {
@@ -360,7 +361,8 @@
         if life.old.get(task).is_some_and(|highest| run <= *highest) || life.runs.contains_key(task) {
             return rejected(life, "old");
         }
-        let length_ms = length_of(body.text("spec").unwrap_or(""));
+        let spec = body.text("spec").unwrap_or("");
+        let (length_ms, fails) = (length_of(spec), spec.starts_with("fail"));
         let mut executions = self.executions.lock().unwrap();
         executions.push(Execution {
             task: task.to_owned(),
@@ -375,6 +377,7 @@
             number: run,
             began: Instant::now(),
             length_ms,
+            fails,
             stop_at: None,
         };
         drop(executions);
@@ -422,13 +425,20 @@
     fn start_upkeep(self: &Arc<Self>, request: &Request) -> Response {
         let body = Json::parse(&request.body);
         let named = body.as_ref().and_then(|body| {
-            let machine = self.machines.iter().find(|known| Some(known.name.as_str()) == body.text("machine"))?;
+            let machine = self
+                .machines
+                .iter()
+                .find(|known| Some(known.name.as_str()) == body.text("machine"))?;
             Some((Arc::clone(machine), body.number("maintenance_wave")?))
         });
         let Some((machine, wave)) = named else {
             return Response::Reply(400, "{}".into());
         };
-        let holder = request.headers.get("galenaspool-lease-holder").cloned().unwrap_or_default();
+        let holder = request
+            .headers
+            .get("galenaspool-lease-holder")
+            .cloned()
+            .unwrap_or_default();
         let order = format!("upkeep of {} for wave {wave} ordered by {holder}", machine.name);
         let is_in_wave = self
             .store
@@ -463,7 +473,8 @@
     }
 }
 
-/// Returns the run time that the payload of a job states: `run 1500 ms` or `run until stopped`.
+/// Returns the run time that the payload of a job states: `run 1500 ms`, `fail 300 ms` or `run until
+/// stopped`.
 fn length_of(spec: &str) -> Option<u64> {
     spec.split_whitespace().nth(1)?.parse().ok()
 }
@@ -486,7 +497,9 @@
         .iter()
         .map(|(task, run)| {
             let elapsed_ms = run.began.elapsed().as_millis() as u64;
-            let percent = run.length_ms.map_or(100, |length_ms| (elapsed_ms * 100 / length_ms.max(1)).min(99));
+            let percent = run
+                .length_ms
+                .map_or(100, |length_ms| (elapsed_ms * 100 / length_ms.max(1)).min(99));
             format!(r#"[{},{},"",{percent}]"#, quote(task), run.number)
         })
         .collect();
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -54,7 +54,6 @@
 }
 
 pub const SIGTERM: i32 = 15;
-pub const SIGKILL: i32 = 9;
 
 impl World {
     /// Starts the stand-ins and six instances in three data centres, and waits until all are ready.
@@ -135,7 +134,8 @@
             .stderr(log)
             .spawn()
             .ok()?;
-        self.record.line(format!("{} starts, process {}", instance.name, child.id()));
+        self.record
+            .line(format!("{} starts, process {}", instance.name, child.id()));
         let mut processes = File::options()
             .create(true)
             .append(true)
@@ -171,31 +171,13 @@
         *guard = None;
     }
 
-    /// Returns whether any process of an instance has ended by itself.
-    pub fn has_unexpected_end(&self) -> bool {
-        self.instances.iter().any(|instance| {
-            let mut guard = instance.child.lock().unwrap();
-            guard
-                .as_mut()
-                .is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
-        })
-    }
-
     /// Returns the instance that holds the scheduling lease, as the operators' interface shows it.
     pub fn holder(&self) -> Option<Arc<Instance>> {
         let reply = self.instances.iter().find_map(|instance| {
             let reply = http::call(&instance.ready, "GET", "/v1/instance", &[], "", Duration::from_secs(1))?;
             Json::parse(&reply.1)
         })?;
-        let text = reply.to_string();
-        let holder = reply.text("holder").map(str::to_owned).or_else(|| {
-            let lease = reply.get("lease")?;
-            lease.text("holder").map(str::to_owned)
-        });
-        if holder.is_none() {
-            self.record.line(format!("instance report without a holder: {text}"));
-        }
-        let holder = holder?;
+        let holder = reply.text("holder")?;
         self.instances.iter().find(|instance| instance.name == holder).cloned()
     }
 
@@ -208,9 +190,19 @@
             ("Authorization", authorization.as_str()),
             ("Galenaspool-Deadline-Ms", "3000"),
         ];
-        let reply = http::call(&instance.front, method, path, &headers, body, Duration::from_millis(3_500));
-        let shown = reply.as_ref().map_or("no reply".to_owned(), |(status, body)| format!("{status} {body}"));
-        self.record.line(format!("{method} {path} at {}: {shown}", instance.name));
+        let reply = http::call(
+            &instance.front,
+            method,
+            path,
+            &headers,
+            body,
+            Duration::from_millis(3_500),
+        );
+        let shown = reply
+            .as_ref()
+            .map_or("no reply".to_owned(), |(status, body)| format!("{status} {body}"));
+        self.record
+            .line(format!("{method} {path} at {}: {shown}", instance.name));
         reply
     }
 
