--- a/review/standin/src/cases/data.rs
+++ b/review/standin/src/cases/data.rs
@@ -3,9 +3,9 @@
 use super::{Case, idle_ms, job_id};
 use crate::Verdict;
 
-/// Six racks of two workers.
-const RACKS: [&str; 6] = ["r1-1", "r1-2", "r1-3", "r1-4", "r1-5", "r1-6"];
-const JOBS: u64 = 6;
+/// Eight racks of two workers.
+const RACKS: [&str; 8] = ["r1-1", "r1-2", "r1-3", "r1-4", "r1-5", "r1-6", "r1-7", "r1-8"];
+const JOBS: u64 = 8;
 const ESTIMATE_MS: u64 = 11_000;
 const FINISH_MS: u64 = 14_000;
 const IDLE_MS: u64 = 3_000;
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod data;
 mod gangs;
+mod lasting;
 mod pending;
 mod poison;
 mod schedule;
@@ -32,6 +33,7 @@
         let verdict = match name {
             "upkeep" => upkeep::play(self),
             "schedule" => schedule::play(self),
+            "lasting" => lasting::play(self),
             "gangs" => gangs::play(self),
             "poison" => poison::play(self),
             "silence" => silence::play(self),
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -5,6 +5,7 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -256,9 +257,20 @@
     }
 }
 
+/// Returns a free loopback address with a port below those that the system gives to outgoing connections, which could
+/// otherwise take it before the instance does.
 fn free_address() -> Option<String> {
-    let listener = TcpListener::bind("127.0.0.1:0").ok()?;
-    Some(listener.local_addr().ok()?.to_string())
+    const FIRST_PORT: u32 = 15_000;
+    const PORTS: u32 = 15_000;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let number = std::process::id().wrapping_mul(97) % PORTS + TAKEN.fetch_add(1, Ordering::SeqCst);
+        let address = format!("127.0.0.1:{}", FIRST_PORT + number % PORTS);
+        if TcpListener::bind(&address).is_ok() {
+            return Some(address);
+        }
+    }
+    None
 }
 
 fn config() -> String {
