fix(domain): a confirmed maintenance command ends no runs by itself

Callers saw tasks run twice (TWICE): after a takeover during or after a wave of maintenance, four tasks of a running job were started a second time while their first runs went on.

Cause: the platform confirms a maintenance command both when the machine goes down and when its maintenance was over before. `maintenance_replied` took every confirmation for the first, dropped all runs of the worker that the list of machines named, and the tasks were placed again at once. A successor repeats commands since it starts every wave from the beginning. The same happens without a takeover when the reply to a command is lost and the command is repeated after the machine is up again with its next worker. Change: a confirmation only marks the machine. A list of machines that is read afterwards tells whether it is down, up with another worker (the former one has exited) or up with the same one (nothing ended). The worker that was on the machine when the command was sent is dropped on that evidence only, and not if it has replied since or a start of it is unconfirmed. A refusal after a command without a reply leaves the machine counted as down.

--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -82,7 +82,7 @@
         let has_finished = !self.finished.due(now_ms, 1).is_empty();
         let has_workers = !self.commit.add_workers.is_empty()
             || !self.commit.remove_workers.is_empty()
-            || !self.waves.unwritten().is_empty();
+            || !self.waves.unpublished().is_empty();
         let has_unacked = !self.unacked.is_empty();
         let is_pending_due = now_ms >= self.commit.pending_due_ms && {
             self.commit.pending_due_ms = now_ms + Self::PENDING_INTERVAL_MS;
@@ -171,7 +171,7 @@
             remove_workers: self.workers_to_remove(),
             remove_jobs: self.finished.due(now_ms, Self::REMOVALS_PER_COMMIT),
             pending: self.changed_pending(),
-            waves: self.waves.unwritten(),
+            waves: self.waves.unpublished(),
             ..Commit::default()
         };
         let mut write = InFlight {
@@ -248,7 +248,7 @@
             self.commit.remove_workers.swap_remove(id);
         }
         self.finished.removed(&commit.remove_jobs);
-        self.waves.written(&commit.waves);
+        self.waves_published(&commit.waves);
         for (route, count) in &commit.pending {
             self.commit.written_pending.insert(route.clone(), *count);
         }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod job_state;
 mod keys;
 mod load;
+mod open_wave;
 mod place;
 mod preempt;
 mod queue;
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -3,54 +3,17 @@
 use compact_str::CompactString;
 
 use super::Engine;
+use super::open_wave::{OpenWave, Stage, WaveMachine};
 use crate::{Action, Machine, MachineState, MaintenanceReply, Wave, WaveProgress};
 
-/// Stage of a machine in a maintenance wave.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// No action has been taken yet.
-    Waiting,
-    /// Its worker gets no new work, so that it drains.
-    Cordoned,
-    /// The maintenance command was sent; whether the machine is down is not known yet.
-    Commanded { at_ms: u64 },
-    /// Its maintenance has begun.
-    Begun,
-    /// It is up again, was permanently removed, or does not belong to the wave.
-    Done,
-}
-
-#[derive(Debug, Clone)]
-struct OpenWave {
-    wave: Wave,
-    began_ms: u64,
-    stages: BTreeMap<CompactString, Stage>,
-    written: Option<WaveProgress>,
-}
-
-impl OpenWave {
-    fn progress(&self) -> WaveProgress {
-        if self.stages.values().all(|stage| *stage == Stage::Done) {
-            WaveProgress::Done
-        } else {
-            WaveProgress::Running
-        }
-    }
-
-    /// Returns the number of machines that are down or may be.
-    fn down_count(&self) -> usize {
-        let is_down = |stage: &&Stage| matches!(stage, Stage::Commanded { .. } | Stage::Begun);
-        self.stages.values().filter(is_down).count()
-    }
-}
-
 /// Maintenance waves and the list of machines.
 #[derive(Debug, Clone, Default)]
 pub(super) struct WaveState {
     waves: BTreeMap<u64, OpenWave>,
     machines: HashMap<CompactString, Machine>,
     cordoned_workers: HashSet<CompactString>,
-    is_listing: bool,
+    /// When the list of machines that is being read was requested.
+    list_requested_ms: Option<u64>,
     list_due_ms: u64,
 }
 
@@ -59,20 +22,17 @@
         self.cordoned_workers.contains(worker)
     }
 
-    pub fn unwritten(&self) -> Vec<(u64, WaveProgress)> {
+    /// Returns the progress of waves that operators do not see yet.
+    pub fn unpublished(&self) -> Vec<(u64, WaveProgress)> {
         self.waves
             .iter()
-            .filter(|(_, open)| open.written != Some(open.progress()))
+            .filter(|(_, open)| open.published != Some(open.progress()))
             .map(|(number, open)| (*number, open.progress()))
             .collect()
     }
 
-    pub fn written(&mut self, waves: &[(u64, WaveProgress)]) {
-        for (number, progress) in waves {
-            if let Some(open) = self.waves.get_mut(number) {
-                open.written = Some(*progress);
-            }
-        }
+    fn machine_mut(&mut self, wave: u64, machine: &str) -> Option<&mut WaveMachine> {
+        self.waves.get_mut(&wave)?.machines.get_mut(machine)
     }
 }
 
@@ -84,7 +44,7 @@
     /// Share of the wave's time after which machines may be taken down together with their work.
     const DRAIN_SHARE: f64 = 0.5;
 
-    /// Time after which an unanswered maintenance command is repeated; the command is idempotent.
+    /// Time after which a maintenance command is repeated that was not answered; the command is idempotent.
     const MAINTENANCE_REPEAT_MS: u64 = 1_500;
 
     /// Opens a wave that operators requested; `None` means that they withdrew it.
@@ -96,76 +56,139 @@
         if self.waves.waves.contains_key(&number) {
             return;
         }
-        self.log_lines.push(format!(
-            "wave_begins wave={number} machines={} within_ms={} most_down={}",
-            wave.machines.len(),
-            wave.within_ms,
-            wave.most_down
-        ));
-        let stages = wave
-            .machines
-            .iter()
-            .map(|name| (name.clone(), Stage::Waiting))
-            .collect();
-        let open = OpenWave {
-            wave,
-            began_ms: now_ms,
-            stages,
-            written: None,
-        };
+        let open = OpenWave::new(wave, now_ms);
+        self.log_wave(&open);
         self.waves.waves.insert(number, open);
         self.waves.list_due_ms = now_ms;
     }
 
+    fn log_wave(&mut self, open: &OpenWave) {
+        self.log_lines.push(format!(
+            "wave_begins wave={} machines={} within_ms={} most_down={}",
+            open.wave.number,
+            open.wave.machines.len(),
+            open.wave.within_ms,
+            open.wave.most_down
+        ));
+    }
+
     /// Updates the list of machines; `None` means that it could not be read.
     pub fn set_machines(&mut self, machines: Option<Vec<Machine>>, now_ms: u64) {
-        self.waves.is_listing = false;
+        let Some(requested_ms) = self.waves.list_requested_ms.take() else {
+            return;
+        };
         self.waves.list_due_ms = now_ms + Self::MACHINE_LIST_INTERVAL_MS;
         let Some(machines) = machines else { return };
-        self.waves.machines = machines
+        let known: HashMap<_, _> = machines
             .into_iter()
             .map(|machine| (machine.name.clone(), machine))
             .collect();
-        let known = &self.waves.machines;
+        let mut ended_workers = Vec::new();
         for open in self.waves.waves.values_mut() {
-            for (name, stage) in &mut open.stages {
-                match known.get(name).map(|machine| machine.state) {
-                    None => *stage = Stage::Done,
-                    Some(MachineState::Maintenance) if *stage != Stage::Done => *stage = Stage::Begun,
-                    Some(MachineState::Up) if *stage == Stage::Begun => *stage = Stage::Done,
-                    Some(_) => {}
+            for (name, machine) in &mut open.machines {
+                let listed = known.get(name);
+                machine.observe(listed.map(|listed| listed.state));
+                if let Stage::Confirmed { at_ms } = machine.stage {
+                    // The next list tells whether the machine went down.
+                    self.waves.list_due_ms = self.waves.list_due_ms.min(at_ms);
+                }
+                let is_gone = listed.is_some_and(|listed| match listed.state {
+                    MachineState::Maintenance => machine.stage == Stage::Down,
+                    MachineState::Up => !listed.worker.is_empty() && listed.worker != machine.commanded_worker,
+                    MachineState::Moving | MachineState::Down => false,
+                });
+                if is_gone && !machine.commanded_worker.is_empty() {
+                    ended_workers.push(machine.commanded_worker.clone());
                 }
             }
         }
+        self.waves.machines = known;
+        for worker in ended_workers {
+            self.worker_maintained(&worker, requested_ms, now_ms);
+        }
+    }
+
+    /// Handles a worker whose machine went down for maintenance before `requested_ms`.
+    fn worker_maintained(&mut self, worker: &CompactString, requested_ms: u64, now_ms: u64) {
+        let Some(key) = self.worker_ids.get(worker).copied() else {
+            return;
+        };
+        let has_unconfirmed_starts = |runs: &[super::keys::RunKey]| {
+            let mut runs = runs.iter().map(|run| &self.runs[*run]);
+            runs.any(|run| run.confirmed_ms.is_none())
+        };
+        let worker = &self.workers[key];
+        // A worker that replied since, and a start that may still arrive, can belong to the next process of the machine
+        // under the same id.
+        if worker.last_reply_ms >= requested_ms || has_unconfirmed_starts(&worker.runs) {
+            return;
+        }
+        self.workers[key].draining_since_ms.get_or_insert(now_ms);
+        self.worker_exited(key, now_ms);
     }
 
     /// Handles the reply to a maintenance command.
+    ///
+    /// A confirmation does not show that anything on the machine has ended: it also answers a command for a machine whose
+    /// maintenance was over before.
     pub fn maintenance_replied(&mut self, wave: u64, machine: &str, reply: MaintenanceReply, now_ms: u64) {
         self.log_lines
             .push(format!("upkeep_replied wave={wave} machine={machine} reply={reply:?}"));
-        let worker = self.waves.machines.get(machine).map(|machine| machine.worker.clone());
-        let Some(stage) = self
-            .waves
-            .waves
-            .get_mut(&wave)
-            .and_then(|open| open.stages.get_mut(machine))
-        else {
+        let Some(machine) = self.waves.machine_mut(wave, machine) else {
             return;
         };
-        *stage = match reply {
-            MaintenanceReply::Begun => Stage::Begun,
+        let Stage::Commanded { is_doubtful, .. } = machine.stage else {
+            return;
+        };
+        machine.stage = match reply {
+            MaintenanceReply::Confirmed => Stage::Confirmed { at_ms: now_ms },
             MaintenanceReply::NotInWave => Stage::Done,
-            MaintenanceReply::Unanswered => Stage::Commanded { at_ms: now_ms },
+            MaintenanceReply::Unanswered => Stage::Commanded {
+                sent_ms: now_ms,
+                is_doubtful: true,
+            },
+            MaintenanceReply::Busy | MaintenanceReply::Fenced | MaintenanceReply::Refused if is_doubtful => {
+                Stage::Commanded {
+                    sent_ms: now_ms,
+                    is_doubtful,
+                }
+            }
             MaintenanceReply::Busy | MaintenanceReply::Fenced | MaintenanceReply::Refused => Stage::Cordoned,
         };
-        if reply == MaintenanceReply::Begun
-            && let Some(key) = worker.and_then(|id| self.worker_ids.get(&id).copied())
-        {
-            // All its runs ended when the machine was taken down.
-            self.worker_exited(key, now_ms);
+        if reply == MaintenanceReply::Confirmed {
+            self.waves.list_due_ms = now_ms;
+            self.is_schedule_due = true;
+        }
+    }
+
+    /// Takes note of the progress of waves that operators can see.
+    pub(super) fn waves_published(&mut self, waves: &[(u64, WaveProgress)]) {
+        for (number, progress) in waves {
+            if let Some(open) = self.waves.waves.get_mut(number) {
+                open.published = Some(*progress);
+            }
         }
     }
 
+    fn send_maintenance(&mut self, wave: u64, name: &CompactString, now_ms: u64) {
+        let worker = self.waves.machines.get(name).map(|machine| machine.worker.clone());
+        let Some(machine) = self.waves.machine_mut(wave, name) else {
+            return;
+        };
+        let is_doubtful = matches!(machine.stage, Stage::Commanded { .. });
+        machine.stage = Stage::Commanded {
+            sent_ms: now_ms,
+            is_doubtful,
+        };
+        if !is_doubtful || machine.commanded_worker.is_empty() {
+            machine.commanded_worker = worker.unwrap_or_default();
+        }
+        self.actions.push(Action::StartMaintenance {
+            machine: name.clone(),
+            wave,
+        });
+    }
+
     /// Drains machines of open waves and takes them down, as many at once as the wave allows.
     pub(super) fn advance_waves(&mut self, now_ms: u64) {
         let is_open = self
@@ -173,8 +196,8 @@
             .waves
             .values()
             .any(|open| open.progress() == WaveProgress::Running);
-        if is_open && !self.waves.is_listing && now_ms >= self.waves.list_due_ms {
-            self.waves.is_listing = true;
+        if is_open && self.waves.list_requested_ms.is_none() && now_ms >= self.waves.list_due_ms {
+            self.waves.list_requested_ms = Some(now_ms);
             self.actions.push(Action::ListMachines);
         }
         if !is_open || self.waves.machines.is_empty() {
@@ -183,74 +206,72 @@
         }
         let numbers: Vec<u64> = self.waves.waves.keys().copied().collect();
         for number in numbers {
-            self.advance_wave(number, now_ms);
+            self.cordon_and_plan(number, now_ms);
+            self.send_due_commands(number, now_ms);
         }
-        let machines = &self.waves.machines;
-        self.waves.cordoned_workers = self
-            .waves
-            .waves
-            .values()
-            .flat_map(|open| &open.stages)
-            .filter(|(_, stage)| matches!(stage, Stage::Cordoned | Stage::Commanded { .. }))
-            .filter_map(|(name, _)| Some(machines.get(name)?.worker.clone()))
-            .collect();
+        let listed = &self.waves.machines;
+        let mut cordoned_workers = HashSet::new();
+        for (name, machine) in self.waves.waves.values().flat_map(|open| &open.machines) {
+            if matches!(machine.stage, Stage::Waiting | Stage::Done) {
+                continue;
+            }
+            if let Some(listed) = listed.get(name)
+                && !matches!(machine.stage, Stage::Confirmed { .. } | Stage::Down)
+            {
+                cordoned_workers.insert(listed.worker.clone());
+            }
+            cordoned_workers.insert(machine.commanded_worker.clone());
+        }
+        self.waves.cordoned_workers = cordoned_workers;
     }
 
-    fn advance_wave(&mut self, number: u64, now_ms: u64) {
-        let Some(mut open) = self.waves.waves.remove(&number) else {
+    /// Cordons as many machines of a wave as may be down at once, and plans the commands for those that may go down now.
+    fn cordon_and_plan(&mut self, number: u64, now_ms: u64) {
+        let Some(open) = self.waves.waves.get(&number) else {
             return;
         };
-        let waiting: Vec<_> = open
-            .stages
-            .iter()
-            .filter(|(_, stage)| matches!(stage, Stage::Waiting | Stage::Cordoned))
-            .map(|(name, _)| name.clone())
-            .collect();
-        let mut allowance = open.wave.most_down.saturating_sub(open.down_count());
         // The least loaded machines first: their maintenance interrupts the least work.
-        let mut order: Vec<_> = waiting
-            .into_iter()
-            .map(|name| (self.work_weight_on(&name), name))
+        let mut order: Vec<_> = open
+            .machines
+            .iter()
+            .filter(|(_, machine)| matches!(machine.stage, Stage::Waiting | Stage::Cordoned))
+            .map(|(name, _)| (self.work_weight_on(name), name.clone()))
             .collect();
         order.sort();
+        let within_ms = open.wave.within_ms;
         let waiting_count = order.len().max(1) as u64;
         let elapsed_ms = now_ms.saturating_sub(open.began_ms);
-        let remaining_ms = open.wave.within_ms.saturating_sub(elapsed_ms);
-        let share_ms = remaining_ms * open.wave.most_down.max(1) as u64 / waiting_count;
-        for (work, name) in order {
-            if allowance == 0 {
-                break;
-            }
-            allowance -= 1;
-            let is_late = (share_ms as f64) < open.wave.within_ms as f64 / open.stages.len().max(1) as f64
-                || elapsed_ms as f64 > open.wave.within_ms as f64 * Self::DRAIN_SHARE;
-            let is_up = self
-                .waves
-                .machines
-                .get(&name)
-                .is_some_and(|machine| machine.state == MachineState::Up);
-            if is_up && (work == 0 || (is_late && self.may_interrupt(&name))) {
-                open.stages.insert(name.clone(), Stage::Commanded { at_ms: now_ms });
-                self.actions.push(Action::StartMaintenance {
-                    machine: name,
-                    wave: number,
-                });
-            } else {
-                open.stages.insert(name, Stage::Cordoned);
+        let share_ms = within_ms.saturating_sub(elapsed_ms) * open.wave.most_down.max(1) as u64 / waiting_count;
+        let is_late = (share_ms as f64) < within_ms as f64 / open.machines.len().max(1) as f64
+            || elapsed_ms as f64 > within_ms as f64 * Self::DRAIN_SHARE;
+        let allowance = open.wave.most_down.saturating_sub(open.down_count());
+        for (work, name) in order.into_iter().take(allowance) {
+            let is_up = (self.waves.machines.get(&name)).is_some_and(|machine| machine.state == MachineState::Up);
+            let may_go_down = is_up && (work == 0 || (is_late && self.may_interrupt(&name)));
+            if let Some(machine) = self.waves.machine_mut(number, &name) {
+                machine.stage = if may_go_down { Stage::Planned } else { Stage::Cordoned };
             }
         }
-        for (name, stage) in &mut open.stages {
-            if let Stage::Commanded { at_ms } = stage
-                && now_ms > *at_ms + Self::MAINTENANCE_REPEAT_MS
-            {
-                *at_ms = now_ms;
-                self.actions.push(Action::StartMaintenance {
-                    machine: name.clone(),
-                    wave: number,
-                });
-            }
+    }
+
+    /// Sends planned commands, and repeats commands without a reply.
+    fn send_due_commands(&mut self, number: u64, now_ms: u64) {
+        let Some(open) = self.waves.waves.get(&number) else {
+            return;
+        };
+        let due: Vec<_> = open
+            .machines
+            .iter()
+            .filter(|(_, machine)| match machine.stage {
+                Stage::Planned => true,
+                Stage::Commanded { sent_ms, .. } => now_ms > sent_ms + Self::MAINTENANCE_REPEAT_MS,
+                _ => false,
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.send_maintenance(number, &name, now_ms);
         }
-        self.waves.waves.insert(number, open);
     }
 
     fn runs_on(&self, machine: &str) -> Vec<super::keys::RunKey> {
--- a/crates/domain/src/machine.rs
+++ b/crates/domain/src/machine.rs
@@ -40,8 +40,8 @@
 /// Outcome of taking a machine down for maintenance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MaintenanceReply {
-    /// The machine is in maintenance or has been maintained.
-    Begun,
+    /// The machine goes down, or the wave's maintenance of it is over already.
+    Confirmed,
     /// The machine is not up.
     Busy,
     /// The machine is not part of the wave or does not exist.
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod faults;
 mod jobs;
+mod maintenance;
 mod preemption;
 mod random_faults;
 mod simulation;
--- /dev/null
+++ b/crates/domain/tests/engine/maintenance.rs
@@ -0,0 +1,75 @@
+//! Maintenance waves under takeovers, lost replies and late lists of machines.
+
+use crate::simulation::{Simulation, job, step};
+use compact_str::CompactString;
+use domain::{JobState, Wave, WaveProgress};
+
+const WITHIN_MS: u64 = 30_000;
+
+fn wave(number: u64, machines: &[&str], most_down: usize) -> Wave {
+    Wave {
+        number,
+        machines: machines.iter().map(|name| (*name).into()).collect(),
+        within_ms: WITHIN_MS,
+        most_down,
+    }
+}
+
+/// Fills workers with tasks that outlast a wave.
+fn fill(sim: &mut Simulation, name: &str, count: u32) -> CompactString {
+    let id = sim.submit(job(name, 1, step(count, 8, 2 * WITHIN_MS)));
+    sim.run_until(3_000, |sim| sim.workers_of(&id).len() == count as usize);
+    id
+}
+
+/// Guards against a second run of a task that runs on a machine whose maintenance was over before a takeover.
+///
+/// The successor repeats the command and must not take its confirmation for the end of the runs there.
+#[test]
+fn maintenance_before_a_takeover_ends_no_runs() {
+    let mut sim = Simulation::new(1, 3);
+    sim.request_wave(wave(1, &["m-w0-0"], 1));
+    sim.run_until(10_000, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
+    let jobs = ["a", "b", "c"].map(|name| fill(&mut sim, name, 1));
+    // One worker is idle, so that a second run finds room.
+    let elsewhere = jobs.iter().find(|id| sim.workers_of(id) != ["w0-0n"]);
+    sim.cancel(elsewhere.expect("two jobs are elsewhere"));
+    sim.run_for(1_000);
+    sim.take_over();
+    sim.run_for(20_000);
+    sim.assert_no_violations();
+    assert_eq!((sim.maintained(1), sim.interrupted_runs, sim.starts.len()), (1, 0, 3));
+}
+
+/// Guards against a second run of a task on the worker that a machine has after a maintenance whose reply was lost: the
+/// repeated command is confirmed although nothing ends.
+#[test]
+fn lost_maintenance_reply_ends_no_runs_of_the_next_worker() {
+    let mut sim = Simulation::new(1, 2);
+    sim.maintenance.lose_replies = 2;
+    sim.request_wave(wave(1, &["m-w0-0"], 1));
+    sim.run_until(5_000, |sim| !sim.maintenance.commands.is_empty());
+    sim.maintenance.are_lists_unreadable = true;
+    sim.run_until(5_000, |sim| sim.workers.contains_key("w0-0n"));
+    fill(&mut sim, "a", 2);
+    sim.maintenance.are_lists_unreadable = false;
+    sim.run_until(10_000, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
+    sim.run_for(5_000);
+    sim.assert_no_violations();
+}
+
+/// Guards against work that waits for the leases of a worker whose machine went down for maintenance.
+#[test]
+fn interrupted_work_starts_again_at_once() {
+    let mut sim = Simulation::new(1, 2);
+    let id = fill(&mut sim, "a", 1);
+    let busy = sim.workers_of(&id)[0].clone();
+    sim.request_wave(wave(1, &[&format!("m-{busy}")], 1));
+    sim.run_until(WITHIN_MS, |sim| sim.interrupted_runs == 1);
+    let took_ms = sim.run_until(5_000, |sim| sim.starts.len() == 2);
+    assert!(took_ms <= 200, "{took_ms} ms");
+    sim.run_until(5 * WITHIN_MS, |sim| {
+        sim.store.values().all(|job| job.progress.state == JobState::Done)
+    });
+    sim.assert_no_violations();
+}
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod fake_worker;
 mod invariants;
+mod maintenance;
 mod records;
 
 use std::collections::BTreeMap;
@@ -12,11 +13,12 @@
 use compact_str::CompactString;
 pub use crashes::{Crashes, Return};
 use domain::{
-    Action, Commit, Config, EndKind, Engine, EntryState, Job, JobState, Limits, Machine, MachineState,
-    MaintenanceReply, Organisation, Progress, Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob,
-    TaskName, WaveProgress, WorkerEntry, WorkerKey,
+    Action, Commit, Config, EndKind, Engine, EntryState, Job, JobState, Limits, Machine, MachineState, Organisation,
+    Progress, Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress,
+    WorkerEntry, WorkerKey,
 };
 pub use fake_worker::FakeWorker;
+pub use maintenance::Maintenance;
 
 /// Rows of a job in the fake store.
 #[derive(Debug, Clone)]
@@ -90,6 +92,8 @@
     /// Number of runs that maintenance interrupted.
     pub interrupted_runs: usize,
     pub waves: BTreeMap<u64, WaveProgress>,
+    /// Machine management interface.
+    pub maintenance: Maintenance,
     /// Tasks that crash the workers that start them.
     pub crashes: Crashes,
     /// Whether reports show the state of the workers before the last commands arrived.
@@ -176,6 +180,7 @@
             most_down: 0,
             interrupted_runs: 0,
             waves: BTreeMap::new(),
+            maintenance: Maintenance::default(),
             crashes: Crashes::default(),
             has_stale_reports: false,
             stale_workers: BTreeMap::new(),
@@ -218,6 +223,7 @@
             self.engine.add_recorded_worker(id, address, self.now_ms);
         }
         self.engine.set_former_start_bound(self.start_bound);
+        self.recall_waves();
         if !self.is_list_late {
             self.refresh_entries();
         }
@@ -346,6 +352,7 @@
             self.deliver_start(&delayed.id, delayed.epoch, &delayed.command);
         }
         self.reply_to_renewals();
+        self.advance_maintenance();
         if self.has_stale_reports {
             self.stale_workers = self.workers.clone();
         }
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -52,33 +52,7 @@
                     .collect();
                 self.engine.placement_hints_replied(Some(&permitted_ids), self.now_ms);
             }
-            Action::ListMachines => {
-                let machines = self.workers.values().map(|worker| Machine {
-                    name: format!("m-{}", worker.machine).into(),
-                    state: if worker.is_in_maintenance {
-                        MachineState::Maintenance
-                    } else {
-                        MachineState::Up
-                    },
-                    worker: worker.id.clone(),
-                });
-                self.engine.set_machines(Some(machines.collect()), self.now_ms);
-            }
-            Action::StartMaintenance { machine, wave } => {
-                let down = self.workers.values().filter(|worker| worker.is_in_maintenance).count();
-                let is_named = |worker: &&mut FakeWorker| machine == format!("m-{}", worker.machine);
-                let Some(worker) = self.workers.values_mut().find(is_named) else {
-                    return;
-                };
-                if !worker.is_in_maintenance && !worker.was_maintained {
-                    self.most_down = self.most_down.max(down + 1);
-                    self.interrupted_runs += worker.runs.len();
-                    worker.begin_maintenance(self.now_ms);
-                    self.engine.unlist_worker(&worker.id.clone(), self.now_ms);
-                }
-                self.engine
-                    .maintenance_replied(wave, &machine, MaintenanceReply::Begun, self.now_ms);
-            }
+            Action::ListMachines | Action::StartMaintenance { .. } => self.apply_maintenance_action(action),
             Action::WriteStartBound { version } => {
                 if !self.is_store_down {
                     self.start_bound = Some(version);
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -41,6 +41,8 @@
     pub machine: CompactString,
     pub is_in_maintenance: bool,
     pub was_maintained: bool,
+    /// Waves for which the machine went down.
+    pub maintained_in: Vec<u64>,
     maintenance_until_ms: u64,
     /// When a task crashes the process.
     pub crash_at_ms: Option<u64>,
@@ -68,6 +70,7 @@
             machine: id.clone(),
             is_in_maintenance: false,
             was_maintained: false,
+            maintained_in: Vec::new(),
             real_work_ms: None,
             maintenance_until_ms: 0,
             crash_at_ms: None,
--- a/crates/domain/tests/engine/workload_kinds.rs
+++ b/crates/domain/tests/engine/workload_kinds.rs
@@ -66,7 +66,7 @@
         within_ms: 40_000,
         most_down: 2,
     };
-    sim.engine.set_wave(7, Some(wave), sim.now_ms);
+    sim.request_wave(wave);
     sim.run_until(40_000, |sim| sim.waves.get(&7) == Some(&WaveProgress::Done));
     let maintained = sim.workers.values().filter(|worker| worker.was_maintained).count();
     assert_eq!((maintained, sim.interrupted_runs), (4, 0));
@@ -87,10 +87,9 @@
         within_ms: 30_000,
         most_down: 1,
     };
-    sim.engine.set_wave(1, Some(wave.clone()), sim.now_ms);
+    sim.request_wave(wave);
     sim.run_for(1_000);
     sim.take_over();
-    sim.engine.set_wave(1, Some(wave), sim.now_ms);
     sim.run_until(30_000, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
     assert!(sim.most_down <= 1, "{}", sim.most_down);
     let maintained = sim.workers.values().filter(|worker| worker.was_maintained).count();
