fix(domain): a list of machines read before a command does not end maintenance

Cause: the list of machines is read once a second and takes up to 1.5 s. One that was requested before a command and arrives after its reply still shows the machine as up; the wave took that for the end of the maintenance and sent the next machine down beside it (LIMIT, and MIXED once the wave counts as done). Ruled out: a machine that was really up again: the fake machine stays down for 2 s, and the second command follows within 0.5 s. Change: a stage that follows a confirmation changes only with a list that was requested after it; such a list is requested at once.

--- a/crates/domain/src/engine/open_wave.rs
+++ b/crates/domain/src/engine/open_wave.rs
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Updates the stage from a list of machines; `state` is `None` if the machine
+    /// Updates the stage from a list of machines that was requested at `requested_ms`; `state` is `None` if the machine
     /// has been removed.
-    pub fn observe(&mut self, state: Option<MachineState>) {
+    pub fn observe(&mut self, state: Option<MachineState>, requested_ms: u64) {
         let Some(state) = state else {
             self.stage = Stage::Done;
             return;
@@ -54,8 +54,12 @@
         if state == MachineState::Maintenance && self.stage != Stage::Done {
             self.stage = Stage::Down;
         }
-        let is_commanded = matches!(self.stage, Stage::Confirmed { .. } | Stage::Down);
-        if is_commanded {
+        let is_newer_than_reply = match self.stage {
+            Stage::Confirmed { at_ms } => requested_ms > at_ms,
+            Stage::Down => true,
+            _ => false,
+        };
+        if is_newer_than_reply {
             self.stage = if state == MachineState::Up {
                 Stage::Done
             } else {
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -87,7 +87,7 @@
         for open in self.waves.waves.values_mut() {
             for (name, machine) in &mut open.machines {
                 let listed = known.get(name);
-                machine.observe(listed.map(|listed| listed.state));
+                machine.observe(listed.map(|listed| listed.state), requested_ms);
                 if let Stage::Confirmed { at_ms } = machine.stage {
                     // The next list tells whether the machine went down.
                     self.waves.list_due_ms = self.waves.list_due_ms.min(at_ms);
--- a/crates/domain/tests/engine/maintenance.rs
+++ b/crates/domain/tests/engine/maintenance.rs
@@ -1,8 +1,10 @@
 //! Maintenance waves under takeovers, lost replies and late lists of machines.
 
-use crate::simulation::{Simulation, job, step};
 use compact_str::CompactString;
 use domain::{JobState, Wave, WaveProgress};
+use rstest::rstest;
+
+use crate::simulation::{Simulation, job, step};
 
 const WITHIN_MS: u64 = 30_000;
 
@@ -58,6 +60,24 @@
     sim.assert_no_violations();
 }
 
+/// Guards against more machines down than a wave allows: a list of machines that was requested before a command shows
+/// the machine as up after the reply.
+#[rstest]
+#[case::list_shorter_than_maintenance(900)]
+#[case::list_as_long_as_the_time_out(1_500)]
+fn late_list_of_machines_ends_no_maintenance(#[case] list_delay_ms: u64) {
+    let mut sim = Simulation::new(1, 4);
+    // The machines are idle, so that the first command is sent, while the second list is under way.
+    let id = sim.submit(job("a", 1, step(4, 8, 2 * list_delay_ms + 500)));
+    sim.run_until(3_000, |sim| sim.workers_of(&id).len() == 4);
+    sim.maintenance.list_delay_ms = list_delay_ms;
+    // Machines that were removed leave the wave enough time to wait for the others.
+    sim.request_wave(wave(1, &["m-w0-0", "m-w0-1", "m-w0-2", "m-x", "m-y"], 1));
+    sim.run_until(WITHIN_MS, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
+    assert_eq!((sim.maintained(1), sim.most_down), (3, 1));
+    sim.assert_no_violations();
+}
+
 /// Guards against work that waits for the leases of a worker whose machine went down for maintenance.
 #[test]
 fn interrupted_work_starts_again_at_once() {
