fix(domain): maintenance for one wave does not count for another

Cause: any machine that the list showed in maintenance counted as begun in every open wave that named it, and as done once it was up. While the machine was down, its refused command was repeated in every placement pass, against the platform's limit on such calls. Ruled out: a command that was lost: the fake interface refused each one as busy. Change: the list moves a machine on only after its own command was confirmed. A refused command is sent again after 1.5 s.

--- a/crates/domain/src/engine/open_wave.rs
+++ b/crates/domain/src/engine/open_wave.rs
@@ -34,6 +34,8 @@
     pub stage: Stage,
     /// Worker that was on the machine when the command was sent.
     pub commanded_worker: CompactString,
+    /// Time before which a refused command is not sent again.
+    pub refused_until_ms: u64,
 }
 
 impl WaveMachine {
@@ -41,6 +43,7 @@
         Self {
             stage: Stage::Waiting,
             commanded_worker: CompactString::const_new(""),
+            refused_until_ms: 0,
         }
     }
 
@@ -51,9 +54,6 @@
             self.stage = Stage::Done;
             return;
         };
-        if state == MachineState::Maintenance && self.stage != Stage::Done {
-            self.stage = Stage::Down;
-        }
         let is_newer_than_reply = match self.stage {
             Stage::Confirmed { at_ms } => requested_ms > at_ms,
             Stage::Down => true,
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -44,7 +44,7 @@
     /// Share of the wave's time after which machines may be taken down together with their work.
     const DRAIN_SHARE: f64 = 0.5;
 
-    /// Time after which a maintenance command is repeated that was not answered; the command is idempotent.
+    /// Time after which a maintenance command is repeated that was refused or not answered; the command is idempotent.
     const MAINTENANCE_REPEAT_MS: u64 = 1_500;
 
     /// Opens a wave that operators requested; `None` means that they withdrew it.
@@ -153,7 +153,10 @@
                     is_doubtful,
                 }
             }
-            MaintenanceReply::Busy | MaintenanceReply::Fenced | MaintenanceReply::Refused => Stage::Cordoned,
+            MaintenanceReply::Busy | MaintenanceReply::Fenced | MaintenanceReply::Refused => {
+                machine.refused_until_ms = now_ms + Self::MAINTENANCE_REPEAT_MS;
+                Stage::Cordoned
+            }
         };
         if reply == MaintenanceReply::Confirmed {
             self.waves.list_due_ms = now_ms;
@@ -249,7 +252,11 @@
             let is_up = (self.waves.machines.get(&name)).is_some_and(|machine| machine.state == MachineState::Up);
             let may_go_down = is_up && (work == 0 || (is_late && self.may_interrupt(&name)));
             if let Some(machine) = self.waves.machine_mut(number, &name) {
-                machine.stage = if may_go_down { Stage::Planned } else { Stage::Cordoned };
+                machine.stage = if may_go_down && now_ms >= machine.refused_until_ms {
+                    Stage::Planned
+                } else {
+                    Stage::Cordoned
+                };
             }
         }
     }
--- a/crates/domain/tests/engine/maintenance.rs
+++ b/crates/domain/tests/engine/maintenance.rs
@@ -78,6 +78,23 @@
     sim.assert_no_violations();
 }
 
+/// Guards against a machine whose maintenance is left out because it was down for another wave.
+#[test]
+fn maintenance_for_one_wave_does_not_count_for_another() {
+    let mut sim = Simulation::new(1, 3);
+    sim.request_wave(wave(1, &["m-w0-0"], 1));
+    sim.request_wave(wave(2, &["m-w0-0", "m-w0-1"], 1));
+    let is_done = |sim: &Simulation| {
+        [1, 2]
+            .iter()
+            .all(|number| sim.waves.get(number) == Some(&WaveProgress::Done))
+    };
+    sim.run_until(WITHIN_MS, is_done);
+    assert_eq!((sim.maintained(1), sim.maintained(2)), (1, 2));
+    assert!(sim.maintenance.commands.len() <= 8, "{:?}", sim.maintenance.commands);
+    sim.assert_no_violations();
+}
+
 /// Guards against work that waits for the leases of a worker whose machine went down for maintenance.
 #[test]
 fn interrupted_work_starts_again_at_once() {
