feat(domain): a successor continues a maintenance wave where it stands

Cause: nothing about a wave was durable but its published progress. A successor counted the time of the wave from its takeover, so that a wave with takeovers came late; sent finished machines their commands again, which drained them of work first; and did not know of commands under way, so that a late one took a machine down beside its own (LIMIT). Ruled out: reading the progress published to operators alone: it says running or done, not which machines, and must keep its form. Change: table `waves` holds the begin of a wave and, for each machine, that a command may have been sent (written before it is sent) or that its maintenance is over. The rows are part of the scheduler's commits, conditional on the epoch; a late write can only make a successor repeat a command, which is harmless since a confirmation ends no runs. One row a machine keeps rows small whatever the size of the wave; a transaction holds at most 10 of them. Rows of a wave stay in the table after it is withdrawn.

--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -1,6 +1,6 @@
 use compact_str::CompactString;
 
-use crate::{Progress, RunRecord, WorkerKey};
+use crate::{Progress, RunRecord, WaveRow, WorkerKey};
 
 /// Run of a task, as workers identify it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -54,6 +54,8 @@
     pub pending: Vec<(CompactString, u64)>,
     /// Maintenance waves that run or are done.
     pub waves: Vec<(u64, WaveProgress)>,
+    /// Facts about maintenance waves from which a successor continues.
+    pub wave_rows: Vec<WaveRow>,
 }
 
 /// Progress of a maintenance wave as operators see it.
@@ -93,7 +95,8 @@
         } else {
             0
         };
-        let others = self.add_workers.len() + self.remove_workers.len() + self.pending.len() + self.waves.len();
+        let workers = self.add_workers.len() + self.remove_workers.len();
+        let others = workers + self.pending.len() + self.waves.len() + self.wave_rows.len();
         Self::BASE_ENTRIES
             + self.rows.len() * Self::ROW_ENTRIES
             + self.remove_jobs.len() * Self::REMOVAL_ENTRIES
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -52,6 +52,9 @@
     /// Maximum number of waiting-job counts in one write.
     const PENDING_PER_COMMIT: usize = 20;
 
+    /// Maximum number of rows about maintenance waves in one write.
+    const WAVE_ROWS_PER_COMMIT: usize = 10;
+
     /// Maximum number of run records in one row; a fraction of what fits into a row.
     const RECORDS_PER_ROW: usize = 100;
 
@@ -82,7 +85,8 @@
         let has_finished = !self.finished.due(now_ms, 1).is_empty();
         let has_workers = !self.commit.add_workers.is_empty()
             || !self.commit.remove_workers.is_empty()
-            || !self.waves.unpublished().is_empty();
+            || !self.waves.unpublished().is_empty()
+            || !self.waves.unwritten_rows(1).is_empty();
         let has_unacked = !self.unacked.is_empty();
         let is_pending_due = now_ms >= self.commit.pending_due_ms && {
             self.commit.pending_due_ms = now_ms + Self::PENDING_INTERVAL_MS;
@@ -172,6 +176,7 @@
             remove_jobs: self.finished.due(now_ms, Self::REMOVALS_PER_COMMIT),
             pending: self.changed_pending(),
             waves: self.waves.unpublished(),
+            wave_rows: self.waves.unwritten_rows(Self::WAVE_ROWS_PER_COMMIT),
             ..Commit::default()
         };
         let mut write = InFlight {
@@ -249,6 +254,7 @@
         }
         self.finished.removed(&commit.remove_jobs);
         self.waves_published(&commit.waves);
+        self.wave_rows_written(&commit.wave_rows, now_ms);
         for (route, count) in &commit.pending {
             self.commit.written_pending.insert(route.clone(), *count);
         }
--- a/crates/domain/src/engine/open_wave.rs
+++ b/crates/domain/src/engine/open_wave.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::{MachineState, Wave, WaveProgress};
+use crate::{MachineState, Wave, WaveFact, WaveProgress, WaveRow};
 
 /// Stage of a machine in a maintenance wave.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,7 +11,7 @@
     Waiting,
     /// Its worker gets no new work, so that it drains.
     Cordoned,
-    /// The maintenance command is about to be sent.
+    /// The maintenance command is sent once its row is durable.
     Planned,
     /// The maintenance command was sent; whether the machine is down is not known yet.
     Commanded {
@@ -34,6 +34,8 @@
     pub stage: Stage,
     /// Worker that was on the machine when the command was sent.
     pub commanded_worker: CompactString,
+    /// Durable fact about the machine.
+    pub durable: Option<WaveFact>,
     /// Time before which a refused command is not sent again.
     pub refused_until_ms: u64,
 }
@@ -43,6 +45,7 @@
         Self {
             stage: Stage::Waiting,
             commanded_worker: CompactString::const_new(""),
+            durable: None,
             refused_until_ms: 0,
         }
     }
@@ -67,6 +70,16 @@
             };
         }
     }
+
+    /// Returns the fact that a successor needs and that is not durable yet.
+    fn unwritten_fact(&self) -> Option<WaveFact> {
+        let fact = match self.stage {
+            Stage::Planned => WaveFact::Commanded,
+            Stage::Done => WaveFact::Maintained,
+            _ => return None,
+        };
+        (self.durable != Some(fact)).then_some(fact)
+    }
 }
 
 /// Maintenance wave that operators requested and did not withdraw.
@@ -77,10 +90,12 @@
     pub machines: BTreeMap<CompactString, WaveMachine>,
     /// Progress that operators see.
     pub published: Option<WaveProgress>,
+    began_unix_ms: u64,
+    is_begin_durable: bool,
 }
 
 impl OpenWave {
-    pub fn new(wave: Wave, now_ms: u64) -> Self {
+    pub fn new(wave: Wave, now_ms: u64, now_unix_ms: u64) -> Self {
         let machines = wave
             .machines
             .iter()
@@ -91,7 +106,32 @@
             began_ms: now_ms,
             machines,
             published: None,
+            began_unix_ms: now_unix_ms,
+            is_begin_durable: false,
+        }
+    }
+
+    /// Restores what a former scheduler made durable.
+    pub fn recall(&mut self, row: &WaveRow, now_ms: u64, now_unix_ms: u64) {
+        if let WaveFact::Began { unix_ms } = row.fact {
+            // The bound limits the effect of a wrong clock.
+            let elapsed_ms = now_unix_ms.saturating_sub(unix_ms).min(self.wave.within_ms);
+            self.began_ms = now_ms.saturating_sub(elapsed_ms);
+            self.began_unix_ms = unix_ms;
+            self.is_begin_durable = true;
+            return;
         }
+        let Some(machine) = row.machine.as_ref().and_then(|name| self.machines.get_mut(name)) else {
+            return;
+        };
+        machine.durable = Some(row.fact);
+        machine.stage = match row.fact {
+            WaveFact::Maintained => Stage::Done,
+            _ => Stage::Commanded {
+                sent_ms: 0,
+                is_doubtful: true,
+            },
+        };
     }
 
     pub fn progress(&self) -> WaveProgress {
@@ -107,4 +147,36 @@
         let is_down = |machine: &&WaveMachine| !matches!(machine.stage, Stage::Waiting | Stage::Cordoned | Stage::Done);
         self.machines.values().filter(is_down).count()
     }
+
+    /// Returns the facts that are not durable yet.
+    pub fn unwritten_rows(&self) -> impl Iterator<Item = WaveRow> {
+        let wave = self.wave.number;
+        let begin = (!self.is_begin_durable).then_some(WaveRow {
+            wave,
+            machine: None,
+            fact: WaveFact::Began {
+                unix_ms: self.began_unix_ms,
+            },
+        });
+        let of_machines = self.machines.iter().filter_map(move |(name, machine)| {
+            Some(WaveRow {
+                wave,
+                machine: Some(name.clone()),
+                fact: machine.unwritten_fact()?,
+            })
+        });
+        begin.into_iter().chain(of_machines)
+    }
+
+    /// Takes note of a durable fact.
+    pub fn row_written(&mut self, row: &WaveRow) {
+        match &row.machine {
+            None => self.is_begin_durable = true,
+            Some(name) => {
+                if let Some(machine) = self.machines.get_mut(name) {
+                    machine.durable = Some(row.fact);
+                }
+            }
+        }
+    }
 }
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -4,7 +4,7 @@
 
 use super::Engine;
 use super::open_wave::{OpenWave, Stage, WaveMachine};
-use crate::{Action, Machine, MachineState, MaintenanceReply, Wave, WaveProgress};
+use crate::{Action, Machine, MachineState, MaintenanceReply, Wave, WaveProgress, WaveRow};
 
 /// Maintenance waves and the list of machines.
 #[derive(Debug, Clone, Default)]
@@ -12,6 +12,8 @@
     waves: BTreeMap<u64, OpenWave>,
     machines: HashMap<CompactString, Machine>,
     cordoned_workers: HashSet<CompactString>,
+    /// Rows that former schedulers wrote.
+    former_rows: Vec<WaveRow>,
     /// When the list of machines that is being read was requested.
     list_requested_ms: Option<u64>,
     list_due_ms: u64,
@@ -31,6 +33,15 @@
             .collect()
     }
 
+    /// Returns at most `most` facts that are not durable yet.
+    pub fn unwritten_rows(&self, most: usize) -> Vec<WaveRow> {
+        self.waves
+            .values()
+            .flat_map(OpenWave::unwritten_rows)
+            .take(most)
+            .collect()
+    }
+
     fn machine_mut(&mut self, wave: u64, machine: &str) -> Option<&mut WaveMachine> {
         self.waves.get_mut(&wave)?.machines.get_mut(machine)
     }
@@ -48,7 +59,7 @@
     const MAINTENANCE_REPEAT_MS: u64 = 1_500;
 
     /// Opens a wave that operators requested; `None` means that they withdrew it.
-    pub fn set_wave(&mut self, number: u64, wave: Option<Wave>, now_ms: u64) {
+    pub fn set_wave(&mut self, number: u64, wave: Option<Wave>, now_ms: u64, now_unix_ms: u64) {
         let Some(wave) = wave else {
             self.waves.waves.remove(&number);
             return;
@@ -56,19 +67,37 @@
         if self.waves.waves.contains_key(&number) {
             return;
         }
-        let open = OpenWave::new(wave, now_ms);
-        self.log_wave(&open);
+        let mut open = OpenWave::new(wave, now_ms, now_unix_ms);
+        let former_rows = self.waves.former_rows.iter().filter(|row| row.wave == number);
+        former_rows.for_each(|row| open.recall(row, now_ms, now_unix_ms));
+        self.log_wave(&open, now_ms);
         self.waves.waves.insert(number, open);
         self.waves.list_due_ms = now_ms;
     }
 
-    fn log_wave(&mut self, open: &OpenWave) {
+    /// Adds the rows about maintenance waves that former schedulers wrote. Call it before the scheduler is loaded.
+    pub fn add_wave_rows(&mut self, rows: Vec<WaveRow>, now_ms: u64, now_unix_ms: u64) {
+        for row in &rows {
+            if let Some(open) = self.waves.waves.get_mut(&row.wave) {
+                open.recall(row, now_ms, now_unix_ms);
+            }
+        }
+        if !rows.is_empty() {
+            self.log_lines.push(format!("wave_rows_read rows={}", rows.len()));
+        }
+        self.waves.former_rows = rows;
+    }
+
+    fn log_wave(&mut self, open: &OpenWave, now_ms: u64) {
+        let done = open.machines.values().filter(|machine| machine.stage == Stage::Done);
         self.log_lines.push(format!(
-            "wave_begins wave={} machines={} within_ms={} most_down={}",
+            "wave_begins wave={} machines={} within_ms={} most_down={} elapsed_ms={} done={}",
             open.wave.number,
             open.wave.machines.len(),
             open.wave.within_ms,
-            open.wave.most_down
+            open.wave.most_down,
+            now_ms.saturating_sub(open.began_ms),
+            done.count()
         ));
     }
 
@@ -164,6 +193,24 @@
         }
     }
 
+    /// Handles the confirmation that rows about waves are durable: commands that waited for theirs are sent.
+    pub(super) fn wave_rows_written(&mut self, rows: &[WaveRow], now_ms: u64) {
+        for row in rows {
+            let Some(open) = self.waves.waves.get_mut(&row.wave) else {
+                continue;
+            };
+            open.row_written(row);
+            let Some(name) = &row.machine else { continue };
+            if open
+                .machines
+                .get(name)
+                .is_some_and(|machine| machine.stage == Stage::Planned)
+            {
+                self.send_maintenance(row.wave, name, now_ms);
+            }
+        }
+    }
+
     /// Takes note of the progress of waves that operators can see.
     pub(super) fn waves_published(&mut self, waves: &[(u64, WaveProgress)]) {
         for (number, progress) in waves {
@@ -261,7 +308,7 @@
         }
     }
 
-    /// Sends planned commands, and repeats commands without a reply.
+    /// Sends planned commands whose rows are durable, and repeats commands without a reply.
     fn send_due_commands(&mut self, number: u64, now_ms: u64) {
         let Some(open) = self.waves.waves.get(&number) else {
             return;
@@ -270,7 +317,7 @@
             .machines
             .iter()
             .filter(|(_, machine)| match machine.stage {
-                Stage::Planned => true,
+                Stage::Planned => machine.durable.is_some(),
                 Stage::Commanded { sent_ms, .. } => now_ms > sent_ms + Self::MAINTENANCE_REPEAT_MS,
                 _ => false,
             })
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -25,6 +25,7 @@
 mod task_crashes;
 mod task_name;
 mod trial;
+mod wave_row;
 mod worker_entry;
 mod worker_report;
 
@@ -43,5 +44,6 @@
 pub use task_crashes::{CrashEvidence, TaskCrashes};
 pub use task_name::{ParseTaskNameError, TaskName};
 pub use trial::Trial;
+pub use wave_row::{WaveFact, WaveRow};
 pub use worker_entry::{EntryState, WorkerEntry};
 pub use worker_report::{EndKind, RunEnd, RunningTask, WorkerReport};
--- a/crates/domain/tests/engine/maintenance.rs
+++ b/crates/domain/tests/engine/maintenance.rs
@@ -26,9 +26,12 @@
 
 /// Guards against a second run of a task that runs on a machine whose maintenance was over before a takeover.
 ///
-/// The successor repeats the command and must not take its confirmation for the end of the runs there.
-#[test]
-fn maintenance_before_a_takeover_ends_no_runs() {
+/// Without rows, as after an upgrade, the successor repeats the command and must not take its confirmation for the end
+/// of the runs there.
+#[rstest]
+#[case::with_rows(true)]
+#[case::without_rows(false)]
+fn maintenance_before_a_takeover_ends_no_runs(#[case] has_rows: bool) {
     let mut sim = Simulation::new(1, 3);
     sim.request_wave(wave(1, &["m-w0-0"], 1));
     sim.run_until(10_000, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
@@ -37,9 +40,13 @@
     let elsewhere = jobs.iter().find(|id| sim.workers_of(id) != ["w0-0n"]);
     sim.cancel(elsewhere.expect("two jobs are elsewhere"));
     sim.run_for(1_000);
+    if !has_rows {
+        sim.maintenance.rows.clear();
+    }
     sim.take_over();
     sim.run_for(20_000);
     sim.assert_no_violations();
+    assert_eq!(sim.maintenance.commands.len(), if has_rows { 1 } else { 2 });
     assert_eq!((sim.maintained(1), sim.interrupted_runs, sim.starts.len()), (1, 0, 3));
 }
 
@@ -78,6 +85,25 @@
     sim.assert_no_violations();
 }
 
+/// Guards against more machines down than a wave allows: a command of the former scheduler takes effect after a
+/// takeover.
+#[test]
+fn late_command_of_a_former_scheduler_counts_as_down() {
+    let mut sim = Simulation::new(1, 4);
+    // The successor finds other machines as idle as the one that the command is for.
+    let id = sim.submit(job("a", 1, step(3, 8, 400)));
+    sim.run_until(300, |sim| sim.workers_of(&id).len() == 3);
+    sim.maintenance.command_delay_ms = Some(1_500);
+    sim.request_wave(wave(1, &["m-w0-0", "m-w0-1", "m-w0-2", "m-w0-3"], 1));
+    sim.run_until(300, |sim| !sim.maintenance.commands.is_empty());
+    sim.run_for(400);
+    sim.maintenance.command_delay_ms = None;
+    sim.take_over();
+    sim.run_until(WITHIN_MS, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
+    assert_eq!((sim.maintained(1), sim.most_down), (4, 1));
+    sim.assert_no_violations();
+}
+
 /// Guards against a machine whose maintenance is left out because it was down for another wave.
 #[test]
 fn maintenance_for_one_wave_does_not_count_for_another() {
@@ -95,6 +121,22 @@
     sim.assert_no_violations();
 }
 
+/// Guards against a wave that is late since each successor counts its time from the start.
+#[test]
+fn successors_keep_the_time_of_a_wave() {
+    let mut sim = Simulation::new(1, 2);
+    fill(&mut sim, "a", 2);
+    sim.request_wave(wave(1, &["m-w0-0", "m-w0-1"], 1));
+    let began_ms = sim.now_ms;
+    for _ in 0..5 {
+        sim.run_for(WITHIN_MS / 6);
+        sim.take_over();
+    }
+    sim.run_until(WITHIN_MS, |sim| sim.waves.get(&1) == Some(&WaveProgress::Done));
+    assert!(sim.now_ms - began_ms <= WITHIN_MS, "{} ms", sim.now_ms - began_ms);
+    sim.assert_no_violations();
+}
+
 /// Guards against work that waits for the leases of a worker whose machine went down for maintenance.
 #[test]
 fn interrupted_work_starts_again_at_once() {
--- a/crates/domain/tests/engine/simulation/commits.rs
+++ b/crates/domain/tests/engine/simulation/commits.rs
@@ -49,6 +49,9 @@
             }
         }
         self.waves.extend(commit.waves.iter().copied());
+        for row in &commit.wave_rows {
+            (self.maintenance.rows).insert((row.wave, row.machine.clone()), row.fact);
+        }
         for (id, address) in &commit.add_workers {
             self.used_workers.insert(id.clone(), address.clone());
         }
--- a/crates/domain/tests/engine/simulation/maintenance.rs
+++ b/crates/domain/tests/engine/simulation/maintenance.rs
@@ -1,12 +1,14 @@
 use std::mem;
 
-use domain::{Action, MaintenanceReply, Wave};
+use domain::{Action, MaintenanceReply, Wave, WaveFact, WaveRow};
 
 use super::*;
 
 /// Faults of the machine management interface, and what it saw.
 #[derive(Debug, Default)]
 pub struct Maintenance {
+    /// Durable facts about waves.
+    pub rows: BTreeMap<(u64, Option<CompactString>), WaveFact>,
     /// Commands that it received, by wave and machine.
     pub commands: Vec<(u64, CompactString)>,
     /// Number of next commands whose replies are lost after they took effect.
@@ -27,7 +29,7 @@
     /// Requests a wave; it stays requested over takeovers.
     pub fn request_wave(&mut self, wave: Wave) {
         self.maintenance.waves.insert(wave.number, wave.clone());
-        self.engine.set_wave(wave.number, Some(wave), self.now_ms);
+        self.engine.set_wave(wave.number, Some(wave), self.now_ms, self.now_ms);
     }
 
     /// Returns the number of machines whose maintenance for a wave is over or under way.
@@ -36,11 +38,19 @@
         self.workers.values().filter(is_maintained).count()
     }
 
-    /// Passes the requested waves to a new engine.
+    /// Passes the requested waves and what is durable about them to a new engine.
     pub(super) fn recall_waves(&mut self) {
         for wave in self.maintenance.waves.values() {
-            self.engine.set_wave(wave.number, Some(wave.clone()), self.now_ms);
+            self.engine
+                .set_wave(wave.number, Some(wave.clone()), self.now_ms, self.now_ms);
         }
+        let rows = self.maintenance.rows.iter();
+        let rows = rows.map(|((wave, machine), fact)| WaveRow {
+            wave: *wave,
+            machine: machine.clone(),
+            fact: *fact,
+        });
+        self.engine.add_wave_rows(rows.collect(), self.now_ms, self.now_ms);
         self.maintenance.delayed_lists.clear();
     }
 
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -9,7 +9,8 @@
 use crate::ports::{Condition, Put, Store, Target, Txn, Workers};
 use crate::rows::{
     EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, JOBS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND,
-    START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, cancel_key, put, records_key,
+    START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, WAVES, cancel_key, put,
+    records_key, wave_key,
 };
 
 /// Time-out of a command; workers reply within a few round trips of some milliseconds.
@@ -220,6 +221,10 @@
             txn.puts.push(put(parts.of_lease_holder(PENDING), route.clone(), count));
         }
         txn.waves.clone_from(&commit.waves);
+        for row in &commit.wave_rows {
+            txn.puts
+                .push(put(parts.of_lease_holder(WAVES), wave_key(row), &row.fact));
+        }
         let sent = self.add_heartbeat(&mut txn);
         (txn, sent)
     }
--- a/crates/node/src/driver/feeds.rs
+++ b/crates/node/src/driver/feeds.rs
@@ -10,7 +10,9 @@
 use super::{Input, SchedulerDriver};
 use crate::clock::boot_ms;
 use crate::ports::{FeedError, OwnRow, Place, Store, Workers};
-use crate::rows::{JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, decode};
+use crate::rows::{
+    JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, WAVES, decode, wave_row,
+};
 use crate::shared::SharedRef;
 
 /// Delay before a read of the store is retried.
@@ -37,8 +39,8 @@
 
 /// Reads the rows that a new lease holder needs, then follows their changes.
 pub(super) async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, driver: Addr<SchedulerDriver<S, W>>) {
-    let places =
-        [USED_WORKERS, USED_WORKERS_REVISION, START_BOUND, PENDING].map(|table| shared.parts.of_lease_holder(table));
+    let tables = [USED_WORKERS, USED_WORKERS_REVISION, START_BOUND, PENDING, WAVES];
+    let places = tables.map(|table| shared.parts.of_lease_holder(table));
     let Some((rows, _)) = read_until_success(&shared, &driver, &places).await else {
         return;
     };
@@ -55,6 +57,7 @@
         .filter_map(|row| Some((row.key.clone(), decode::<u64>(row)?)))
         .collect();
     driver.do_send(Input::Pending(pending));
+    driver.do_send(Input::WaveRows(rows_of(WAVES).filter_map(wave_row).collect()));
     actix_rt::spawn(follow_workers(Rc::clone(&shared), driver.clone()));
     let Some(after) = load_jobs(&shared, &driver).await else {
         return;
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -1,6 +1,6 @@
 use actix::Message;
 use compact_str::CompactString;
-use domain::{Commit, Machine, MaintenanceReply, StartOutcome, StoredJob, TaskRun, WorkerKey, WorkerReport};
+use domain::{Commit, Machine, MaintenanceReply, StartOutcome, StoredJob, TaskRun, WaveRow, WorkerKey, WorkerReport};
 
 use crate::ports::{RenewError, TxnError, WorkerChange};
 
@@ -23,6 +23,8 @@
     Cancels(Vec<CompactString>),
     /// Durable number of pending jobs per queue.
     Pending(Vec<(CompactString, u64)>),
+    /// Durable facts about maintenance waves.
+    WaveRows(Vec<WaveRow>),
     /// All stored rows have been read.
     Loaded,
     /// Complete list of workers, and when it was requested.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -109,10 +109,10 @@
             if self.waves_revision != Some(view.waves_revision) {
                 self.waves_revision = Some(view.waves_revision);
                 for number in self.waves.iter().filter(|number| !view.waves.contains_key(number)) {
-                    self.engine.set_wave(*number, None, now_ms);
+                    self.engine.set_wave(*number, None, now_ms, unix_ms());
                 }
                 for (number, wave) in &view.waves {
-                    self.engine.set_wave(*number, Some(wave.clone()), now_ms);
+                    self.engine.set_wave(*number, Some(wave.clone()), now_ms, unix_ms());
                 }
                 self.waves = view.waves.keys().copied().collect();
             }
@@ -342,6 +342,7 @@
                     self.engine.set_written_pending(&route, count);
                 }
             }
+            Input::WaveRows(rows) => self.engine.add_wave_rows(rows, now_ms, unix_ms()),
             Input::Loaded => self.engine.set_loaded(),
             Input::WorkerList(list, as_of_ms) => {
                 self.worker_list(list, now_ms);
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,5 +1,5 @@
 use compact_str::{CompactString, format_compact};
-use domain::RunRecord;
+use domain::{RunRecord, WaveRow};
 use serde::{Deserialize, Serialize};
 
 use crate::ports::{OwnRow, Place, Put};
@@ -20,6 +20,8 @@
 /// Start bound: newest version up to which jobs may have been started, written by the lease holder before their first
 /// start. In a table of its own, since each change of the lease table wakes all instances.
 pub(crate) const START_BOUND: &str = "start_bound";
+/// Facts about maintenance waves `{wave}` and their machines `{wave}/{machine}`, written by the lease holder.
+pub(crate) const WAVES: &str = "waves";
 /// Scheduling lease: its epoch and heartbeat.
 pub(crate) const LEASE: &str = "lease";
 
@@ -166,6 +168,27 @@
     format_compact!("{id}{CANCEL_SUFFIX}")
 }
 
+/// Returns the key of a row about a maintenance wave.
+pub(crate) fn wave_key(row: &WaveRow) -> CompactString {
+    match &row.machine {
+        Some(machine) => format_compact!("{}/{machine}", row.wave),
+        None => format_compact!("{}", row.wave),
+    }
+}
+
+/// Decodes a row about a maintenance wave.
+pub(crate) fn wave_row(row: &OwnRow) -> Option<WaveRow> {
+    let (wave, machine) = match row.key.split_once('/') {
+        Some((wave, machine)) => (wave, Some(machine.into())),
+        None => (row.key.as_str(), None),
+    };
+    Some(WaveRow {
+        wave: wave.parse().ok()?,
+        machine,
+        fact: decode(row)?,
+    })
+}
+
 /// Builds the write of a row with a JSON value.
 pub(crate) fn put<T: Serialize>(place: Place, key: impl Into<CompactString>, value: &T) -> Put {
     Put {
