fix(domain): a planned maintenance command is checked again before it is sent

Cause: the row of a command is written before the command is sent, and the store may be away for seconds. Introduced with the rows. Ruled out: nothing else sends a first command; repeats belong to commands that were sent. Change: a durable row makes the next pass send the command, which checks the tasks again and cordons the machine if they may not be interrupted now.

--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -254,7 +254,7 @@
         }
         self.finished.removed(&commit.remove_jobs);
         self.waves_published(&commit.waves);
-        self.wave_rows_written(&commit.wave_rows, now_ms);
+        self.wave_rows_written(&commit.wave_rows);
         for (route, count) in &commit.pending {
             self.commit.written_pending.insert(route.clone(), *count);
         }
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -193,22 +193,14 @@
         }
     }
 
-    /// Handles the confirmation that rows about waves are durable: commands that waited for theirs are sent.
-    pub(super) fn wave_rows_written(&mut self, rows: &[WaveRow], now_ms: u64) {
+    /// Handles the confirmation that rows about waves are durable; the next pass sends the commands that waited for theirs.
+    pub(super) fn wave_rows_written(&mut self, rows: &[WaveRow]) {
         for row in rows {
-            let Some(open) = self.waves.waves.get_mut(&row.wave) else {
-                continue;
-            };
-            open.row_written(row);
-            let Some(name) = &row.machine else { continue };
-            if open
-                .machines
-                .get(name)
-                .is_some_and(|machine| machine.stage == Stage::Planned)
-            {
-                self.send_maintenance(row.wave, name, now_ms);
+            if let Some(open) = self.waves.waves.get_mut(&row.wave) {
+                open.row_written(row);
             }
         }
+        self.is_schedule_due |= !rows.is_empty();
     }
 
     /// Takes note of the progress of waves that operators can see.
@@ -321,9 +313,16 @@
                 Stage::Commanded { sent_ms, .. } => now_ms > sent_ms + Self::MAINTENANCE_REPEAT_MS,
                 _ => false,
             })
-            .map(|(name, _)| name.clone())
+            .map(|(name, machine)| (name.clone(), machine.stage == Stage::Planned))
             .collect();
-        for name in due {
+        for (name, is_planned) in due {
+            // Writing the row may have taken long, and other tasks may have become unavailable meanwhile.
+            if is_planned && !self.may_interrupt(&name) {
+                if let Some(machine) = self.waves.machine_mut(number, &name) {
+                    machine.stage = Stage::Cordoned;
+                }
+                continue;
+            }
             self.send_maintenance(number, &name, now_ms);
         }
     }
--- a/crates/domain/tests/engine/maintenance.rs
+++ b/crates/domain/tests/engine/maintenance.rs
@@ -137,6 +137,31 @@
     sim.assert_no_violations();
 }
 
+/// Guards against tasks of a step that are away beyond its limit: another task ended while the row of a planned command
+/// could not be written.
+#[test]
+fn planned_command_is_checked_again_before_it_is_sent() {
+    let mut sim = Simulation::new(1, 3);
+    let mut serving = step(2, 8, 4 * WITHIN_MS);
+    serving.is_long_running = true;
+    serving.max_unavailable = 1;
+    let id = sim.submit(job("a", 1, serving));
+    fill(&mut sim, "b", 1);
+    sim.run_until(3_000, |sim| sim.workers_of(&id).len() == 2);
+    let workers = sim.workers_of(&id);
+    sim.request_wave(wave(1, &[&format!("m-{}", workers[0]), "m-x", "m-y"], 1));
+    sim.run_for(1_100);
+    sim.is_store_down = true;
+    sim.run_for(WITHIN_MS / 2 + 2_000);
+    // The other task has no room elsewhere.
+    sim.workers.get_mut(&workers[1]).unwrap().is_unresponsive = true;
+    sim.run_for(10_000);
+    sim.is_store_down = false;
+    sim.run_for(3_000);
+    assert_eq!(sim.interrupted_runs, 0);
+    sim.assert_no_violations();
+}
+
 /// Guards against work that waits for the leases of a worker whose machine went down for maintenance.
 #[test]
 fn interrupted_work_starts_again_at_once() {
