feat(domain): waiting steps show which rule keeps them from workers with room

Cause: no log line or metric said that a ready task waits beside idle workers, nor why; explain named one cause and only at the moment of the question. Ruled out: the line preempt and the cause Room; both say nothing of workers that are reserved, excluded, remote or unpermitted. Change: line tasks_wait (at most eight a second), metrics waiting_steps, withheld_steps and longest_withheld_ms, and in explain the time with nothing running and the number of workers by rule. A refusal of a worker is kept apart from an exclusion for failures; placement is unchanged.

--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -138,6 +138,11 @@
             .iter()
             .map(|cause| format!("  waits for {}", cause_text(cause))),
     );
+    lines.extend(
+        step.idle_ms
+            .map(|idle_ms| format!("  nothing at work for {idle_ms} ms although its turn has come")),
+    );
+    lines.extend(step.workers.map(|tally| format!("  workers by rule: {tally}")));
     lines.extend(step.runs.iter().map(|run| {
         format!(
             "  task {} run {} {} on {} for {} ms, worker heard {} ms ago",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,6 +1,6 @@
 //! Output of `galenaspool explain`.
 
-use domain::{EndKind, Explanation, JobState, RunExplanation, RunRecord, StepExplanation, WaitCause};
+use domain::{EndKind, Explanation, JobState, RunExplanation, RunRecord, StepExplanation, WaitCause, WorkerTally};
 use node::JobReport;
 
 fn report(schedule: Option<Explanation>) -> JobReport {
@@ -57,6 +57,13 @@
                 fit: 0,
                 workers: 47,
             }),
+            idle_ms: Some(2_400),
+            workers: Some(WorkerTally {
+                full: 40,
+                reserved: 7,
+                room: 9,
+                ..WorkerTally::default()
+            }),
         }],
     };
     insta::assert_snapshot!(cli::job_text(&report(Some(schedule))));
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -1,6 +1,5 @@
 use super::keys::JobKey;
 use super::place::tasks_that_fit;
-use super::queue::PlacementUnit;
 use super::{Engine, RunState};
 use crate::{Explanation, RunExplanation, StepExplanation, WaitCause};
 
@@ -36,6 +35,7 @@
     fn explain_step(&mut self, key: JobKey, occurrence: u32, step: u32, now_ms: u64) -> StepExplanation {
         let state = &self.jobs[key].occurrences[&occurrence].steps[step as usize];
         let (tasks, done, idle) = (state.done.len() as u32, state.done_count, state.idle_count());
+        let idle_ms = state.idle_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms));
         let runs = state
             .active
             .iter()
@@ -63,10 +63,12 @@
             done,
             runs,
             waits_for: (idle > 0).then(|| self.wait_cause(key, occurrence, step, now_ms)),
+            idle_ms,
+            workers: (idle > 0).then(|| self.tally_workers(key, occurrence, step, now_ms)),
         }
     }
 
-    fn wait_cause(&mut self, key: JobKey, occurrence: u32, step: u32, now_ms: u64) -> WaitCause {
+    pub(super) fn wait_cause(&mut self, key: JobKey, occurrence: u32, step: u32, now_ms: u64) -> WaitCause {
         let job = &self.jobs[key];
         let spec = std::rc::Rc::clone(&job.spec);
         let shape = &spec.steps[step as usize];
@@ -106,16 +108,7 @@
         if let Some(age_ms) = self.stale_worker_list_ms(now_ms) {
             return WaitCause::StaleWorkerList { age_ms };
         }
-        let unit = PlacementUnit {
-            job: key,
-            occurrence,
-            step,
-            priority: spec.priority,
-            lateness: 0,
-            latest_start_ms: now_ms,
-            due_ms: now_ms,
-            has_suspects: state.has_suspects(),
-        };
+        let unit = self.unit_of(key, occurrence, step, now_ms);
         let candidates = self.candidates(now_ms);
         let usable: Vec<_> = candidates
             .iter()
--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -110,7 +110,7 @@
     }
 
     /// Reserves the rack that is closest to holding a blocked gang against later units; returns whether one was found.
-    pub(super) fn reserve_rack(&self, unit: &PlacementUnit, candidates: &mut [Candidate]) -> bool {
+    pub(super) fn reserve_rack(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate]) -> bool {
         let spec = &self.jobs[unit.job].spec;
         let shape = &spec.steps[unit.step as usize];
         if !shape.is_gang || shape.count < 2 {
@@ -134,6 +134,7 @@
         for candidate in candidates.iter_mut().filter(|candidate| candidate.rack == rack) {
             candidate.reserved_for.get_or_insert(unit.key());
         }
+        self.reserved_racks.insert(rack, unit.key());
         true
     }
 }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod step_state;
 mod throttle;
 mod victims;
+mod waiting;
 mod waves;
 mod worker;
 mod worker_loss;
@@ -78,6 +79,8 @@
     dirty: IndexSet<JobKey>,
     commit: commits::CommitState,
     reservations: Vec<place::PreemptionReservation>,
+    /// Racks that the last placement pass reserved for gangs.
+    reserved_racks: HashMap<CompactString, queue::PlacementUnitKey>,
     hints: hints::HintState,
     waves: waves::WaveState,
     lost_processes: crashes::LostProcesses,
@@ -94,6 +97,7 @@
     next_schedule_ms: u64,
     is_schedule_due: bool,
     next_slow_check_ms: u64,
+    next_wait_check_ms: u64,
     next_scan_ms: u64,
     /// Index of the unit at which the next pass continues in a long queue.
     next_unit: usize,
@@ -138,6 +142,7 @@
             dirty: IndexSet::new(),
             commit: commits::CommitState::default(),
             reservations: Vec::new(),
+            reserved_racks: HashMap::new(),
             hints: hints::HintState::default(),
             waves: waves::WaveState::default(),
             lost_processes: crashes::LostProcesses::default(),
@@ -151,6 +156,7 @@
             next_schedule_ms: now_ms,
             is_schedule_due: true,
             next_slow_check_ms: now_ms,
+            next_wait_check_ms: now_ms,
             next_scan_ms: now_ms,
             next_unit: 0,
             forecasts: HashMap::new(),
@@ -229,6 +235,7 @@
         if may_start && self.is_loaded && is_due && now_ms >= self.next_schedule_ms {
             self.is_schedule_due = false;
             self.next_schedule_ms = now_ms + Self::MIN_SCHEDULE_INTERVAL_MS;
+            self.note_idle_steps(now_ms);
             self.check_health(now_ms);
             self.move_off_draining_workers(now_ms);
             if self.is_worker_list_current(now_ms) {
@@ -237,6 +244,7 @@
             }
             self.throttle_background_tasks(now_ms);
             self.advance_waves(now_ms);
+            self.report_waiting(now_ms);
         }
         self.write_start_bound(now_ms);
         self.commit_due(now_ms);
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -31,6 +31,23 @@
     }
 }
 
+/// Why a worker gets no new tasks at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Barrier {
+    /// It is not listed or not recorded, or has not reported in this epoch or incarnation.
+    Unreported,
+    /// It drains, awaits maintenance, or its data centre is out of service.
+    Leaving,
+    /// Its last reply is too old.
+    Silent,
+    /// It holds a run of a suspect task on probation, or runs of unknown size.
+    Isolated,
+    /// It refused a command a moment ago.
+    Refusing,
+    /// It failed or delayed its runs.
+    Excluded,
+}
+
 /// Workers reserved for a unit after other runs were stopped for it.
 #[derive(Debug, Clone)]
 pub(super) struct PreemptionReservation {
@@ -57,27 +74,33 @@
     /// time of a pass and prevents starvation behind work that cannot be placed.
     const NEXT_UNITS: usize = 100;
 
-    /// Returns whether a worker may get new tasks.
-    pub(super) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
-        worker.is_listed
-            && worker.is_recorded
-            && worker.is_fenced
-            && !worker.is_restart_pending
-            && worker.runs_of_unknown_need == 0
-            && worker.isolated_runs == 0
-            && worker.entry.state == EntryState::Ready
-            && worker.unresponsive_since_ms.is_none()
-            && now_ms < worker.last_reply_ms + Self::MAX_REPLY_AGE_MS
-            && now_ms >= worker.excluded_until_ms
-            && !self.waves.is_cordoned(&worker.entry.id)
-            && !self.out_of_service.contains(&worker.entry.data_centre)
+    /// Returns why a worker gets no new tasks at present; `None` if it may.
+    pub(super) fn barrier(&self, worker: &Worker, now_ms: u64) -> Option<Barrier> {
+        let is_leaving = worker.entry.state != EntryState::Ready
+            || self.waves.is_cordoned(&worker.entry.id)
+            || self.out_of_service.contains(&worker.entry.data_centre);
+        if !worker.is_listed || !worker.is_recorded || !worker.is_fenced || worker.is_restart_pending {
+            Some(Barrier::Unreported)
+        } else if is_leaving {
+            Some(Barrier::Leaving)
+        } else if worker.unresponsive_since_ms.is_some() || now_ms >= worker.last_reply_ms + Self::MAX_REPLY_AGE_MS {
+            Some(Barrier::Silent)
+        } else if worker.runs_of_unknown_need > 0 || worker.isolated_runs > 0 {
+            Some(Barrier::Isolated)
+        } else if now_ms < worker.refuses_until_ms {
+            Some(Barrier::Refusing)
+        } else if now_ms < worker.excluded_until_ms {
+            Some(Barrier::Excluded)
+        } else {
+            None
+        }
     }
 
     pub(super) fn candidates(&mut self, now_ms: u64) -> Vec<Candidate> {
         self.reservations.retain(|reservation| now_ms < reservation.until_ms);
         self.workers
             .iter()
-            .filter(|(_, worker)| self.is_usable(worker, now_ms))
+            .filter(|(_, worker)| self.barrier(worker, now_ms).is_none())
             .map(|(key, worker)| Candidate {
                 worker: key,
                 free: worker.entry.capacity.left_beside(&worker.used),
@@ -97,6 +120,7 @@
 
     /// Places the units that fit, in queue order.
     pub(super) fn place_all(&mut self, now_ms: u64) {
+        self.reserved_racks.clear();
         let units = self.ready_units(now_ms);
         if units.is_empty() {
             return;
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -1,5 +1,6 @@
 use super::Engine;
 use super::keys::JobKey;
+use super::waiting::has_turn;
 
 /// Waiting tasks of a step, which are placed together.
 #[derive(Debug, Clone, Copy)]
@@ -75,13 +76,7 @@
                     {
                         continue;
                     }
-                    let is_ready = shape.after.iter().all(|earlier| {
-                        occurrence
-                            .steps
-                            .get(*earlier as usize)
-                            .is_some_and(super::StepState::is_done)
-                    });
-                    if !is_ready {
+                    if !has_turn(shape, &occurrence.steps) {
                         continue;
                     }
                     let (critical_paths, objective_ms) = forecast.get_or_insert_with(|| {
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -304,11 +304,11 @@
         match rejection {
             Rejection::Fenced => self.is_epoch_rejected = true,
             Rejection::Unhealthy | Rejection::NotSent => {
-                worker.excluded_until_ms = worker.excluded_until_ms.max(now_ms + Self::REFUSAL_EXCLUSION_MS);
+                worker.refuses_until_ms = worker.refuses_until_ms.max(now_ms + Self::REFUSAL_EXCLUSION_MS);
             }
             Rejection::NoRoom | Rejection::Late => {
                 // The next report shows what occupies it and gives a new reading of its clock.
-                worker.excluded_until_ms = worker.excluded_until_ms.max(now_ms + Self::STOP_REPEAT_MS);
+                worker.refuses_until_ms = worker.refuses_until_ms.max(now_ms + Self::STOP_REPEAT_MS);
             }
             Rejection::OtherIncarnation => self.worker_exited(worker_key, now_ms),
             Rejection::Old | Rejection::NoTicket | Rejection::Malformed => {}
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -31,4 +31,10 @@
     pub workers: u64,
     /// Current number of jobs that are not final.
     pub open_jobs: u64,
+    /// Steps that had nothing running for a second or more at the last check although their turn had come.
+    pub waiting_steps: u64,
+    /// Steps among these for which there was room, so that a rule of placement withheld it.
+    pub withheld_steps: u64,
+    /// Longest time for which room was withheld from such a step.
+    pub longest_withheld_ms: u64,
 }
--- a/crates/domain/src/engine/step_state.rs
+++ b/crates/domain/src/engine/step_state.rs
@@ -33,6 +33,8 @@
     /// Workers on which a run failed or was slow, newest last.
     pub failed_on: Vec<CompactString>,
     pub ready_since_ms: Option<u64>,
+    /// Since when its turn has come and nothing runs: of its job, or of its own tasks one if they run until cancelled.
+    pub idle_since_ms: Option<u64>,
     /// When preemption was last attempted for the step.
     pub preemption_attempt_ms: u64,
     pub has_started: bool,
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -52,6 +52,8 @@
     pub suspect_until_ms: u64,
     /// It gets no new work before this time, as it fails or delays its runs.
     pub excluded_until_ms: u64,
+    /// It gets no new work before this time, as it refused a command or could not be reached.
+    pub refuses_until_ms: u64,
     /// Length of the last exclusion; doubles while failures continue.
     pub exclusion_ms: u64,
 }
@@ -85,6 +87,7 @@
             failed_jobs: Vec::new(),
             suspect_until_ms: 0,
             excluded_until_ms: 0,
+            refuses_until_ms: 0,
             exclusion_ms: 0,
         }
     }
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::JobState;
+use crate::{JobState, WorkerTally};
 
 /// State of a job as a scheduler sees it, and why its tasks wait.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +34,12 @@
     /// Why its other tasks wait; `None` if no task waits.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub waits_for: Option<WaitCause>,
+    /// Time for which it has had a task whose turn has come and none at work, as counted for callers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idle_ms: Option<u64>,
+    /// Which rule keeps its waiting tasks from which number of workers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workers: Option<WorkerTally>,
 }
 
 /// State of a run as a scheduler sees it.
@@ -97,6 +103,25 @@
         /// Number of workers that may run them.
         workers: u64,
     },
-    /// There is free capacity, but it is reserved for other work or the next placement pass has not run yet.
+    /// There is free capacity, but other rules of placement withhold it, or the next placement pass has not run yet.
     Turn,
 }
+
+impl WaitCause {
+    /// Returns the name of the cause as it appears in logs.
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::StartBound => "start_bound",
+            Self::UnsavedCrash => "unsaved_crash",
+            Self::Isolation => "isolation",
+            Self::StaleWorkerList { .. } => "stale_worker_list",
+            Self::SilentWorkers { .. } => "silent_workers",
+            Self::EarlierSteps { .. } => "earlier_steps",
+            Self::FormerRun => "former_run",
+            Self::Pause { .. } => "pause",
+            Self::NoWorker => "no_worker",
+            Self::Room { .. } => "room",
+            Self::Turn => "turn",
+        }
+    }
+}
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -28,6 +28,7 @@
 mod wave_row;
 mod worker_entry;
 mod worker_report;
+mod worker_tally;
 
 pub use action::{Action, Commit, CommitRow, StartCommand, TaskRun, WaveProgress};
 pub use config::{Config, Organisation, Route, Service};
@@ -47,3 +48,4 @@
 pub use wave_row::{WaveFact, WaveRow};
 pub use worker_entry::{EntryState, WorkerEntry};
 pub use worker_report::{EndKind, RunEnd, RunningTask, WorkerReport};
+pub use worker_tally::WorkerTally;
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -8,5 +8,6 @@
 mod random_faults;
 mod simulation;
 mod takeover;
+mod waiting;
 mod worker_crashes;
 mod workload_kinds;
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -253,13 +253,8 @@
 
     fn publish_stats(&self) {
         let stats = self.engine.stats();
-        let set = |name: &str, value: u64| {
-            self.shared
-                .metrics
-                .scheduler
-                .with_label_values(&[name])
-                .set(value as i64);
-        };
+        let gauges = &self.shared.metrics.scheduler;
+        let set = |name: &str, value: u64| gauges.with_label_values(&[name]).set(value as i64);
         set("starts", stats.starts);
         set("rejected_starts", stats.rejected_starts);
         set("unanswered_starts", stats.unanswered_starts);
@@ -275,6 +270,9 @@
         set("running", stats.running);
         set("workers", stats.workers);
         set("open_jobs", stats.open_jobs);
+        set("waiting_steps", stats.waiting_steps);
+        set("withheld_steps", stats.withheld_steps);
+        set("longest_withheld_ms", stats.longest_withheld_ms);
     }
 }
 
