--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod commits;
 mod crashes;
+mod entry;
 mod fake_worker;
 mod invariants;
 mod maintenance;
@@ -13,10 +14,10 @@
 use compact_str::CompactString;
 pub use crashes::{Crashes, Return};
 use domain::{
-    Action, Commit, Config, EndKind, Engine, EntryState, Job, JobState, Limits, Machine, MachineState, Organisation,
-    Progress, Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress,
-    WorkerEntry, WorkerKey,
+    Action, Commit, Config, EndKind, Engine, Job, JobState, Limits, Machine, MachineState, Organisation, Progress,
+    Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress, WorkerKey,
 };
+use entry::entry;
 pub use fake_worker::FakeWorker;
 pub use maintenance::Maintenance;
 
@@ -87,6 +88,10 @@
     /// Workers that the placement service permits; all if empty.
     pub permitted_workers: Vec<CompactString>,
     pub hint_calls: Vec<(CompactString, usize)>,
+    /// Time that the placement service takes for a call.
+    pub hint_call_ms: u64,
+    /// Reply of the placement service and when it is due.
+    hint_reply: Option<(u64, Vec<(CompactString, CompactString)>)>,
     /// Maximum number of machines that were down for maintenance at once.
     pub most_down: usize,
     /// Number of runs that maintenance interrupted.
@@ -110,6 +115,9 @@
 
 pub const GIB: u64 = 1_024;
 
+/// Payload of tasks that fail shortly after their start on any worker.
+pub const FAILING_SPEC: &str = "fails";
+
 /// Returns a job of one step.
 pub fn job(id: &str, priority: u32, step: Step) -> Job {
     Job {
@@ -177,6 +185,8 @@
             lose_commit_replies: 0,
             permitted_workers: Vec::new(),
             hint_calls: Vec::new(),
+            hint_call_ms: 0,
+            hint_reply: None,
             most_down: 0,
             interrupted_runs: 0,
             waves: BTreeMap::new(),
@@ -352,6 +362,7 @@
             self.deliver_start(&delayed.id, delayed.epoch, &delayed.command);
         }
         self.reply_to_renewals();
+        self.reply_to_hint_call();
         self.advance_maintenance();
         if self.has_stale_reports {
             self.stale_workers = self.workers.clone();
@@ -377,22 +388,3 @@
         }
     }
 }
-
-/// Returns the entry of a worker with the default capacity.
-pub fn entry(id: &CompactString, rack: &CompactString, process_started_unix_ms: u64) -> WorkerEntry {
-    WorkerEntry {
-        id: id.clone(),
-        address: format!("10.0.0.1:{id}").into(),
-        service: "valuation".into(),
-        data_centre: "dc1".into(),
-        rack: rack.clone(),
-        labels: vec!["a".into(), rack.clone()],
-        capacity: Resources {
-            cpu_milli: 32_000,
-            memory_mib: 64 * GIB,
-            accelerators: 8,
-        },
-        state: EntryState::Ready,
-        process_started_unix_ms: Some(process_started_unix_ms),
-    }
-}
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -50,7 +50,8 @@
                     .filter(is_permitted)
                     .map(|id| (id.clone(), format!("ticket-{id}").into()))
                     .collect();
-                self.engine.placement_hints_replied(Some(&permitted_ids), self.now_ms);
+                self.hint_reply = Some((self.now_ms + self.hint_call_ms, permitted_ids));
+                self.reply_to_hint_call();
             }
             Action::ListMachines | Action::StartMaintenance { .. } => self.apply_maintenance_action(action),
             Action::WriteStartBound { version } => {
@@ -64,6 +65,13 @@
         }
     }
 
+    /// Delivers the reply of the placement service once its time has passed.
+    pub(super) fn reply_to_hint_call(&mut self) {
+        if let Some((_, permitted_ids)) = self.hint_reply.take_if(|(at_ms, _)| *at_ms <= self.now_ms) {
+            self.engine.placement_hints_replied(Some(&permitted_ids), self.now_ms);
+        }
+    }
+
     fn renew(&mut self, worker: WorkerKey, lease_until_ms: Option<u64>, acked_run_end: u64, wait_ms: u64) {
         let Some(id) = self.target(worker) else { return };
         if self.crashes.replaced.contains(&id) {
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -15,6 +15,8 @@
     pub speed_percent: u32,
     pub target_ms: u64,
     pub is_filler: bool,
+    /// Whether it fails shortly after its start on any worker.
+    pub fails: bool,
 }
 
 /// Fake worker that follows the platform's rules for commands.
@@ -177,6 +179,7 @@
             speed_percent: 100,
             target_ms: step.target_ms,
             is_filler: step.is_filler,
+            fails: command.spec == super::FAILING_SPEC,
         });
         Ok(())
     }
@@ -297,7 +300,7 @@
         self.runs.retain(|run| {
             let kind = if run.stop_at_ms.is_some_and(|at| now_ms >= at) {
                 Some(EndKind::Stopped)
-            } else if self.fails_all && run.done_ms >= 50.0 {
+            } else if (self.fails_all || run.fails) && run.done_ms >= 50.0 {
                 Some(EndKind::Failed)
             } else if run.done_ms >= run.work_ms as f64 {
                 Some(EndKind::Done)
