fix(domain): blocked gangs reserve at most half of the racks, and only such as can become free

Cause: callers saw jobs of lower priority with nothing running beside idle workers (LOST). Up to two gangs that wait each reserve the rack with the most room, in every pass, without asking whether it can become free: a task that lasts never gives way. Where there are two racks, both were withheld from all other work for as long as the gangs waited, twice their run time. Ruled out: exclusions and hints; tasks_wait shows reserved=8 of 8 workers. Change: a rack is reserved only if it holds the gang once everything has ended that ends by itself, and never more than half of the racks that the gang may use.

--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -2,11 +2,11 @@
 
 use compact_str::CompactString;
 
-use super::Engine;
 use super::health::is_last_resort;
 use super::place::{Candidate, tasks_that_fit};
 use super::queue::PlacementUnit;
-use crate::{Job, Step};
+use super::{Engine, WorkerKey};
+use crate::{Job, Resources, Step};
 
 /// Number of tasks that a plan assigns to a candidate, given by its index.
 #[derive(Debug, Clone, Copy)]
@@ -110,8 +110,11 @@
     }
 
     /// Reserves the rack that is closest to holding a blocked gang against later units; returns whether one was found.
+    ///
+    /// Only racks that can become free are reserved, and never more than half of those that the gang may use, so that
+    /// other work finds workers however long the gang waits.
     pub(super) fn reserve_rack(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate]) -> bool {
-        let spec = &self.jobs[unit.job].spec;
+        let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
         if !shape.is_gang || shape.count < 2 {
             return false;
@@ -119,11 +122,17 @@
         let mut racks: HashMap<CompactString, (u64, u64)> = HashMap::new();
         for candidate in candidates
             .iter()
-            .filter(|candidate| candidate.is_open_to(unit) && self.is_eligible(candidate, spec, shape))
+            .filter(|candidate| self.is_eligible(candidate, &spec, shape))
         {
             let (now, empty) = racks.entry(candidate.rack.clone()).or_default();
-            *now += tasks_that_fit(shape, &candidate.free);
-            *empty += tasks_that_fit(shape, &candidate.capacity);
+            if candidate.is_open_to(unit) {
+                *now += tasks_that_fit(shape, &candidate.free);
+                *empty += tasks_that_fit(shape, &self.drained_capacity(candidate.worker));
+            }
+        }
+        let reserved = racks.keys().filter(|rack| self.reserved_racks.contains_key(*rack));
+        if (reserved.count() + 1) * 2 > racks.len() {
+            return false;
         }
         let best = racks
             .iter()
@@ -137,6 +146,18 @@
         self.reserved_racks.insert(rack, unit.key());
         true
     }
+
+    /// Returns what a worker can hold once all its runs have ended that end by themselves.
+    fn drained_capacity(&self, worker: WorkerKey) -> Resources {
+        let worker = &self.workers[worker];
+        let lasting = worker
+            .runs
+            .iter()
+            .filter_map(|key| self.runs.get(*key))
+            .filter(|run| !run.is_unwanted && self.job_of(run).spec.steps[run.step as usize].is_long_running)
+            .fold(Resources::default(), |sum, run| sum.plus(&run.need));
+        worker.entry.capacity.left_beside(&lasting)
+    }
 }
 
 /// Places the gang on the fullest of the given candidates that can hold it.
