fix(domain): a gang does not wait for a rack that tasks that last keep from it

Cause: a gang that should run in one rack waits twice its expected run time while some rack would hold it if it were empty. Tasks that last never leave, so the rack never becomes empty, and the gang had nothing running beside idle workers. Ruled out: reservations of others; tasks_wait shows open=6 workers. Change: what tasks that last hold does not count as room that becomes free.

--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -63,16 +63,16 @@
         pack(shape, &usable, candidates)
     }
 
-    /// Returns whether some rack could hold the gang if it were empty.
+    /// Returns whether some rack can hold the gang once the work there that ends by itself has ended.
     fn fits_some_rack(&self, spec: &Job, shape: &Step) -> bool {
         let mut racks: HashMap<&CompactString, u64> = HashMap::new();
-        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+        for (key, worker) in self.workers.iter().filter(|(_, worker)| worker.is_listed) {
             let has_label = shape
                 .required_label
                 .as_ref()
                 .is_none_or(|label| worker.entry.labels.contains(label));
             if worker.entry.service == spec.service && has_label {
-                *racks.entry(&worker.entry.rack).or_default() += tasks_that_fit(shape, &worker.entry.capacity);
+                *racks.entry(&worker.entry.rack).or_default() += tasks_that_fit(shape, &self.drained_capacity(key));
             }
         }
         racks.values().any(|tasks| *tasks >= u64::from(shape.count))
