fix(domain): a task does not wait for a rack that has left or that tasks that last fill

Cause: a task whose data are in a rack waits twice its expected run time before it may run elsewhere, also if no worker of the rack is listed any more or none can ever hold it. Ruled out: room; tasks_wait counts the other workers as remote. Change: the wait applies only while a listed worker of the rack can hold the task once all has ended that ends by itself.

--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -148,7 +148,7 @@
     }
 
     /// Returns what a worker can hold once all its runs have ended that end by themselves.
-    fn drained_capacity(&self, worker: WorkerKey) -> Resources {
+    pub(super) fn drained_capacity(&self, worker: WorkerKey) -> Resources {
         let worker = &self.workers[worker];
         let lasting = worker
             .runs
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -305,11 +305,32 @@
         counts
     }
 
-    /// Returns whether work may run away from its data or over several racks: it waited longer than the extra run time.
+    /// Returns whether a rack has a worker that can hold a task of a step once all has ended that ends by itself.
+    fn may_fit_in_rack(&self, rack: &CompactString, spec: &Job, shape: &Step) -> bool {
+        self.workers.iter().any(|(key, worker)| {
+            let entry = &worker.entry;
+            let has_label = |label: &CompactString| entry.labels.contains(label);
+            worker.is_listed
+                && entry.rack == *rack
+                && entry.service == spec.service
+                && shape.required_label.as_ref().is_none_or(has_label)
+                && shape.charged().fits(&self.drained_capacity(key))
+        })
+    }
+
+    /// Returns whether work may run away from its data or over several racks: the rack of its data cannot hold it, or it
+    /// waited longer than the extra run time.
     pub(super) fn may_be_remote(&self, unit: &PlacementUnit, spec: &Job, shape: &Step, now_ms: u64) -> bool {
         if shape.data_rack.is_none() && !shape.is_same_rack {
             return true;
         }
+        if shape
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| !self.may_fit_in_rack(rack, spec, shape))
+        {
+            return true;
+        }
         let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
         let waited_ms = now_ms.saturating_sub(state.ready_since_ms.unwrap_or(now_ms));
         let extra_ms = (self.expected_ms(spec, unit.step) as f64 * (self.limits.remote_factor - 1.0)) as u64;
