fix(domain): a task that lasts precedes finite work of its priority, and all but urgent work when overdue

Cause: a task that runs until it is cancelled has no end to be late for, but its objective counted from the acceptance of its job. Ruled out: room; the test has free accelerators on the worker where it failed. Change: such a step is never late, its place in the queue is the time since which it has had nothing running, and after 1.5 s of that it precedes all work but urgent one.

--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -1,3 +1,6 @@
+use compact_str::CompactString;
+use smallvec::SmallVec;
+
 use super::Engine;
 use super::keys::JobKey;
 use super::waiting::has_turn;
@@ -16,6 +19,22 @@
     pub due_ms: u64,
     /// One of its tasks may have crashed workers.
     pub has_suspects: bool,
+    /// It runs until it is cancelled, so that no start meets an objective better than another.
+    pub is_lasting: bool,
+    /// It has had nothing running for so long that preferences of placement no longer hold it back.
+    pub is_overdue: bool,
+}
+
+impl PlacementUnit {
+    /// Returns the rank of its priority in the queue. Work that lasts and is overdue precedes all but urgent work: it
+    /// serves users, and newer work would keep it waiting for as long as there is a queue.
+    const fn rank(&self) -> u32 {
+        if self.is_lasting && self.is_overdue {
+            0
+        } else {
+            self.priority
+        }
+    }
 }
 
 /// Identifies a step of an occurrence of a job.
@@ -46,15 +65,37 @@
     }
 }
 
+/// Services of which less than half is in use, worked out once for each service in a pass.
+#[derive(Debug, Default)]
+struct IdleServices(SmallVec<[(CompactString, bool); 4]>);
+
+impl IdleServices {
+    fn contains(&mut self, engine: &Engine, service: &CompactString) -> bool {
+        if let Some((_, is_idle)) = self.0.iter().find(|(known, _)| known == service) {
+            return *is_idle;
+        }
+        let is_idle = engine.share_in_use(service) < Engine::BUSY_SHARE;
+        self.0.push((service.clone(), is_idle));
+        is_idle
+    }
+}
+
 /// Queue order of waiting work.
 impl Engine {
     /// Multiple of the objective up to which completing a late job still has value.
     const LATE_FACTOR: u64 = 3;
 
+    /// Time with nothing running after which a unit is overdue: half of the time after which callers miss a job.
+    const OVERDUE_AFTER_MS: u64 = 1_500;
+
+    /// Share of a service in use from which finite work waits for its turn however long that takes.
+    const BUSY_SHARE: f64 = 0.5;
+
     /// Returns the steps that can start now, in queue order.
     pub(super) fn ready_units(&mut self, now_ms: u64) -> Vec<PlacementUnit> {
         let mut units = Vec::new();
         let has_unreported_workers = self.has_unreported_workers(now_ms);
+        let mut idle_services = IdleServices::default();
         for (key, job) in &self.jobs {
             if job.is_final()
                 || job.has_unsaved_crash
@@ -86,7 +127,13 @@
                     });
                     let (critical_path_ms, objective_ms) = (critical_paths[step], *objective_ms);
                     let deadline_ms = occurrence.due_ms + objective_ms;
-                    let lateness = if now_ms + critical_path_ms <= deadline_ms {
+                    let is_idle_for_long = state
+                        .idle_since_ms
+                        .is_some_and(|since_ms| now_ms >= since_ms + Self::OVERDUE_AFTER_MS);
+                    let is_lasting = shape.is_long_running;
+                    let is_overdue =
+                        is_idle_for_long && (is_lasting || idle_services.contains(self, &job.spec.service));
+                    let lateness = if is_lasting || now_ms + critical_path_ms <= deadline_ms {
                         0
                     } else if now_ms + critical_path_ms <= occurrence.due_ms + objective_ms * Self::LATE_FACTOR {
                         1
@@ -99,15 +146,22 @@
                         step: step as u32,
                         priority: job.spec.priority,
                         lateness,
-                        latest_start_ms: deadline_ms.saturating_sub(critical_path_ms),
+                        latest_start_ms: if is_lasting {
+                            state.idle_since_ms.unwrap_or(now_ms)
+                        } else {
+                            deadline_ms.saturating_sub(critical_path_ms)
+                        },
                         due_ms: occurrence.due_ms,
                         has_suspects: state.has_suspects(),
+                        is_lasting,
+                        is_overdue,
                     });
                 }
             }
         }
         units.sort_by_key(|unit| {
             (
+                unit.rank(),
                 unit.priority,
                 unit.lateness,
                 unit.latest_start_ms,
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -153,6 +153,8 @@
             latest_start_ms: now_ms,
             due_ms: now_ms,
             has_suspects: state.has_suspects(),
+            is_lasting: self.jobs[job].spec.steps[step as usize].is_long_running,
+            is_overdue: false,
         }
     }
 
