fix(domain): preferences of placement hold no job without a run for more than 1.5 s beside an idle service

Cause: reservations of racks and after preemption, exclusions of workers that failed or delayed runs, and the wait for the rack of the data or for one rack each keep a ready task from workers with room, and none of them ends by what it costs the task. Callers saw jobs with nothing running beside idle workers (LOST). One class: a hold that is bounded by its own condition, not by the time that its victim waits. Ruled out: bounding each rule by a time of its own; three holds in a row would still exceed the three seconds after which callers miss a job. Change: a unit is overdue once its job (a task that lasts: itself) has had nothing running for 1.5 s while less than half of the service is in use (a task that lasts: however much). If the ordinary placement starts nothing for it, one task, or the gang, starts without regard to these rules; the rest of the job keeps waiting for better places. Workers whose next start must be told apart from others, and refusals, stay hard.

--- /dev/null
+++ b/crates/domain/src/engine/candidate.rs
@@ -0,0 +1,37 @@
+use compact_str::CompactString;
+
+use super::keys::WorkerKey;
+use super::queue::{PlacementUnit, PlacementUnitKey};
+use crate::Resources;
+
+/// Worker that may receive tasks in a placement pass.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    pub worker: WorkerKey,
+    pub free: Resources,
+    pub capacity: Resources,
+    pub rack: CompactString,
+    pub service: CompactString,
+    /// The latest evidence of the worker's health was a failure or slowness.
+    pub is_suspect: bool,
+    /// The worker's process crashed, and no run has outlived its probation since.
+    pub has_crashed: bool,
+    /// Unit for which the worker is reserved; no other unit may use it unless it is overdue.
+    pub reserved_for: Option<PlacementUnitKey>,
+    /// Unit of a suspect task that starts there in this pass; no other unit may start beside it.
+    pub isolated_for: Option<PlacementUnitKey>,
+    /// The worker failed or delayed its runs; only overdue units may use it.
+    pub is_excluded: bool,
+}
+
+impl Candidate {
+    /// Returns whether a unit may use the candidate.
+    pub fn is_open_to(&self, unit: &PlacementUnit) -> bool {
+        self.isolated_for.is_none_or(|owner| owner == unit.key()) && (unit.is_overdue || !self.is_withheld_from(unit))
+    }
+
+    /// Returns whether a preference of placement keeps the candidate from a unit that is not overdue.
+    pub fn is_withheld_from(&self, unit: &PlacementUnit) -> bool {
+        self.is_excluded || self.reserved_for.is_some_and(|owner| owner != unit.key())
+    }
+}
--- a/crates/domain/src/engine/crashes.rs
+++ b/crates/domain/src/engine/crashes.rs
@@ -2,8 +2,8 @@
 
 use compact_str::CompactString;
 
+use super::candidate::Candidate;
 use super::keys::{JobKey, RunKey, WorkerKey};
-use super::place::Candidate;
 use super::queue::PlacementUnit;
 use super::{Engine, Run};
 use crate::{CrashEvidence, TaskCrashes, TaskName, TaskRun, Trial, WorkerEntry};
--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -2,8 +2,9 @@
 
 use compact_str::CompactString;
 
+use super::candidate::Candidate;
 use super::health::is_last_resort;
-use super::place::{Candidate, tasks_that_fit};
+use super::place::tasks_that_fit;
 use super::queue::PlacementUnit;
 use super::{Engine, WorkerKey};
 use crate::{Job, Resources, Step};
@@ -37,6 +38,7 @@
         let others: Vec<_> = usable
             .iter()
             .copied()
+            .filter(|index| !candidates[*index].is_withheld_from(unit))
             .filter(|index| !is_last_resort(unit, shape, &candidates[*index], &failed_on))
             .collect();
         if others.len() < usable.len() {
@@ -94,7 +96,7 @@
         for share in plan {
             let host = &mut hosts[share.candidate];
             if unit.has_suspects {
-                host.reserved_for = Some(unit.key());
+                host.isolated_for = Some(unit.key());
             }
             for _ in 0..share.tasks {
                 host.free = host.free.minus(&shape.charged());
--- a/crates/domain/src/engine/health.rs
+++ b/crates/domain/src/engine/health.rs
@@ -1,8 +1,8 @@
 use smallvec::SmallVec;
 
 use super::Engine;
+use super::candidate::Candidate;
 use super::keys::WorkerKey;
-use super::place::Candidate;
 use super::queue::PlacementUnit;
 use crate::Step;
 
--- a/crates/domain/src/engine/hints.rs
+++ b/crates/domain/src/engine/hints.rs
@@ -3,8 +3,9 @@
 use compact_str::{CompactString, format_compact};
 
 use super::Engine;
+use super::candidate::Candidate;
 use super::keys::WorkerKey;
-use super::place::{Candidate, tasks_that_fit};
+use super::place::tasks_that_fit;
 use super::queue::{PlacementUnit, PlacementUnitKey};
 use crate::Action;
 
@@ -51,6 +52,7 @@
         let shape = &spec.steps[unit.step as usize];
         let fitting: Vec<&Candidate> = candidates
             .iter()
+            .filter(|candidate| unit.is_overdue || !candidate.is_excluded)
             .filter(|candidate| self.is_eligible(candidate, &spec, shape) && tasks_that_fit(shape, &candidate.free) > 0)
             .collect();
         let permitted: u64 = fitting
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state machine.
 
 mod adopt;
+mod candidate;
 mod commits;
 mod crashes;
 mod explain;
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -2,35 +2,13 @@
 
 use compact_str::CompactString;
 
+use super::candidate::Candidate;
 use super::health::is_last_resort;
 use super::keys::WorkerKey;
 use super::queue::{PlacementUnit, PlacementUnitKey};
 use super::{Engine, Worker};
 use crate::{EntryState, Job, Resources, Step};
 
-/// Worker that may receive tasks in a placement pass.
-#[derive(Debug, Clone)]
-pub(super) struct Candidate {
-    pub worker: WorkerKey,
-    pub free: Resources,
-    pub capacity: Resources,
-    pub rack: CompactString,
-    pub service: CompactString,
-    /// The latest evidence of the worker's health was a failure or slowness.
-    pub is_suspect: bool,
-    /// The worker's process crashed, and no run has outlived its probation since.
-    pub has_crashed: bool,
-    /// Unit for which the worker is reserved; no other unit may use it.
-    pub reserved_for: Option<PlacementUnitKey>,
-}
-
-impl Candidate {
-    /// Returns whether a unit may use the candidate.
-    pub fn is_open_to(&self, unit: &PlacementUnit) -> bool {
-        self.reserved_for.is_none_or(|owner| owner == unit.key())
-    }
-}
-
 /// Why a worker gets no new tasks at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Barrier {
@@ -100,9 +78,12 @@
         self.reservations.retain(|reservation| now_ms < reservation.until_ms);
         self.workers
             .iter()
-            .filter(|(_, worker)| self.barrier(worker, now_ms).is_none())
-            .map(|(key, worker)| Candidate {
+            .map(|(key, worker)| (key, worker, self.barrier(worker, now_ms)))
+            .filter(|(_, _, barrier)| matches!(barrier, None | Some(Barrier::Excluded)))
+            .map(|(key, worker, barrier)| Candidate {
                 worker: key,
+                isolated_for: None,
+                is_excluded: barrier.is_some(),
                 free: worker.entry.capacity.left_beside(&worker.used),
                 capacity: worker.entry.capacity,
                 rack: worker.entry.rack.clone(),
@@ -132,7 +113,7 @@
             if self.awaits_hints(&unit, &candidates, now_ms) {
                 continue;
             }
-            if self.place_unit(&unit, &mut candidates, now_ms) {
+            if self.place_in_turn(&unit, &mut candidates, now_ms) {
                 self.reservations.retain(|reservation| reservation.unit != unit.key());
                 continue;
             }
@@ -171,7 +152,38 @@
                 .any(|worker| worker.is_listed && !worker.is_fenced)
     }
 
-    /// Starts the tasks of a unit that fit; returns whether none is left waiting.
+    /// Starts the tasks of a unit that fit. If none does and the unit is overdue, starts one, or the gang, without regard
+    /// to reservations, exclusions and racks. Returns whether no task is left waiting.
+    fn place_in_turn(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate], now_ms: u64) -> bool {
+        let in_order = PlacementUnit {
+            is_overdue: false,
+            ..*unit
+        };
+        let waiting = self.idle_tasks_of(unit);
+        if self.place_unit(&in_order, candidates, now_ms) {
+            return true;
+        }
+        if !unit.is_overdue || self.idle_tasks_of(unit) < waiting {
+            return false;
+        }
+        self.place_unit(unit, candidates, now_ms);
+        let left = self.idle_tasks_of(unit);
+        if left < waiting {
+            self.stats.overdue_starts += 1;
+            self.log_lines.push(format!(
+                "overdue_start job={} occurrence={} step={}",
+                self.jobs[unit.job].spec.id, unit.occurrence, unit.step
+            ));
+        }
+        left == 0
+    }
+
+    fn idle_tasks_of(&self, unit: &PlacementUnit) -> u32 {
+        self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize].idle_count()
+    }
+
+    /// Starts the tasks of a unit that fit, at most one if it is overdue and no gang; returns whether none of these is
+    /// left waiting.
     fn place_unit(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate], now_ms: u64) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
@@ -185,11 +197,15 @@
         let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else {
             return true;
         };
-        let (suspects, others): (Vec<u32>, Vec<u32>) = state.idle().partition(|index| state.is_suspect(*index));
-        let suspects: Vec<u32> = suspects
+        let (suspects, mut others): (Vec<u32>, Vec<u32>) = state.idle().partition(|index| state.is_suspect(*index));
+        let mut suspects: Vec<u32> = suspects
             .into_iter()
             .filter(|index| !state.is_held(*index, now_ms))
             .collect();
+        if unit.is_overdue {
+            others.truncate(1);
+            suspects.truncate(1 - others.len());
+        }
         let are_others_placed = self.place_tasks(unit, &spec, &others, false, candidates, now_ms);
         let are_suspects_placed = self.place_tasks(unit, &spec, &suspects, true, candidates, now_ms);
         are_others_placed && are_suspects_placed
@@ -229,7 +245,7 @@
             let candidate = &mut candidates[best];
             candidate.free = candidate.free.minus(&shape.charged());
             if are_suspects {
-                candidate.reserved_for = Some(unit.key());
+                candidate.isolated_for = Some(unit.key());
             }
             let worker = candidate.worker;
             *per_worker.entry(worker).or_default() += 1;
@@ -265,6 +281,7 @@
                 let left = candidate.free.minus(&need);
                 let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != candidate.rack);
                 let key = (
+                    candidate.is_withheld_from(unit),
                     is_last_resort(unit, shape, candidate, &failed_on),
                     is_remote,
                     rank(left.accelerators),
@@ -273,7 +290,7 @@
                 );
                 (key, index)
             })
-            .filter(|((_, is_remote, ..), _)| may_be_remote || !is_remote)
+            .filter(|((_, _, is_remote, ..), _)| may_be_remote || !is_remote)
             .collect();
         order.sort_unstable();
         order.into_iter().map(|(_, index)| index).collect()
@@ -318,10 +335,10 @@
         })
     }
 
-    /// Returns whether work may run away from its data or over several racks: the rack of its data cannot hold it, or it
-    /// waited longer than the extra run time.
+    /// Returns whether work may run away from its data or over several racks: the rack of its data cannot hold it, or it is
+    /// overdue, or it waited longer than the extra run time.
     pub(super) fn may_be_remote(&self, unit: &PlacementUnit, spec: &Job, shape: &Step, now_ms: u64) -> bool {
-        if shape.data_rack.is_none() && !shape.is_same_rack {
+        if unit.is_overdue || (shape.data_rack.is_none() && !shape.is_same_rack) {
             return true;
         }
         if shape
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
 
+use super::candidate::Candidate;
 use super::health::is_last_resort;
 use super::keys::{JobKey, RunKey};
-use super::place::{Candidate, PreemptionReservation};
+use super::place::PreemptionReservation;
 use super::queue::PlacementUnit;
 use super::victims::{Host, Preemption, Victim, choose_victims};
 use super::{Engine, RunState};
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -23,6 +23,8 @@
     pub given_up_tasks: u64,
     /// Runs preempted for work of higher priority.
     pub preempted: u64,
+    /// Starts of tasks or gangs that had waited too long for preferences of placement to hold them back.
+    pub overdue_starts: u64,
     /// Unsaved work of runs that ended without completing their task, in core-milliseconds.
     pub wasted_core_ms: u64,
     /// Current number of runs.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -266,6 +266,7 @@
         set("lost_runs", stats.lost_runs);
         set("given_up_tasks", stats.given_up_tasks);
         set("preempted", stats.preempted);
+        set("overdue_starts", stats.overdue_starts);
         set("wasted_core_ms", stats.wasted_core_ms);
         set("running", stats.running);
         set("workers", stats.workers);
