fix(domain): steps take turns in asking for placement hints, gangs ask for enough at once

Cause: the placement service handles one call at a time, and the first step of the queue made every call until it had enough tickets. A wide gang asked for twelve workers a call, so that its first tickets expired before it had the last: neither it nor any step behind it ever started beside idle workers. Ruled out: room and policy; tasks_wait shows unpermitted workers for both steps. Change: the step that has waited longest for its turn makes the next call, urgent work with a head start of 500 ms; a call for a gang names two workers for each that it lacks, up to the 100 that the service takes. Excluded workers are not asked for.

--- a/crates/domain/src/engine/hints.rs
+++ b/crates/domain/src/engine/hints.rs
@@ -19,10 +19,21 @@
 /// Placement hints for a step.
 #[derive(Debug, Clone, Default)]
 struct StepHints {
+    /// When the service was last asked about the step.
+    asked_ms: Option<u64>,
     /// Ticket by worker id; `None` for a worker that must not run the step, which does not change.
     workers: HashMap<CompactString, Option<Ticket>>,
 }
 
+/// Call that a waiting step needs.
+#[derive(Debug, Clone)]
+pub(super) struct HintCall {
+    unit: PlacementUnitKey,
+    workers: Vec<CompactString>,
+    /// Time from which the step counts as waiting for its turn.
+    waits_from_ms: u64,
+}
+
 /// Hints of the placement service.
 #[derive(Debug, Clone, Default)]
 pub(super) struct HintState {
@@ -34,8 +45,17 @@
 
 /// Placement hints for work on queues whose policy restricts the workers.
 impl Engine {
-    /// Maximum number of workers in one call. The service takes time for each, and one call at a time.
-    const MAX_WORKERS_PER_CALL: usize = 12;
+    /// Number of workers in a call for a step of which one task may start alone. The service takes time for each.
+    const WORKERS_PER_CALL: usize = 12;
+
+    /// Maximum number of workers in one call that the service accepts.
+    const MAX_WORKERS_PER_CALL: usize = 100;
+
+    /// Workers that a call for a gang names for each that it lacks, as not all are permitted.
+    const WORKERS_ASKED_PER_LACKING: u64 = 2;
+
+    /// Time by which a call for urgent work precedes calls of steps that have waited as long.
+    const URGENT_HEAD_START_MS: u64 = 500;
 
     /// Pause after a call that was refused or not answered.
     const CALL_RETRY_PAUSE_MS: u64 = 200;
@@ -43,50 +63,102 @@
     /// Part of a ticket's validity that is reserved for the delivery of a start command.
     const TICKET_MARGIN_MS: u64 = 300;
 
-    /// Requests placement hints if a unit needs them before it can be placed; returns whether it has to wait.
-    pub(super) fn awaits_hints(&mut self, unit: &PlacementUnit, candidates: &[Candidate], now_ms: u64) -> bool {
+    /// Returns whether a unit has to wait for placement hints. `next_call` is replaced if it needs a call and has waited
+    /// for its turn longer than the unit of that call.
+    pub(super) fn awaits_hints(
+        &mut self,
+        unit: &PlacementUnit,
+        candidates: &[Candidate],
+        next_call: &mut Option<HintCall>,
+        now_ms: u64,
+    ) -> bool {
         if self.hint_validity(unit).is_none() {
             return false;
         }
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
-        let fitting: Vec<&Candidate> = candidates
+        let fitting: Vec<(WorkerKey, u64)> = candidates
             .iter()
             .filter(|candidate| unit.is_overdue || !candidate.is_excluded)
-            .filter(|candidate| self.is_eligible(candidate, &spec, shape) && tasks_that_fit(shape, &candidate.free) > 0)
+            .filter(|candidate| self.is_eligible(candidate, &spec, shape))
+            .map(|candidate| (candidate.worker, tasks_that_fit(shape, &candidate.free)))
+            .filter(|(_, tasks)| *tasks > 0)
             .collect();
         let permitted: u64 = fitting
             .iter()
-            .filter(|candidate| self.is_permitted(unit, candidate.worker, now_ms))
-            .map(|candidate| tasks_that_fit(shape, &candidate.free))
+            .filter(|(worker, _)| self.is_permitted(unit, *worker, now_ms))
+            .map(|(_, tasks)| *tasks)
             .sum();
         let needed = if shape.is_gang { u64::from(shape.count) } else { 1 };
         if permitted >= needed {
             return false;
         }
-        if self.hints.queried.is_none() && now_ms >= self.hints.not_before_ms {
-            let known = self.hints.steps.get(&unit.key());
-            let is_open = |id: &CompactString| match known.and_then(|hints| hints.workers.get(id)) {
-                None => true,
-                Some(None) => false,
-                Some(Some(ticket)) => now_ms >= ticket.until_ms,
-            };
-            let ids: Vec<_> = fitting
-                .iter()
-                .filter_map(|candidate| self.workers.get(candidate.worker))
-                .map(|worker| worker.entry.id.clone())
-                .filter(is_open)
-                .take(Self::MAX_WORKERS_PER_CALL)
-                .collect();
-            if !ids.is_empty() {
-                let step = format_compact!("{}.{}.{}", spec.id, unit.occurrence, unit.step);
-                self.hints.queried = Some((unit.key(), ids.clone()));
-                self.actions.push(Action::FetchPlacementHints { step, workers: ids });
-            }
+        if self.hints.queried.is_some() || now_ms < self.hints.not_before_ms {
+            return true;
+        }
+        let state = &self.jobs[unit.job].occurrences[&unit.occurrence].steps[unit.step as usize];
+        let known = self.hints.steps.get(&unit.key());
+        let head_start_ms = if unit.priority == 0 {
+            0
+        } else {
+            Self::URGENT_HEAD_START_MS
+        };
+        let waits_from_ms = known
+            .and_then(|hints| hints.asked_ms)
+            .or(state.ready_since_ms)
+            .unwrap_or(now_ms)
+            + head_start_ms;
+        if next_call
+            .as_ref()
+            .is_some_and(|next| next.waits_from_ms <= waits_from_ms)
+        {
+            return true;
+        }
+        let is_open = |id: &CompactString| match known.and_then(|hints| hints.workers.get(id)) {
+            None => true,
+            Some(None) => false,
+            Some(Some(ticket)) => now_ms >= ticket.until_ms,
+        };
+        let tasks_max = fitting.iter().map(|(_, tasks)| *tasks).max().unwrap_or(1);
+        let lacking = (needed - permitted).div_ceil(tasks_max);
+        let workers_max = if shape.is_gang {
+            (lacking * Self::WORKERS_ASKED_PER_LACKING) as usize
+        } else {
+            0
+        };
+        let workers: Vec<_> = fitting
+            .iter()
+            .filter_map(|(worker, _)| self.workers.get(*worker))
+            .map(|worker| worker.entry.id.clone())
+            .filter(is_open)
+            .take(workers_max.clamp(Self::WORKERS_PER_CALL, Self::MAX_WORKERS_PER_CALL))
+            .collect();
+        if !workers.is_empty() {
+            *next_call = Some(HintCall {
+                unit: unit.key(),
+                workers,
+                waits_from_ms,
+            });
         }
         true
     }
 
+    /// Sends a call for hints. The service handles one at a time, so steps take turns: a gang whose tickets expire before
+    /// it has enough of them would otherwise keep the service to itself.
+    pub(super) fn send_hint_call(&mut self, call: HintCall, now_ms: u64) {
+        let Some(job) = self.jobs.get(call.unit.job()) else {
+            return;
+        };
+        let (occurrence, step) = call.unit.step();
+        let step = format_compact!("{}.{occurrence}.{step}", job.spec.id);
+        self.hints.steps.entry(call.unit).or_default().asked_ms = Some(now_ms);
+        self.hints.queried = Some((call.unit, call.workers.clone()));
+        self.actions.push(Action::FetchPlacementHints {
+            step,
+            workers: call.workers,
+        });
+    }
+
     /// Handles the reply to a request for hints: the workers that may run the step, with their tickets.
     pub fn placement_hints_replied(
         &mut self,
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -109,8 +109,9 @@
         let mut candidates = self.candidates(now_ms);
         let mut reserved_racks = 0;
         let mut preemptions = 0;
+        let mut next_call = None;
         for unit in self.units_of_pass(units) {
-            if self.awaits_hints(&unit, &candidates, now_ms) {
+            if self.awaits_hints(&unit, &candidates, &mut next_call, now_ms) {
                 continue;
             }
             if self.place_in_turn(&unit, &mut candidates, now_ms) {
@@ -128,6 +129,9 @@
                 reserved_racks += 1;
             }
         }
+        if let Some(call) = next_call {
+            self.send_hint_call(call, now_ms);
+        }
     }
 
     /// Returns the head of the queue and the next slice of the rest, in queue order.
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -53,6 +53,11 @@
     pub const fn job(self) -> JobKey {
         self.job
     }
+
+    /// Returns the occurrence and the step.
+    pub const fn step(self) -> (u32, u32) {
+        (self.occurrence, self.step)
+    }
 }
 
 impl PlacementUnit {
