fix(domain): at most a third of a service's workers is excluded at once

Cause: two jobs in a row that fail on a worker exclude it for up to 16 s. Ruled out: single workers that fail: they are still excluded, up to the third. Change: a worker is excluded, for failures or slowness, only if less than a third of the listed workers of its service is. The others stay suspect, so that urgent work and gangs use them last.

--- a/crates/domain/src/engine/health.rs
+++ b/crates/domain/src/engine/health.rs
@@ -1,3 +1,4 @@
+use compact_str::CompactString;
 use smallvec::SmallVec;
 
 use super::Engine;
@@ -17,13 +18,36 @@
     /// Longest exclusion.
     const MAX_EXCLUSION_MS: u64 = 16_000;
 
+    /// One in this many workers of a service may be excluded at once. If more fail or are slow, the cause is not with the
+    /// workers, and excluding them would keep sound work from all of them.
+    const EXCLUDED_ONE_IN: usize = 3;
+
+    /// Returns whether one more worker of a service may be excluded.
+    pub(super) fn may_exclude(&self, service: &CompactString, now_ms: u64) -> bool {
+        let workers = self.workers.values();
+        let (listed, excluded) = workers
+            .filter(|worker| worker.is_listed && worker.entry.service == *service)
+            .fold((0_usize, 0_usize), |(listed, excluded), worker| {
+                (listed + 1, excluded + usize::from(now_ms < worker.excluded_until_ms))
+            });
+        (excluded + 1) * Self::EXCLUDED_ONE_IN <= listed
+    }
+
     /// Excludes workers that failed several jobs in a row.
     pub(super) fn check_health(&mut self, now_ms: u64) {
-        for worker in self.workers.values_mut() {
-            if worker.failed_jobs.len() < Self::FAILED_JOBS_TO_EXCLUDE {
-                if worker.failed_jobs.is_empty() && now_ms > worker.excluded_until_ms + Self::MAX_EXCLUSION_MS {
-                    worker.exclusion_ms = 0;
-                }
+        let mut failing = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if worker.failed_jobs.len() >= Self::FAILED_JOBS_TO_EXCLUDE {
+                failing.push(key);
+            } else if worker.failed_jobs.is_empty() && now_ms > worker.excluded_until_ms + Self::MAX_EXCLUSION_MS {
+                worker.exclusion_ms = 0;
+            }
+        }
+        for key in failing {
+            let may_exclude = self.may_exclude(&self.workers[key].entry.service, now_ms);
+            let worker = &mut self.workers[key];
+            if !may_exclude {
+                worker.failed_jobs.truncate(Self::FAILED_JOBS_TO_EXCLUDE);
                 continue;
             }
             worker.exclusion_ms = (worker.exclusion_ms * 2).clamp(Self::EXCLUSION_MS, Self::MAX_EXCLUSION_MS);
--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -195,7 +195,8 @@
         let worker = run.worker;
         // All members of a gang progress at the rate of the slowest, so a slow member does not show that its worker is
         // slow.
-        if !shape.is_gang || shape.count == 1 {
+        let is_excluded = now_ms < self.workers[worker].excluded_until_ms;
+        if (!shape.is_gang || shape.count == 1) && (is_excluded || self.may_exclude(&spec.service, now_ms)) {
             let worker = &mut self.workers[worker];
             if now_ms + Self::SLOW_EXCLUSION_MS > worker.excluded_until_ms + Self::SLOW_CHECK_MS {
                 self.log_lines.push(format!(
--- a/crates/domain/tests/engine/waiting.rs
+++ b/crates/domain/tests/engine/waiting.rs
@@ -134,6 +134,25 @@
     sim.assert_no_violations();
 }
 
+/// Guards against excluding most workers of a service: if most fail their runs, the fault is not with the workers.
+#[test]
+fn at_most_a_third_of_the_workers_is_excluded_at_once() {
+    let mut sim = Simulation::new(3, 4);
+    for worker in sim.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    for number in 0..60 {
+        sim.submit(job(&format!("f{number}"), 1, step(2, 4, 500)));
+        sim.run_for(50);
+        let id = sim.submit(job(&format!("a{number}"), 1, step(1, 1, 500)));
+        let explanation = sim.engine.explain(&id, sim.now_ms).expect("the job is open");
+        let excluded = explanation.steps[0].workers.map_or(0, |tally| tally.excluded);
+        assert!(excluded <= 4, "{excluded} of 12 workers are excluded");
+        sim.cancel(&id);
+    }
+    sim.assert_no_violations();
+}
+
 /// Guards against a task that lasts and fails once, and then waits behind all newer finite work of its priority.
 #[test]
 fn failed_task_that_lasts_starts_before_newer_work() {
