--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -168,6 +168,7 @@
         WaitCause::Room { needed, fit, workers } => {
             format!("room: {needed} tasks have to fit, {fit} do, on {workers} workers")
         }
+        WaitCause::Rack => "room in one rack, or in the rack of its data".into(),
         WaitCause::Turn => "its turn".into(),
     }
 }
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -127,7 +127,10 @@
                 workers: usable.len() as u64,
             };
         }
-        if unit.has_suspects {
+        let is_rack_bound = shape.is_gang && (shape.is_same_rack || shape.data_rack.is_some());
+        if is_rack_bound && self.plan_gang(&unit, &spec, shape, &candidates, now_ms).is_none() {
+            WaitCause::Rack
+        } else if unit.has_suspects {
             WaitCause::Isolation
         } else {
             WaitCause::Turn
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -103,6 +103,8 @@
         /// Number of workers that may run them.
         workers: u64,
     },
+    /// The gang fits, but not in one rack or the rack of its data.
+    Rack,
     /// There is free capacity, but other rules of placement withhold it, or the next placement pass has not run yet.
     Turn,
 }
@@ -121,6 +123,7 @@
             Self::Pause { .. } => "pause",
             Self::NoWorker => "no_worker",
             Self::Room { .. } => "room",
+            Self::Rack => "rack",
             Self::Turn => "turn",
         }
     }
