fix(domain): a run that may have completed is no certain victim of its worker's crash

A task had completed on a worker that crashed before it reported the end; that crash counted as confirmed. Ruled out: the order of starts; the two starts beside each other are allowed, as neither task was a suspect. Change: if the run could have completed, by its rate, between the last report that listed it and the first failed renewal, the crash counts as unconfirmed.

--- a/crates/domain/src/engine/crashes.rs
+++ b/crates/domain/src/engine/crashes.rs
@@ -169,7 +169,7 @@
         let is_early = noticed_ms.is_none_or(|at_ms| at_ms < run.start_sent_ms + Self::PROBATION_MS);
         // A trial that is read from the store may have ended since it was written, and a run whose stop was confirmed may
         // not have started at all.
-        if run.confirmed_ms.is_none() || run.is_recalled || run.is_void {
+        if run.confirmed_ms.is_none() || run.is_recalled || run.is_void || self.may_have_completed(run, noticed_ms) {
             CrashEvidence::Unconfirmed
         } else if is_early && Self::is_on_probation(run) {
             CrashEvidence::Early
@@ -178,6 +178,13 @@
         }
     }
 
+    /// Returns whether a run may have completed between the last report that listed it and the crash of its worker, which
+    /// then lost the report of its end.
+    fn may_have_completed(&self, run: &Run, noticed_ms: Option<u64>) -> bool {
+        let listed = run.last_listed_ms.zip(noticed_ms);
+        listed.is_some_and(|(listed_ms, noticed_ms)| listed_ms + self.remaining_ms(run, listed_ms) <= noticed_ms)
+    }
+
     /// Returns whether reports have not listed a run for long enough to show that its worker outlives the start.
     fn is_on_probation(run: &Run) -> bool {
         (!run.is_adopted || run.is_recalled)
--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -124,7 +124,7 @@
     }
 
     /// Returns the expected remaining run time.
-    fn remaining_ms(&self, run: &Run, now_ms: u64) -> u64 {
+    pub(super) fn remaining_ms(&self, run: &Run, now_ms: u64) -> u64 {
         if let Some(rate) = run.progress.rate.filter(|rate| *rate > 0.0) {
             return run.progress.remaining_ms(rate) as u64;
         }
