perf(domain): overdue work starts only while no resource of the service is half used

The measure took the least used resource, so that a service with free processors and no free accelerator counted as idle. Besides, each blocked gang summed up the tasks that last on every worker in every pass. Change: the most used resource counts; what tasks that last take is kept by worker.

--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -16,6 +16,7 @@
             run.step = name.step;
             run.index = name.index;
             run.is_unwanted = false;
+            run.is_lasting = shape.is_long_running;
             run.is_suspect = self.step_of(&run).is_some_and(|state| state.is_suspect(name.index));
             if shape.is_filler {
                 // The former scheduler may have throttled it; the next check raises the share if possible.
--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -2,12 +2,12 @@
 
 use compact_str::CompactString;
 
+use super::Engine;
 use super::candidate::Candidate;
 use super::health::is_last_resort;
 use super::place::tasks_that_fit;
 use super::queue::PlacementUnit;
-use super::{Engine, WorkerKey};
-use crate::{Job, Resources, Step};
+use crate::{Job, Step};
 
 /// Number of tasks that a plan assigns to a candidate, given by its index.
 #[derive(Debug, Clone, Copy)]
@@ -68,13 +68,13 @@
     /// Returns whether some rack can hold the gang once the work there that ends by itself has ended.
     fn fits_some_rack(&self, spec: &Job, shape: &Step) -> bool {
         let mut racks: HashMap<&CompactString, u64> = HashMap::new();
-        for (key, worker) in self.workers.iter().filter(|(_, worker)| worker.is_listed) {
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
             let has_label = shape
                 .required_label
                 .as_ref()
                 .is_none_or(|label| worker.entry.labels.contains(label));
             if worker.entry.service == spec.service && has_label {
-                *racks.entry(&worker.entry.rack).or_default() += tasks_that_fit(shape, &self.drained_capacity(key));
+                *racks.entry(&worker.entry.rack).or_default() += tasks_that_fit(shape, &worker.drained_capacity());
             }
         }
         racks.values().any(|tasks| *tasks >= u64::from(shape.count))
@@ -129,7 +129,7 @@
             let (now, empty) = racks.entry(candidate.rack.clone()).or_default();
             if candidate.is_open_to(unit) {
                 *now += tasks_that_fit(shape, &candidate.free);
-                *empty += tasks_that_fit(shape, &self.drained_capacity(candidate.worker));
+                *empty += tasks_that_fit(shape, &self.workers[candidate.worker].drained_capacity());
             }
         }
         let reserved = racks.keys().filter(|rack| self.reserved_racks.contains_key(*rack));
@@ -148,18 +148,6 @@
         self.reserved_racks.insert(rack, unit.key());
         true
     }
-
-    /// Returns what a worker can hold once all its runs have ended that end by themselves.
-    pub(super) fn drained_capacity(&self, worker: WorkerKey) -> Resources {
-        let worker = &self.workers[worker];
-        let lasting = worker
-            .runs
-            .iter()
-            .filter_map(|key| self.runs.get(*key))
-            .filter(|run| !run.is_unwanted && self.job_of(run).spec.steps[run.step as usize].is_long_running)
-            .fold(Resources::default(), |sum, run| sum.plus(&run.need));
-        worker.entry.capacity.left_beside(&lasting)
-    }
 }
 
 /// Places the gang on the fullest of the given candidates that can hold it.
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -328,14 +328,14 @@
 
     /// Returns whether a rack has a worker that can hold a task of a step once all has ended that ends by itself.
     fn may_fit_in_rack(&self, rack: &CompactString, spec: &Job, shape: &Step) -> bool {
-        self.workers.iter().any(|(key, worker)| {
+        self.workers.values().any(|worker| {
             let entry = &worker.entry;
             let has_label = |label: &CompactString| entry.labels.contains(label);
             worker.is_listed
                 && entry.rack == *rack
                 && entry.service == spec.service
                 && shape.required_label.as_ref().is_none_or(has_label)
-                && shape.charged().fits(&self.drained_capacity(key))
+                && shape.charged().fits(&worker.drained_capacity())
         })
     }
 
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -54,6 +54,8 @@
     pub progress: RunProgress,
     pub work_percent: u32,
     pub throttle_sent_ms: u64,
+    /// Its task runs until its job is cancelled.
+    pub is_lasting: bool,
     /// No task of this scheduler needs it; it is stopped.
     pub is_unwanted: bool,
     /// Its job is not known, and so neither are the resources that it takes.
@@ -88,8 +90,18 @@
             progress: RunProgress::default(),
             work_percent: 100,
             throttle_sent_ms: 0,
+            is_lasting: false,
             is_unwanted: true,
             is_need_unknown: false,
         }
     }
+
+    /// Returns what it takes for as long as its job is open; nothing if it ends by itself.
+    pub fn lasting_need(&self) -> Resources {
+        if self.is_lasting {
+            self.need
+        } else {
+            Resources::default()
+        }
+    }
 }
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -120,6 +120,7 @@
             progress: RunProgress::default(),
             work_percent: 100,
             throttle_sent_ms: 0,
+            is_lasting: shape.is_long_running,
             is_unwanted: false,
             is_need_unknown: false,
         };
@@ -154,11 +155,13 @@
         let worker_key = run.worker;
         let (need, is_need_unknown, is_isolated) = (run.need, run.is_need_unknown, run.is_isolated);
         let task_run = run.id.clone();
+        let lasting = run.lasting_need();
         let key = self.runs.insert(run);
         self.run_keys.insert(task_run, key);
         let worker = &mut self.workers[worker_key];
         worker.runs.push(key);
         worker.used = worker.used.plus(&need);
+        worker.used_by_lasting = worker.used_by_lasting.plus(&lasting);
         worker.runs_of_unknown_need += u32::from(is_need_unknown);
         worker.isolated_runs += u32::from(is_isolated);
         key
@@ -170,6 +173,7 @@
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.retain(|other| *other != key);
             worker.used = worker.used.minus(&run.need);
+            worker.used_by_lasting = worker.used_by_lasting.minus(&run.lasting_need());
             worker.runs_of_unknown_need -= u32::from(run.is_need_unknown);
             worker.isolated_runs -= u32::from(run.is_isolated);
         }
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -109,7 +109,7 @@
         waiting
     }
 
-    /// Returns the share of a service's capacity that is in use, by the resource of which the least is.
+    /// Returns the share of a service's capacity that is in use, by the resource of which the most is.
     pub(super) fn share_in_use(&self, service: &CompactString) -> f64 {
         let workers = self.workers.values();
         let (used, capacity) = workers
@@ -127,7 +127,7 @@
             .into_iter()
             .filter(|(_, capacity)| *capacity > 0)
             .map(|(used, capacity)| used as f64 / capacity as f64)
-            .fold(1.0, f64::min)
+            .fold(0.0, f64::max)
     }
 
     /// Returns which rule keeps a waiting task of a step from which number of workers.
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -40,6 +40,8 @@
     pub acked_end: u64,
     pub runs: Vec<RunKey>,
     pub used: Resources,
+    /// Part of `used` that tasks take which run until their jobs are cancelled.
+    pub used_by_lasting: Resources,
     /// Number of its runs whose resources are not known; while there is one, nothing is placed on it.
     pub runs_of_unknown_need: u32,
     /// Number of its runs of suspect tasks that are on probation; while there is one, nothing else is placed on it.
@@ -81,6 +83,7 @@
             acked_end: 0,
             runs: Vec::new(),
             used: Resources::default(),
+            used_by_lasting: Resources::default(),
             runs_of_unknown_need: 0,
             isolated_runs: 0,
             has_crashed: false,
@@ -92,6 +95,11 @@
         }
     }
 
+    /// Returns what it can hold once all its runs have ended that end by themselves.
+    pub const fn drained_capacity(&self) -> Resources {
+        self.entry.capacity.left_beside(&self.used_by_lasting)
+    }
+
     /// Returns whether it may hold runs of an earlier epoch and has not replied in this one.
     pub const fn may_hold_unreported_runs(&self) -> bool {
         !self.is_fenced && self.is_recorded
