test(domain): the simulation reports ready tasks that wait beside idle workers

Ruled out: the scheduler's own `idle_since_ms` as the measure. The observer counts from the runs on the fake workers and the durable progress that callers see, so that an error in the scheduler's own count cannot hide a wait. Change: `Simulation` evaluates each step whether a job, or a task that lasts, has had nothing running for 3 s beside room for twice what it needs, and records a violation with the scheduler's `tasks_wait` line. It counts from 5 s after a fault; jobs with tasks that crash workers are excepted. It is on in all simulations. A gang may be spread over racks and a task may run away from its data, since callers count room anywhere. 200 random loads have gangs, data racks (also full or lost ones), labels, limits a worker, tasks that last and fail, jobs that always fail, restricted routes and crashes.

--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod maintenance;
 mod preemption;
 mod random_faults;
+mod random_load;
 mod simulation;
 mod takeover;
 mod waiting;
--- a/crates/domain/tests/engine/random_faults.rs
+++ b/crates/domain/tests/engine/random_faults.rs
@@ -5,10 +5,10 @@
 use crate::simulation::{Return, Simulation, job, step};
 
 /// Linear congruential generator; a seed gives the same schedule on every machine.
-struct Rng(u64);
+pub struct Rng(pub u64);
 
 impl Rng {
-    fn next_below(&mut self, below: u64) -> u64 {
+    pub fn next_below(&mut self, below: u64) -> u64 {
         self.0 = self
             .0
             .wrapping_mul(6_364_136_223_846_793_005)
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod entry;
 mod fake_worker;
+mod idle_tasks;
 mod invariants;
 mod maintenance;
 mod records;
@@ -18,7 +19,9 @@
     Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress, WorkerKey,
 };
 use entry::entry;
+use fake_worker::FakeRun;
 pub use fake_worker::FakeWorker;
+use idle_tasks::IdleTasks;
 pub use maintenance::Maintenance;
 
 /// Rows of a job in the fake store.
@@ -104,6 +107,9 @@
     /// Whether reports show the state of the workers before the last commands arrived.
     pub has_stale_reports: bool,
     stale_workers: BTreeMap<CompactString, FakeWorker>,
+    /// Whether a job that has nothing running beside idle workers is a violation.
+    pub checks_idle_tasks: bool,
+    idle_tasks: IdleTasks,
     pub violations: Vec<String>,
     pub log_lines: Vec<String>,
     pub starts: Vec<(u64, CompactString, CompactString)>,
@@ -194,6 +200,8 @@
             crashes: Crashes::default(),
             has_stale_reports: false,
             stale_workers: BTreeMap::new(),
+            checks_idle_tasks: true,
+            idle_tasks: IdleTasks::default(),
             violations: Vec::new(),
             log_lines: Vec::new(),
             starts: Vec::new(),
@@ -369,6 +377,7 @@
         }
         self.tick();
         self.check_invariants();
+        self.check_idle_tasks();
     }
 
     fn tick(&mut self) {
--- a/crates/domain/tests/engine/simulation/crashes.rs
+++ b/crates/domain/tests/engine/simulation/crashes.rs
@@ -127,6 +127,13 @@
         worker.restart(self.now_ms);
     }
 
+    /// Removes the workers of a rack for good, with all that runs there.
+    pub fn remove_rack(&mut self, rack: &str) {
+        for (id, _) in self.workers.extract_if(.., |_, worker| worker.rack == rack) {
+            self.engine.unlist_worker(&id, self.now_ms);
+        }
+    }
+
     /// Crashes a worker now.
     pub fn crash(&mut self, id: &str) {
         let worker = self.workers.get_mut(id).expect("the worker exists");
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -133,7 +133,8 @@
         now_ms + self.clock_offset_ms
     }
 
-    fn used(&self) -> Resources {
+    /// Returns the resources that its runs take.
+    pub fn used(&self) -> Resources {
         self.runs
             .iter()
             .fold(Resources::default(), |sum, run| sum.plus(&run.need))
