--- a/crates/domain/src/engine/hints.rs
+++ b/crates/domain/src/engine/hints.rs
@@ -77,19 +77,23 @@
         }
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
-        let fitting: Vec<(WorkerKey, u64)> = candidates
+        let mut fitting: Vec<(&Candidate, u64)> = candidates
             .iter()
-            .filter(|candidate| unit.is_overdue || !candidate.is_excluded)
             .filter(|candidate| self.is_eligible(candidate, &spec, shape))
-            .map(|candidate| (candidate.worker, tasks_that_fit(shape, &candidate.free)))
+            .map(|candidate| (candidate, tasks_that_fit(shape, &candidate.free)))
             .filter(|(_, tasks)| *tasks > 0)
             .collect();
+        let needed = if shape.is_gang { u64::from(shape.count) } else { 1 };
+        let on_sound_workers = fitting.iter().filter(|(candidate, _)| !candidate.is_excluded);
+        let is_sound_room_enough = on_sound_workers.map(|(_, tasks)| *tasks).sum::<u64>() >= needed;
+        if is_sound_room_enough && !unit.is_overdue {
+            fitting.retain(|(candidate, _)| !candidate.is_excluded);
+        }
         let permitted: u64 = fitting
             .iter()
-            .filter(|(worker, _)| self.is_permitted(unit, *worker, now_ms))
+            .filter(|(candidate, _)| self.is_permitted(unit, candidate.worker, now_ms))
             .map(|(_, tasks)| *tasks)
             .sum();
-        let needed = if shape.is_gang { u64::from(shape.count) } else { 1 };
         if permitted >= needed {
             return false;
         }
@@ -128,7 +132,7 @@
         };
         let workers: Vec<_> = fitting
             .iter()
-            .filter_map(|(worker, _)| self.workers.get(*worker))
+            .filter_map(|(candidate, _)| self.workers.get(candidate.worker))
             .map(|worker| worker.entry.id.clone())
             .filter(is_open)
             .take(workers_max.clamp(Self::WORKERS_PER_CALL, Self::MAX_WORKERS_PER_CALL))
