fix(domain): workers that hold enough tasks of a step do not stand for others in hint calls

Cause: a step with a limit a worker waited with room on the workers that it may use but with its limit reached there: they counted as permitted, so no further worker was asked about until the ticket expired. Change: such workers do not count; a call names at most 30 workers, as one of 100 may take longer than the time-out and hold up all other steps.

--- a/crates/domain/src/engine/hints.rs
+++ b/crates/domain/src/engine/hints.rs
@@ -5,7 +5,7 @@
 use super::Engine;
 use super::candidate::Candidate;
 use super::keys::WorkerKey;
-use super::place::tasks_that_fit;
+use super::place::{is_below_worker_limit, tasks_that_fit};
 use super::queue::{PlacementUnit, PlacementUnitKey};
 use crate::Action;
 
@@ -48,8 +48,8 @@
     /// Number of workers in a call for a step of which one task may start alone. The service takes time for each.
     const WORKERS_PER_CALL: usize = 12;
 
-    /// Maximum number of workers in one call that the service accepts.
-    const MAX_WORKERS_PER_CALL: usize = 100;
+    /// Maximum number of workers in one call. The service takes time for each, and others wait meanwhile.
+    const MAX_WORKERS_PER_CALL: usize = 30;
 
     /// Workers that a call for a gang names for each that it lacks, as not all are permitted.
     const WORKERS_ASKED_PER_LACKING: u64 = 2;
@@ -77,8 +77,10 @@
         }
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
+        let per_worker = self.tasks_per_worker(unit);
         let mut fitting: Vec<(&Candidate, u64)> = candidates
             .iter()
+            .filter(|candidate| is_below_worker_limit(shape, per_worker.get(&candidate.worker)))
             .filter(|candidate| self.is_eligible(candidate, &spec, shape))
             .map(|candidate| (candidate, tasks_that_fit(shape, &candidate.free)))
             .filter(|(_, tasks)| *tasks > 0)
--- a/crates/domain/tests/engine/waiting.rs
+++ b/crates/domain/tests/engine/waiting.rs
@@ -195,3 +195,60 @@
     sim.run_until(MISSED_AFTER_MS, |sim| !sim.workers_of(&id).is_empty());
     sim.assert_no_violations();
 }
+
+/// Guards against overdue work that takes the room for which other runs were just stopped, so that urgent work within its
+/// guarantee misses its time and more runs are stopped for it.
+#[test]
+fn overdue_work_leaves_preempted_room_to_urgent_work() {
+    let mut sim = Simulation::new(1, 4);
+    for number in 0..32 {
+        sim.submit(job(&format!("e{number}"), 2, step(1, 1, 600_000)));
+    }
+    sim.run_for(300);
+    let mut lasting = step(4, 4, 600_000);
+    lasting.is_long_running = true;
+    let served = sim.submit(job("a", 2, lasting));
+    sim.run_for(2_500);
+    assert!(sim.workers_of(&served).is_empty());
+    let mut gang = step(4, 4, 5_000);
+    gang.is_gang = true;
+    let mut urgent = job("b", 0, gang);
+    urgent.objective_ms = 250;
+    let id = sim.submit(urgent);
+    sim.run_until(2_700, |sim| !sim.workers_of(&id).is_empty());
+    assert!(sim.workers_of(&served).is_empty());
+    assert_eq!(sim.engine.stats().preempted, 16);
+    sim.assert_no_violations();
+}
+
+/// Guards against a wait that no line shows, since no worker counts as usable at the scheduler.
+#[test]
+fn log_shows_a_task_that_waits_because_all_workers_are_silent() {
+    let mut sim = Simulation::new(1, 3);
+    for worker in sim.workers.values_mut() {
+        worker.is_unresponsive = true;
+    }
+    sim.run_for(1_000);
+    sim.submit(job("a", 1, step(1, 2, 300)));
+    sim.run_for(2_500);
+    let line = sim.log_lines.iter().find(|line| line.contains("tasks_wait"));
+    let line = line.expect("the wait is logged");
+    assert!(line.contains("room=0 room_behind=3 silent=3"), "{line}");
+}
+
+/// Guards against a step that is not asked about further workers, because those that it may use have room but hold as many
+/// of its tasks as they may.
+#[test]
+fn workers_with_enough_tasks_of_a_step_do_not_stand_for_others() {
+    let mut sim = Simulation::new(5, 8);
+    sim.hint_call_ms = 50;
+    sim.permitted_workers = vec!["w0-0".into(), "w4-7".into()];
+    let mut lasting = step(2, 1, 600_000);
+    lasting.is_long_running = true;
+    lasting.max_per_worker = 1;
+    let mut advised = job("a", 1, lasting);
+    advised.route = "route-advised".into();
+    let id = sim.submit(advised);
+    sim.run_until(1_000, |sim| sim.workers_of(&id).len() == 2);
+    sim.assert_no_violations();
+}
