fix(domain): waits with no usable worker and across failed starts are logged

Found by reading in a review. Change: room behind silent, unreported, leaving, isolated and refusing workers is counted apart and logged; only confirmed runs that are not being stopped count as something running.

--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Returns whether its worker has confirmed that it runs, and nothing stops it.
+    pub fn is_at_work(&self) -> bool {
+        self.confirmed_ms.is_some() && !self.is_recalled && self.state == RunState::Running
+    }
+
     /// Returns what it takes for as long as its job is open; nothing if it ends by itself.
     pub fn lasting_need(&self) -> Resources {
         if self.is_lasting {
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -4,7 +4,7 @@
 use super::place::{Barrier, is_below_worker_limit, tasks_that_fit};
 use super::queue::PlacementUnit;
 use super::step_state::StepState;
-use super::{Engine, Worker, WorkerKey};
+use super::{Engine, Run, Worker, WorkerKey};
 use crate::{Resources, Step, WorkerTally};
 
 /// Step that waits with nothing running.
@@ -32,9 +32,11 @@
 
     /// Notes since when each step has had nothing running although its turn has come.
     pub(super) fn note_idle_steps(&mut self, now_ms: u64) {
+        let runs = &self.runs;
         for job in self.jobs.values_mut().filter(|job| !job.is_final()) {
-            let mut steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-            let has_run = steps.any(|state| state.active_count > 0);
+            let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+            let mut active = steps.flat_map(|state| state.active.iter().flatten());
+            let has_run = active.any(|key| runs.get(*key).is_some_and(Run::is_at_work));
             for occurrence in job.occurrences.values_mut() {
                 for (step, shape) in job.spec.steps.iter().enumerate() {
                     let has_turn = has_turn(shape, &occurrence.steps);
@@ -42,7 +44,8 @@
                         continue;
                     };
                     // Callers count each task that lasts by itself, and all others by their job.
-                    let is_idle = has_turn && state.idle_count() > 0 && (shape.is_long_running || !has_run);
+                    let is_waiting = state.idle_count() > 0 || !has_run;
+                    let is_idle = has_turn && !state.is_done() && is_waiting && (shape.is_long_running || !has_run);
                     state.idle_since_ms = is_idle.then(|| state.idle_since_ms.unwrap_or(now_ms));
                 }
             }
@@ -65,7 +68,7 @@
             let spec = std::rc::Rc::clone(&self.jobs[waiting.job].spec);
             let shape = &spec.steps[waiting.step as usize];
             let needed = if shape.is_gang { u64::from(shape.count) } else { 1 };
-            if tally.room < needed {
+            if tally.room + tally.room_behind < needed {
                 continue;
             }
             let idle_ms = now_ms.saturating_sub(waiting.idle_since_ms);
@@ -176,6 +179,9 @@
         let free = worker.entry.capacity.left_beside(&worker.used);
         let fit = tasks_that_fit(shape, &free);
         let barrier = self.barrier(worker, now_ms);
+        if barrier.is_some_and(|barrier| barrier != Barrier::Excluded) {
+            tally.room_behind += fit;
+        }
         match barrier {
             Some(Barrier::Unreported) => return &mut tally.unreported,
             Some(Barrier::Leaving) => return &mut tally.leaving,
--- a/crates/domain/src/worker_tally.rs
+++ b/crates/domain/src/worker_tally.rs
@@ -36,6 +36,8 @@
     pub open: u32,
     /// Number of tasks for which there is room on the workers that are excluded, reserved, unpermitted, remote or open.
     pub room: u64,
+    /// Number of tasks for which there is room on the workers that are unreported, leaving, silent, isolated or refusing.
+    pub room_behind: u64,
 }
 
 impl fmt::Display for WorkerTally {
@@ -57,6 +59,9 @@
             ("ineligible", self.ineligible),
         ];
         write!(f, "room={}", self.room)?;
+        if self.room_behind > 0 {
+            write!(f, " room_behind={}", self.room_behind)?;
+        }
         let mut counts = counts.into_iter().filter(|(_, count)| *count > 0);
         counts.try_for_each(|(rule, count)| write!(f, " {rule}={count}"))
     }
