fix(domain): overdue work leaves preempted room to its preemptor, and tries a bad worker once

Cause: by reading in a review: an overdue unit could take the first room that stopped runs had freed for an urgent gang, and could start again and again on an excluded worker where it failed. A reservation after preemption was renewed for as long as the unit was held back by something else. Change: room after preemption stays reserved also against overdue work; excluded workers come last and only if the step has not failed there; a reservation without a stop under way is not renewed. Conclusion: kept as a precaution.

--- a/crates/domain/src/engine/candidate.rs
+++ b/crates/domain/src/engine/candidate.rs
@@ -16,7 +16,9 @@
     pub is_suspect: bool,
     /// The worker's process crashed, and no run has outlived its probation since.
     pub has_crashed: bool,
-    /// Unit for which the worker is reserved; no other unit may use it unless it is overdue.
+    /// Unit for which other runs were stopped here; no other unit may use the worker.
+    pub preempted_for: Option<PlacementUnitKey>,
+    /// Unit for which the rack is reserved; no other unit may use the worker unless it is overdue.
     pub reserved_for: Option<PlacementUnitKey>,
     /// Unit of a suspect task that starts there in this pass; no other unit may start beside it.
     pub isolated_for: Option<PlacementUnitKey>,
@@ -27,7 +29,10 @@
 impl Candidate {
     /// Returns whether a unit may use the candidate.
     pub fn is_open_to(&self, unit: &PlacementUnit) -> bool {
-        self.isolated_for.is_none_or(|owner| owner == unit.key()) && (unit.is_overdue || !self.is_withheld_from(unit))
+        let is_own = |owner: PlacementUnitKey| owner == unit.key();
+        self.isolated_for.is_none_or(is_own)
+            && self.preempted_for.is_none_or(is_own)
+            && (unit.is_overdue || !self.is_withheld_from(unit))
     }
 
     /// Returns whether a preference of placement keeps the candidate from a unit that is not overdue.
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -90,11 +90,12 @@
                 service: worker.entry.service.clone(),
                 is_suspect: worker.is_suspect(now_ms),
                 has_crashed: worker.has_crashed,
-                reserved_for: self
+                preempted_for: self
                     .reservations
                     .iter()
                     .find(|reservation| reservation.workers.contains(&key))
                     .map(|reservation| reservation.unit),
+                reserved_for: None,
             })
             .collect()
     }
@@ -279,12 +280,15 @@
             .iter()
             .enumerate()
             .filter(|(_, candidate)| self.can_hold_task(candidate, unit, spec, shape))
+            // An overdue unit tries an excluded worker once; it failed there.
+            .filter(|(_, candidate)| !(candidate.is_excluded && failed_on.contains(&candidate.worker)))
             .filter(|(_, candidate)| !are_suspects || self.is_open_to_suspects(candidate, unit))
             .filter(|(_, candidate)| !requires_ticket || self.is_permitted(unit, candidate.worker, now_ms))
             .map(|(index, candidate)| {
                 let left = candidate.free.minus(&need);
                 let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != candidate.rack);
                 let key = (
+                    candidate.is_excluded,
                     candidate.is_withheld_from(unit),
                     is_last_resort(unit, shape, candidate, &failed_on),
                     is_remote,
@@ -294,7 +298,7 @@
                 );
                 (key, index)
             })
-            .filter(|((_, _, is_remote, ..), _)| may_be_remote || !is_remote)
+            .filter(|((_, _, _, is_remote, ..), _)| may_be_remote || !is_remote)
             .collect();
         order.sort_unstable();
         order.into_iter().map(|(_, index)| index).collect()
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -2,7 +2,7 @@
 
 use super::candidate::Candidate;
 use super::health::is_last_resort;
-use super::keys::{JobKey, RunKey};
+use super::keys::{JobKey, RunKey, WorkerKey};
 use super::place::PreemptionReservation;
 use super::queue::PlacementUnit;
 use super::victims::{Host, Preemption, Victim, choose_victims};
@@ -88,6 +88,14 @@
                 return true;
             }
         }
+        let is_stop_pending = |worker: &WorkerKey| {
+            let mut runs = self.workers[*worker].runs.iter().map(|run| &self.runs[*run]);
+            runs.any(|run| run.state == RunState::Stopping)
+        };
+        if preemption.victims.is_empty() && !preemption.workers.iter().any(is_stop_pending) {
+            // There is room, so something else holds the unit back; a reservation would hold back others as well.
+            return true;
+        }
         self.reservations.retain(|reservation| reservation.unit != unit.key());
         self.reservations.push(PreemptionReservation {
             unit: unit.key(),
