fix(domain): a reserved rack withholds only workers of the gang's service

Cause: by reading in a review: all workers of the rack were reserved, also those of other services, which the limit of half of the racks did not count; and a gang could reserve a rack that was reserved already. Change: only the service's workers in a rack are reserved, each rack once, at most half of the service's racks. Conclusion: kept as a precaution.

--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -113,7 +113,7 @@
 
     /// Reserves the rack that is closest to holding a blocked gang against later units; returns whether one was found.
     ///
-    /// Only racks that can become free are reserved, and never more than half of those that the gang may use, so that
+    /// Only racks that can become free are reserved, and never more than half of those of the service, so that
     /// other work finds workers however long the gang waits.
     pub(super) fn reserve_rack(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate]) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
@@ -122,12 +122,10 @@
             return false;
         }
         let mut racks: HashMap<CompactString, (u64, u64)> = HashMap::new();
-        for candidate in candidates
-            .iter()
-            .filter(|candidate| self.is_eligible(candidate, &spec, shape))
-        {
+        for candidate in candidates.iter().filter(|candidate| candidate.service == spec.service) {
             let (now, empty) = racks.entry(candidate.rack.clone()).or_default();
-            if candidate.is_open_to(unit) {
+            let is_reserved = self.reserved_racks.contains_key(&candidate.rack);
+            if !is_reserved && candidate.is_open_to(unit) && self.is_eligible(candidate, &spec, shape) {
                 *now += tasks_that_fit(shape, &candidate.free);
                 *empty += tasks_that_fit(shape, &self.workers[candidate.worker].drained_capacity());
             }
@@ -142,7 +140,8 @@
             .max_by_key(|(rack, (now, _))| (*now, (*rack).clone()))
             .map(|(rack, _)| rack.clone());
         let Some(rack) = best else { return false };
-        for candidate in candidates.iter_mut().filter(|candidate| candidate.rack == rack) {
+        let in_rack = |candidate: &&mut Candidate| candidate.rack == rack && candidate.service == spec.service;
+        for candidate in candidates.iter_mut().filter(in_rack) {
             candidate.reserved_for.get_or_insert(unit.key());
         }
         self.reserved_racks.insert(rack, unit.key());
