fix(domain): evidence against tasks that last stays certain; the limit of exclusions costs less

Cause: by reading in a review: a task that lasts reports no remaining time, so that it always counted as possibly completed when its worker crashed; a late renewal did the same to others. The limit of exclusions was counted once for each failing worker. Change: only runs that end by themselves and have a forecast can have completed, within the time of one renewal; a service whose limit is reached is counted once a pass.

--- a/crates/domain/src/engine/crashes.rs
+++ b/crates/domain/src/engine/crashes.rs
@@ -181,8 +181,13 @@
     /// Returns whether a run may have completed between the last report that listed it and the crash of its worker, which
     /// then lost the report of its end.
     fn may_have_completed(&self, run: &Run, noticed_ms: Option<u64>) -> bool {
-        let listed = run.last_listed_ms.zip(noticed_ms);
-        listed.is_some_and(|(listed_ms, noticed_ms)| listed_ms + self.remaining_ms(run, listed_ms) <= noticed_ms)
+        let Some((listed_ms, noticed_ms)) = run.last_listed_ms.zip(noticed_ms) else {
+            return false;
+        };
+        // The crash came before the reply to the next renewal.
+        let crashed_ms = noticed_ms.min(listed_ms + Self::RENEW_WAIT_MS);
+        let remaining_ms = self.remaining_ms(run, listed_ms);
+        !run.is_lasting && remaining_ms > 0 && listed_ms + remaining_ms <= crashed_ms
     }
 
     /// Returns whether reports have not listed a run for long enough to show that its worker outlives the start.
--- a/crates/domain/src/engine/health.rs
+++ b/crates/domain/src/engine/health.rs
@@ -43,10 +43,17 @@
                 worker.exclusion_ms = 0;
             }
         }
+        let mut full_services: SmallVec<[CompactString; 2]> = SmallVec::new();
         for key in failing {
-            let may_exclude = self.may_exclude(&self.workers[key].entry.service, now_ms);
+            let worker = &self.workers[key];
+            let service = worker.entry.service.clone();
+            let is_excluded = now_ms < worker.excluded_until_ms;
+            let may_exclude = is_excluded || (!full_services.contains(&service) && self.may_exclude(&service, now_ms));
             let worker = &mut self.workers[key];
             if !may_exclude {
+                if !full_services.contains(&service) {
+                    full_services.push(service);
+                }
                 worker.failed_jobs.truncate(Self::FAILED_JOBS_TO_EXCLUDE);
                 continue;
             }
