fix(domain): a silent worker holds only the tasks that it may run, not all jobs, after a takeover

Cause: a successor does not know what a worker runs that does not reply to it. `has_unreported_workers` with `may_have_started_before` therefore kept every job below the former start bound from starting until the leases of that worker had certainly expired (up to 10.3 s with the default limits), beside idle workers, although the former scheduler had known for seconds what the worker may run.

Ruled out: rows from start commands (a write before each start; nothing would start while the store is down). The list in the row of the used worker: an older version could not decode it and would drop the worker. Holding the tasks by name instead of as runs: runs that are only read are adopted, stopped and expired by existing code.

Change: the scheduler writes the runs of a worker that has not replied for 2 s after its first failed renewal (`last_runs`; all runs that have not certainly ended) with the usual commit, if it knows all that may be there: the worker replied in this epoch, its row was read, or its leases have expired. From sending that write until the removal of the row is durable nothing starts there. Both are conditional on the epoch and on the revision of the list of used workers, so that neither takes effect late. At most 40 rows go into a write, removals first, then workers without a row of this epoch, then rows that have shrunk; 30 entries stay for progress. A successor trusts a row of the epoch right before its own, adds its runs as recalled ones (no crash is counted for them; trials do that as before), and writes it anew after the first renewal without a reply. Any other unreported worker holds all jobs as before, also one with a named occurrence that is not open here yet.

A worker that was silent for more than 2 s gets tasks only after one more write; while the store is down it gets none. A row is missing, and the old rule holds, if the holder is lost within 2 s of the worker or the store was down.

--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -1,9 +1,10 @@
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
-use crate::{Progress, RunRecord, WaveRow, WorkerKey};
+use crate::{LastRuns, Progress, RunRecord, WaveRow, WorkerKey};
 
 /// Run of a task, as workers identify it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TaskRun {
     /// Task name.
     pub task: CompactString,
@@ -48,6 +49,10 @@
     pub add_workers: Vec<(CompactString, CompactString)>,
     /// Workers that no longer run anything.
     pub remove_workers: Vec<CompactString>,
+    /// Runs that may be on workers which are unresponsive.
+    pub last_runs: Vec<(CompactString, LastRuns)>,
+    /// Workers that may get tasks again, so that what was written about their last runs is outdated.
+    pub remove_last_runs: Vec<CompactString>,
     /// Jobs whose retention after their final state has ended; all their rows except run records are deleted.
     pub remove_jobs: Vec<CompactString>,
     /// Number of jobs without a started task, by queue; only counts that changed.
@@ -71,9 +76,12 @@
     /// Maximum entries in one store transaction: conditions, writes and deletions together.
     pub const MAX_ENTRIES: usize = 100;
 
-    /// Returns whether the list of used workers changes.
+    /// Returns whether the list of used workers changes, or what is known about their last runs.
     pub fn changes_workers(&self) -> bool {
-        !self.add_workers.is_empty() || !self.remove_workers.is_empty()
+        !self.add_workers.is_empty()
+            || !self.remove_workers.is_empty()
+            || !self.last_runs.is_empty()
+            || !self.remove_last_runs.is_empty()
     }
 
     /// Entries of the revision of the list of used workers: its condition and its write.
@@ -96,7 +104,8 @@
             0
         };
         let workers = self.add_workers.len() + self.remove_workers.len();
-        let others = workers + self.pending.len() + self.waves.len() + self.wave_rows.len();
+        let last_runs = self.last_runs.len() + self.remove_last_runs.len();
+        let others = workers + last_runs + self.pending.len() + self.waves.len() + self.wave_rows.len();
         Self::BASE_ENTRIES
             + self.rows.len() * Self::ROW_ENTRIES
             + self.remove_jobs.len() * Self::REMOVAL_ENTRIES
--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -58,7 +58,7 @@
 
     /// Returns the task of a run if it is not done and has no other run. The task must not start elsewhere before this
     /// run has ended, even if the run is not wanted.
-    fn adoptable_task(&self, task_run: &TaskRun) -> Option<(super::keys::JobKey, TaskName)> {
+    pub(super) fn adoptable_task(&self, task_run: &TaskRun) -> Option<(super::keys::JobKey, TaskName)> {
         let name: TaskName = task_run.task.parse().ok()?;
         let key = *self.job_ids.get(&name.job)?;
         let job = &self.jobs[key];
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -85,6 +85,7 @@
         let has_finished = !self.finished.due(now_ms, 1).is_empty();
         let has_workers = !self.commit.add_workers.is_empty()
             || !self.commit.remove_workers.is_empty()
+            || self.last_runs.is_due
             || !self.waves.unpublished().is_empty()
             || !self.waves.unwritten_rows(1).is_empty();
         let has_unacked = !self.unacked.is_empty();
@@ -179,6 +180,7 @@
             wave_rows: self.waves.unwritten_rows(Self::WAVE_ROWS_PER_COMMIT),
             ..Commit::default()
         };
+        self.add_last_runs_to(&mut commit, now_ms);
         let mut write = InFlight {
             sent_ms: now_ms,
             add_workers: commit.add_workers.iter().map(|(id, _)| id.clone()).collect(),
@@ -252,6 +254,7 @@
         for id in &commit.remove_workers {
             self.commit.remove_workers.swap_remove(id);
         }
+        self.last_runs.committed(commit);
         self.finished.removed(&commit.remove_jobs);
         self.waves_published(&commit.waves);
         self.wave_rows_written(&commit.wave_rows);
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -65,8 +65,9 @@
     const MAX_AGE_MS: u64 = 600_000;
 
     /// Marks all rows of the store as read.
-    pub fn set_loaded(&mut self) {
+    pub fn set_loaded(&mut self, now_ms: u64) {
         self.is_loaded = true;
+        self.recall_last_runs(now_ms);
         self.is_schedule_due = true;
     }
 
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod stats;
 mod step_state;
 mod throttle;
+mod unresponsive;
 mod victims;
 mod waiting;
 mod waves;
@@ -86,6 +87,7 @@
     waves: waves::WaveState,
     lost_processes: crashes::LostProcesses,
     start_bound: start_bound::StartBound,
+    last_runs: unresponsive::LastRunRows,
     finished: finished::FinishedJobs,
     is_loaded: bool,
     took_over_ms: u64,
@@ -148,6 +150,7 @@
             waves: waves::WaveState::default(),
             lost_processes: crashes::LostProcesses::default(),
             start_bound: start_bound::StartBound::new(),
+            last_runs: unresponsive::LastRunRows::default(),
             finished: finished::FinishedJobs::default(),
             is_loaded: false,
             took_over_ms: now_ms,
@@ -257,6 +260,7 @@
         self.check_adopted(now_ms);
         self.open_occurrences(now_ms, now_unix_ms);
         self.queue_worker_rows();
+        self.check_last_runs(now_ms);
         self.forget_lost_processes(now_ms);
         if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
             self.ended_jobs.clear();
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -16,7 +16,7 @@
     Unreported,
     /// It drains, awaits maintenance, or its data centre is out of service.
     Leaving,
-    /// Its last reply is too old.
+    /// Its last reply is too old, or the row about its last runs is not removed yet.
     Silent,
     /// It holds a run of a suspect task on probation, or runs of unknown size.
     Isolated,
@@ -61,7 +61,10 @@
             Some(Barrier::Unreported)
         } else if is_leaving {
             Some(Barrier::Leaving)
-        } else if worker.unresponsive_since_ms.is_some() || now_ms >= worker.last_reply_ms + Self::MAX_REPLY_AGE_MS {
+        } else if worker.unresponsive_since_ms.is_some()
+            || now_ms >= worker.last_reply_ms + Self::MAX_REPLY_AGE_MS
+            || self.last_runs.may_contain(&worker.entry.id)
+        {
             Some(Barrier::Silent)
         } else if worker.runs_of_unknown_need > 0 || worker.isolated_runs > 0 {
             Some(Barrier::Isolated)
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -14,6 +14,8 @@
     pub is_recorded: bool,
     /// It replied in this epoch and therefore rejects commands of former schedulers.
     pub is_fenced: bool,
+    /// The former scheduler wrote down which runs may be on it.
+    pub has_known_runs: bool,
     /// Its entry names a newer incarnation than its last report; it gets no new work until that incarnation reports.
     pub is_restart_pending: bool,
     /// The incarnation that its entry names as the former one was draining when it ended.
@@ -65,6 +67,7 @@
             is_listed,
             is_recorded: false,
             is_fenced: false,
+            has_known_runs: false,
             is_restart_pending: false,
             was_former_draining: false,
             draining_since_ms: None,
@@ -92,9 +95,9 @@
         }
     }
 
-    /// Returns whether it may hold runs of an earlier epoch and has not replied in this one.
+    /// Returns whether it may hold unknown runs of an earlier epoch, as it has not replied in this one.
     pub const fn may_hold_unreported_runs(&self) -> bool {
-        !self.is_fenced && self.is_recorded
+        !self.is_fenced && self.is_recorded && !self.has_known_runs
     }
 
     /// Returns whether the latest evidence of the worker's health was a failure or slowness.
--- /dev/null
+++ b/crates/domain/src/last_runs.rs
@@ -0,0 +1,13 @@
+use serde::{Deserialize, Serialize};
+
+use crate::TaskRun;
+
+/// Runs that may be on an unresponsive worker, on which the scheduler that wrote them has started nothing since. A
+/// successor that cannot reach the worker either knows from them which tasks it has to wait for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastRuns {
+    /// Epoch of the scheduler that wrote them.
+    pub epoch: u64,
+    /// Runs that have not certainly ended.
+    pub runs: Vec<TaskRun>,
+}
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod maintenance;
 mod preemption;
 mod random_faults;
+mod silent_workers;
 mod simulation;
 mod takeover;
 mod waiting;
--- a/crates/domain/tests/engine/random_faults.rs
+++ b/crates/domain/tests/engine/random_faults.rs
@@ -82,6 +82,79 @@
     }
 }
 
+/// Plays takeovers while workers are silent for longer than a moment; they reply, restart or stay silent beyond their leases.
+fn run_random_silence(seed: u64) {
+    let mut rng = Rng(seed);
+    let mut sim = Simulation::new(2, 5);
+    let ids: Vec<_> = sim.workers.keys().cloned().collect();
+    let mut heard_ms = vec![0; ids.len()];
+    for number in 0..50 {
+        let mut shape = step(
+            1 + rng.next_below(9) as u32,
+            1 + rng.next_below(8),
+            500 + rng.next_below(8_000),
+        );
+        shape.is_gang = rng.next_below(4) == 0;
+        shape.count = if shape.is_gang { shape.count.min(4) } else { shape.count };
+        shape.saves_checkpoints = rng.next_below(2) == 0;
+        let mut next = job(&format!("{number}"), rng.next_below(3) as u32, shape);
+        next.attempts = 1_000;
+        let id = sim.submit(next);
+        match rng.next_below(12) {
+            0 => sim.start_delay_ms = Some(rng.next_below(9_000)),
+            1 => sim.lose_starts = 1 + rng.next_below(3) as u32,
+            2 => sim.lose_commit_replies = 1 + rng.next_below(3) as u32,
+            3 => sim.is_store_down = true,
+            4..=6 => sim.is_store_down = false,
+            7 => sim.cancel(&id),
+            _ => {}
+        }
+        let index = rng.next_below(ids.len() as u64) as usize;
+        if rng.next_below(3) == 0 && !sim.workers[&ids[index]].is_unresponsive {
+            sim.workers.get_mut(&ids[index]).unwrap().is_unresponsive = true;
+            heard_ms[index] = sim.now_ms + 2_000 + rng.next_below(7_000);
+        }
+        sim.run_for(rng.next_below(900));
+        for (index, worker) in ids.iter().enumerate() {
+            if sim.workers[worker].is_unresponsive && sim.now_ms >= heard_ms[index] {
+                if rng.next_below(4) == 0 {
+                    sim.restart(worker);
+                }
+                sim.workers.get_mut(worker).unwrap().is_unresponsive = false;
+            }
+        }
+        if rng.next_below(5) == 0 {
+            sim.take_over();
+        }
+    }
+    sim.is_store_down = false;
+    for worker in sim.workers.values_mut() {
+        worker.is_unresponsive = false;
+    }
+    sim.run_until(180_000, |sim| {
+        sim.store.values().all(|stored| stored.progress.state.is_final())
+    });
+    sim.run_for(500);
+    sim.assert_no_violations();
+    for (id, stored) in sim.store.iter().filter(|(_, stored)| !stored.is_cancelled) {
+        let is_allowed = stored.progress.state == JobState::Done || sim.crashes.may_be_given_up(id);
+        assert!(is_allowed, "seed {seed}: {id} is {:?}", stored.progress.state);
+    }
+}
+
+/// Guards against takeovers beside silent workers that together with other faults cause a duplicate run or a job that never
+/// ends.
+#[test]
+fn takeovers_beside_silent_workers_cause_no_duplicate_run() {
+    const SEEDS: u64 = 200;
+    for seed in 0..SEEDS {
+        if let Err(panic) = std::panic::catch_unwind(|| run_random_silence(seed)) {
+            eprintln!("seed {seed}");
+            std::panic::resume_unwind(panic);
+        }
+    }
+}
+
 /// Starts after which a task that crashes every worker breaks the rule of the platform: three after three crashes.
 const STARTS_TOO_MANY: usize = 6;
 
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -14,8 +14,8 @@
 use compact_str::CompactString;
 pub use crashes::{Crashes, Return};
 use domain::{
-    Action, Commit, Config, EndKind, Engine, Job, JobState, Limits, Machine, MachineState, Organisation, Progress,
-    Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress, WorkerKey,
+    Action, Commit, Config, EndKind, Engine, Job, JobState, LastRuns, Limits, Machine, MachineState, Organisation,
+    Progress, Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress, WorkerKey,
 };
 use entry::entry;
 pub use fake_worker::FakeWorker;
@@ -68,6 +68,8 @@
     pub workers: BTreeMap<CompactString, FakeWorker>,
     pub store: BTreeMap<CompactString, StoredRows>,
     pub used_workers: BTreeMap<CompactString, CompactString>,
+    /// Stored runs of workers that were unresponsive.
+    pub last_runs: BTreeMap<CompactString, LastRuns>,
     pub start_bound: Option<u64>,
     /// Durable run records by job, epoch and sequence number of the row.
     pub records: BTreeMap<(CompactString, u64, u32), Vec<RunRecord>>,
@@ -174,6 +176,7 @@
             workers,
             store: BTreeMap::new(),
             used_workers: BTreeMap::new(),
+            last_runs: BTreeMap::new(),
             start_bound: None,
             records: BTreeMap::new(),
             is_list_late: false,
@@ -232,6 +235,7 @@
         for (id, address) in &self.used_workers {
             self.engine.add_recorded_worker(id, address, self.now_ms);
         }
+        self.engine.add_last_runs(self.last_runs.clone().into_iter().collect());
         self.engine.set_former_start_bound(self.start_bound);
         self.recall_waves();
         if !self.is_list_late {
@@ -246,7 +250,7 @@
                 self.engine.cancel(&stored.job.id, self.now_ms);
             }
         }
-        self.engine.set_loaded();
+        self.engine.set_loaded(self.now_ms);
     }
 
     /// Passes the current entries of all listed workers to the engine.
--- a/crates/domain/tests/engine/simulation/commits.rs
+++ b/crates/domain/tests/engine/simulation/commits.rs
@@ -58,6 +58,10 @@
         for id in &commit.remove_workers {
             self.used_workers.remove(id);
         }
+        self.last_runs.extend(commit.last_runs.iter().cloned());
+        for id in &commit.remove_last_runs {
+            self.last_runs.remove(id);
+        }
         if self.lose_commit_replies > 0 {
             self.lose_commit_replies -= 1;
             self.engine.commit_failed(&[], self.now_ms);
--- a/crates/domain/tests/engine/simulation/crashes.rs
+++ b/crates/domain/tests/engine/simulation/crashes.rs
@@ -90,6 +90,12 @@
             .collect()
     }
 
+    /// Returns the worker that runs a task.
+    pub fn worker_of_task(&self, task: &str) -> CompactString {
+        let runs = |worker: &&FakeWorker| worker.runs.iter().any(|run| run.task_run.task == task);
+        self.workers.values().find(runs).expect("the task runs").id.clone()
+    }
+
     /// Returns how many start commands were sent for a task.
     pub fn starts_of(&self, task: &str) -> usize {
         self.starts.iter().filter(|(_, started, _)| started == task).count()
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -8,7 +8,7 @@
 use crate::clock::boot_ms;
 use crate::ports::{Condition, Put, Store, Target, Txn, Workers};
 use crate::rows::{
-    EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, JOBS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND,
+    EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, JOBS, LAST_RUNS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND,
     START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, WAVES, cancel_key, put,
     records_key, wave_key,
 };
@@ -211,6 +211,13 @@
         for id in &commit.remove_workers {
             txn.removes.push((workers.clone(), id.clone()));
         }
+        let last_runs = parts.of_lease_holder(LAST_RUNS);
+        for (id, last) in &commit.last_runs {
+            txn.puts.push(put(last_runs.clone(), id.clone(), last));
+        }
+        for id in &commit.remove_last_runs {
+            txn.removes.push((last_runs.clone(), id.clone()));
+        }
         for id in &commit.remove_jobs {
             let jobs = parts.of_job(JOBS, id);
             txn.removes.push((jobs.clone(), id.clone()));
--- a/crates/node/src/driver/feeds.rs
+++ b/crates/node/src/driver/feeds.rs
@@ -11,7 +11,8 @@
 use crate::clock::boot_ms;
 use crate::ports::{FeedError, OwnRow, Place, Store, Workers};
 use crate::rows::{
-    JOBS, JobsKey, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, WAVES, decode, wave_row,
+    JOBS, JobsKey, LAST_RUNS, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, WAVES, decode,
+    wave_row,
 };
 use crate::shared::SharedRef;
 
@@ -39,7 +40,14 @@
 
 /// Reads the rows that a new lease holder needs, then follows their changes.
 pub(super) async fn load<S: Store, W: Workers>(shared: SharedRef<S, W>, driver: Addr<SchedulerDriver<S, W>>) {
-    let tables = [USED_WORKERS, USED_WORKERS_REVISION, START_BOUND, PENDING, WAVES];
+    let tables = [
+        USED_WORKERS,
+        USED_WORKERS_REVISION,
+        LAST_RUNS,
+        START_BOUND,
+        PENDING,
+        WAVES,
+    ];
     let places = tables.map(|table| shared.parts.of_lease_holder(table));
     let Some((rows, _)) = read_until_success(&shared, &driver, &places).await else {
         return;
@@ -49,6 +57,10 @@
         .filter_map(|row| Some((row.key.clone(), decode::<CompactString>(row)?)))
         .collect();
     driver.do_send(Input::UsedWorkers(used));
+    let last_runs = rows_of(LAST_RUNS)
+        .filter_map(|row| Some((row.key.clone(), decode(row)?)))
+        .collect();
+    driver.do_send(Input::LastRuns(last_runs));
     let revision = rows_of(USED_WORKERS_REVISION).next().map_or(0, |row| row.version);
     driver.do_send(Input::UsedWorkersRevision(revision));
     let bound = rows_of(START_BOUND).find_map(|row| Some((decode(row)?, row.version)));
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -1,6 +1,8 @@
 use actix::Message;
 use compact_str::CompactString;
-use domain::{Commit, Machine, MaintenanceReply, StartOutcome, StoredJob, TaskRun, WaveRow, WorkerKey, WorkerReport};
+use domain::{
+    Commit, LastRuns, Machine, MaintenanceReply, StartOutcome, StoredJob, TaskRun, WaveRow, WorkerKey, WorkerReport,
+};
 
 use crate::ports::{RenewError, TxnError, WorkerChange};
 
@@ -17,6 +19,8 @@
 pub(crate) enum Input {
     /// Ids and addresses of workers that earlier lease holders used.
     UsedWorkers(Vec<(CompactString, CompactString)>),
+    /// Runs that may be on workers which were unresponsive, by worker.
+    LastRuns(Vec<(CompactString, LastRuns)>),
     /// Jobs with their progress.
     Jobs(Vec<StoredJob>),
     /// Ids of jobs to cancel.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -326,6 +326,7 @@
                     self.engine.add_recorded_worker(&id, &address, now_ms);
                 }
             }
+            Input::LastRuns(rows) => self.engine.add_last_runs(rows),
             Input::Jobs(jobs) => {
                 for job in jobs {
                     self.engine.add_job(job, now_ms, unix_ms());
@@ -342,7 +343,7 @@
                 }
             }
             Input::WaveRows(rows) => self.engine.add_wave_rows(rows, now_ms, unix_ms()),
-            Input::Loaded => self.engine.set_loaded(),
+            Input::Loaded => self.engine.set_loaded(now_ms),
             Input::WorkerList(list, as_of_ms) => {
                 self.worker_list(list, now_ms);
                 self.engine.confirm_worker_list(as_of_ms);
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -17,6 +17,8 @@
 /// Revision of the list of used workers. Each change of the list is conditional on it, so that a write without a reply
 /// cannot take effect after a newer one.
 pub(crate) const USED_WORKERS_REVISION: &str = "workers_revision";
+/// Runs that may be on unresponsive workers. Changes are conditional on the revision of the list of used workers too.
+pub(crate) const LAST_RUNS: &str = "last_runs";
 /// Start bound: newest version up to which jobs may have been started, written by the lease holder before their first
 /// start. In a table of its own, since each change of the lease table wakes all instances.
 pub(crate) const START_BOUND: &str = "start_bound";
--- a/crates/node/tests/used_workers.rs
+++ b/crates/node/tests/used_workers.rs
@@ -7,7 +7,7 @@
 
 use actix_rt::time::sleep;
 use domain::{EntryState, Resources, WorkerEntry};
-use node::{Store, Txn, TxnError};
+use node::{Place, Put, Store, Txn, TxnError};
 use support::{FakeStore, config, start};
 
 fn worker(id: &str) -> WorkerEntry {
@@ -65,3 +65,46 @@
         assert!(matches!(late, Err(TxnError::Conflict(_))), "{late:?}");
     }
 }
+
+fn last_runs_row(store: &FakeStore) -> serde_json::Value {
+    let row = store.value("last_runs", "w0").expect("the row exists");
+    serde_json::from_slice(&row).expect("the row is JSON")
+}
+
+/// Guards against rows about silent workers that a successor does not read, or that a late write brings back: it would not
+/// wait for what the worker has started since.
+#[actix_rt::test]
+async fn last_runs_are_taken_over_and_not_written_late() {
+    let store = FakeStore::default();
+    *store.0.config.borrow_mut() = Some(config(&["k1"]));
+    let put = |table: &'static str, value: serde_json::Value| Put {
+        place: Place {
+            table,
+            part: "lease".into(),
+        },
+        key: "w0".into(),
+        value: value.to_string().into_bytes(),
+    };
+    let former = Txn {
+        puts: vec![
+            put("workers", "10.0.0.1:w0".into()),
+            put("last_runs", serde_json::json!({ "epoch": 0, "runs": [] })),
+        ],
+        ..Txn::default()
+    };
+    store.transact(&former).await.expect("the store is empty");
+    let (_node, _handler) = start(&store).await;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while last_runs_row(&store)["epoch"] != 1 {
+        assert!(Instant::now() < deadline, "{}", last_runs_row(&store));
+        sleep(Duration::from_millis(20)).await;
+    }
+    let writes: Vec<Txn> = store.0.txns.borrow()[1..]
+        .iter()
+        .filter(|txn| txn.puts.iter().any(|put| put.place.table == "last_runs"))
+        .cloned()
+        .collect();
+    assert_eq!(writes.len(), 1);
+    let late = store.transact(&writes[0]).await;
+    assert!(matches!(late, Err(TxnError::Conflict(_))), "{late:?}");
+}
