fix(node): a successor counts no grace period for a holder that has released the lease

Cause: after a hand-over or a planned stop the successor counted the whole store grace period of the former holder before the leases of silent workers, although that holder has stopped. Only an earlier process of the same instance was treated as stopped (`former_acts_until_ms`).

Ruled out: counting from the release alone. The scheduler was told to stop before the release was written, but nothing waited for that, so a queue of messages could still have produced commands after it.

Change: `release_held` waits until the driver has stopped before it writes the release; the leases of commands that are still on their way were fixed before that. A released lease whose holder was settled counts as stopped, like an own former process.

--- a/crates/node/src/lease/claim.rs
+++ b/crates/node/src/lease/claim.rs
@@ -87,11 +87,12 @@
     /// Stops scheduling and returns the write that releases the lease; `None` if this instance does not hold it.
     pub(super) fn release_held(&mut self) -> Option<impl Future<Output = ()> + use<S, W>> {
         let mut held = self.held.take()?;
-        held.driver.do_send(Input::Stop);
         let place = self.shared.parts.of_lease_holder(LEASE);
         let txn = held.next_heartbeat(&place, true);
         let shared = Rc::clone(&self.shared);
         Some(async move {
+            // The released lease tells a successor that this scheduler gives no more leases to workers.
+            let _ = held.driver.send(Input::Stop).await;
             let result = shared.transact(&txn).await;
             let outcome = result.map_or_else(|error| CompactString::from(error.to_string()), |_| "ok".into());
             spdlog::info!("lease_released", kv: { epoch = held.epoch, outcome = outcome.as_str() });
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -213,11 +213,13 @@
     ///
     /// It acts for the store grace period from when it sent its last heartbeat that took effect, which is before this
     /// instance saw it; the takeover fails if there is a later one. An earlier process of this instance has ended, and
-    /// the holders before it too if it said so.
+    /// a holder that released the lease has stopped; the holders before it have too if it said so.
     fn former_acts_until_ms(&self, observed: &ObservedLease, now_ms: u64) -> u64 {
         let is_own = (observed.epoch.as_ref()).is_some_and(|(epoch, _)| self.is_from_previous_incarnation(epoch));
-        let is_settled = (observed.heartbeat.as_ref()).is_some_and(|(heartbeat, _)| heartbeat.is_settled);
-        if is_own && is_settled {
+        let heartbeat = observed.heartbeat.as_ref().map(|(heartbeat, _)| heartbeat);
+        let is_released = heartbeat.is_some_and(|heartbeat| heartbeat.is_released);
+        let is_settled = heartbeat.is_some_and(|heartbeat| heartbeat.is_settled);
+        if (is_own || is_released) && is_settled {
             now_ms
         } else {
             observed.last_change_ms + self.shared.settings.limits.former_grace_ms()
--- a/crates/node/tests/lease.rs
+++ b/crates/node/tests/lease.rs
@@ -114,3 +114,48 @@
         last_ms - cut_ms
     );
 }
+
+/// Returns the first renewal of an epoch.
+fn first_renewal(store: &FakeStore, epoch: u64) -> Option<Value> {
+    let txns = store.0.txns.borrow();
+    let puts = txns.iter().flat_map(|txn| &txn.puts);
+    let mut beats = puts
+        .filter(|put| put.place.table == "lease" && put.key == "beat")
+        .map(|put| serde_json::from_slice::<Value>(&put.value).unwrap());
+    beats.find(|row| row["epoch"] == epoch && row["beat"].as_u64() > Some(0))
+}
+
+/// Guards against a successor that counts the store grace period of a holder which has released the lease: jobs wait that
+/// much longer for silent workers.
+#[actix_rt::test]
+async fn released_lease_needs_no_grace_period() {
+    let store = FakeStore::default();
+    *store.0.config.borrow_mut() = Some(config(&["key"]));
+    let with_short_grace = |name: &str, cpu_share| {
+        let mut settings = settings(name, cpu_share);
+        settings.limits.store_grace_ms = 1_000;
+        Node::start(settings, store.clone(), NoWorkers::default())
+    };
+    let _small = with_short_grace("small", 0.12);
+    until_held(&store, "small").await;
+    let is_settled = || {
+        let row: Value = serde_json::from_slice(&store.value("lease", "beat").unwrap()).unwrap();
+        row["is_settled"] == true
+    };
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !is_settled() {
+        assert!(Instant::now() < deadline, "the first holder does not settle");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let _large = with_short_grace("large", 1.0);
+    let epoch = until_held(&store, "large").await;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let renewal = loop {
+        if let Some(row) = first_renewal(&store, epoch) {
+            break row;
+        }
+        assert!(Instant::now() < deadline, "the lease is not renewed");
+        sleep(Duration::from_millis(10)).await;
+    };
+    assert_eq!(renewal["is_settled"], true, "{renewal}");
+}
