--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -7,6 +7,7 @@
 mod preemption;
 mod random_faults;
 mod random_load;
+mod silent_workers;
 mod simulation;
 mod takeover;
 mod waiting;
