fix(domain): the progress of a scheduled job does not grow with its occurrences

Ruled out: checkpoints and run records as the reason. Neither test saves checkpoints, and records have rows of their own. Ranges instead of bits, by reasoning alone: the number of ranges has no bound below one for two tasks.

Change: from 500 done tasks on, a scheduled job stores them as bits, one for each task of all occurrences. With the 50,000 tasks that a job may have, these are 782 words. Nothing else is stored for an occurrence that is done, nothing for one without progress, and no failures of a task that is done. `load.rs` restores the same state from either form. Order of releases: rows of unscheduled jobs and those with up to 500 done tasks keep the former form, which both releases read. A row with bits has `state_with_bits` in place of `state`; the former release cannot decode it and leaves the job out (`load_jobs`) until a new one takes over, so it repeats no task that is done.

--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -4,7 +4,6 @@
 use compact_str::CompactString;
 
 use super::job_entry::{JobEntry, Occurrence};
-use super::step_state::StepState;
 use super::worker::Worker;
 use super::{Engine, WorkerKey};
 use crate::{EntryState, StoredJob, WorkerEntry};
@@ -214,13 +213,7 @@
             if spec.times > 0 && now_unix_ms < spec.first_run_unix_ms + u64::from(number) * spec.interval_ms {
                 break;
             }
-            let progress = job.loaded.as_ref().and_then(|loaded| loaded.steps.get(&number));
-            let steps: Vec<_> = spec
-                .steps
-                .iter()
-                .enumerate()
-                .map(|(step, shape)| StepState::new(shape.count, progress.and_then(|steps| steps.get(&(step as u32)))))
-                .collect();
+            let steps = job.loaded_steps(number);
             let due_ms = if spec.times == 0 { job.accepted_ms } else { now_ms };
             job.occurrences.insert(number, Occurrence { steps, due_ms });
             job.next_occurrence += 1;
--- a/crates/domain/src/engine/step_state.rs
+++ b/crates/domain/src/engine/step_state.rs
@@ -143,14 +143,14 @@
         self.has_started = true;
     }
 
-    pub fn progress(&self) -> Option<StepProgress> {
+    pub fn progress(&self) -> StepProgress {
         let indices = || 0..self.done.len();
         let done = indices()
             .filter(|index| self.done[*index])
             .map(|index| index as u32)
             .collect();
         let failed = indices()
-            .filter(|index| !self.failed[*index].is_empty())
+            .filter(|index| !self.done[*index] && !self.failed[*index].is_empty())
             .map(|index| (index as u32, self.failed[index].clone()))
             .collect();
         let crashes = self
@@ -163,13 +163,12 @@
             .filter(|index| !self.done[*index])
             .filter_map(|index| Some((index as u32, self.checkpoints[index].clone()?)))
             .collect();
-        let progress = StepProgress {
+        StepProgress {
             done,
             failed,
             crashes,
             trials: self.trials.clone(),
             checkpoints,
-        };
-        (progress != StepProgress::default()).then_some(progress)
+        }
     }
 }
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -46,4 +46,10 @@
     pub const fn occurrences(&self) -> u32 {
         if self.times == 0 { 1 } else { self.times }
     }
+
+    /// Returns the number of the first task of an occurrence, where the tasks of all occurrences are counted step by step.
+    pub fn first_task_number(&self, occurrence: u32) -> usize {
+        let tasks: usize = self.steps.iter().map(|step| step.count as usize).sum();
+        occurrence as usize * tasks
+    }
 }
--- a/crates/domain/src/progress.rs
+++ b/crates/domain/src/progress.rs
@@ -1,9 +1,10 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeStruct;
+use serde::{Deserialize, Serialize, Serializer};
 
-use crate::{TaskCrashes, Trial};
+use crate::{TaskBits, TaskCrashes, Trial};
 
 /// State of a job as its caller sees it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -49,6 +50,25 @@
     pub checkpoints: BTreeMap<u32, CompactString>,
 }
 
+/// Durable progress of a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+pub struct Progress {
+    /// State of the job as its caller sees it.
+    #[serde(alias = "state_with_bits")]
+    pub state: JobState,
+    /// Queue of the job, to detect calls that name another one.
+    pub route: CompactString,
+    /// Organisation that owns the job.
+    pub organisation: CompactString,
+    /// Numbers of the tasks that are done, beside those that `steps` lists, counted as in
+    /// [`Job::first_task_number`](crate::Job::first_task_number).
+    #[serde(default)]
+    pub done: TaskBits,
+    /// Progress by occurrence and step; steps without progress are omitted.
+    #[serde(default)]
+    pub steps: BTreeMap<u32, BTreeMap<u32, StepProgress>>,
+}
+
 impl Progress {
     /// Returns the progress without checkpoints, for a row that would be too large; the tasks then restart from the
     /// beginning.
@@ -61,16 +81,22 @@
     }
 }
 
-/// Durable progress of a job.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Progress {
-    /// State of the job as its caller sees it.
-    pub state: JobState,
-    /// Queue of the job, to detect calls that name another one.
-    pub route: CompactString,
-    /// Organisation that owns the job.
-    pub organisation: CompactString,
-    /// Progress by occurrence and step; steps without progress are omitted.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub steps: BTreeMap<u32, BTreeMap<u32, StepProgress>>,
+impl Serialize for Progress {
+    /// Writes `state` under another name if there are bits: a release that does not know them cannot read the row then and
+    /// leaves the job alone, rather than repeat the tasks that are done.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        const FIELDS_MAX: usize = 5;
+        let has_bits = !self.done.is_empty();
+        let mut row = serializer.serialize_struct("Progress", FIELDS_MAX)?;
+        row.serialize_field(if has_bits { "state_with_bits" } else { "state" }, &self.state)?;
+        row.serialize_field("route", &self.route)?;
+        row.serialize_field("organisation", &self.organisation)?;
+        if has_bits {
+            row.serialize_field("done", &self.done)?;
+        }
+        if !self.steps.is_empty() {
+            row.serialize_field("steps", &self.steps)?;
+        }
+        row.end()
+    }
 }
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod maintenance;
 mod preemption;
+mod progress_rows;
 mod random_faults;
 mod simulation;
 mod takeover;
--- a/crates/domain/tests/engine/simulation/commits.rs
+++ b/crates/domain/tests/engine/simulation/commits.rs
@@ -1,5 +1,13 @@
 use super::*;
 
+/// Returns the sizes of the progress and record rows of a commit in base64.
+fn row_sizes(commit: &Commit) -> Vec<usize> {
+    let bytes_of = |json: serde_json::Result<Vec<u8>>| json.expect("rows have string keys").len().div_ceil(3) * 4;
+    let progress = commit.rows.iter().map(|row| serde_json::to_vec(&row.progress));
+    let records = (commit.rows.iter()).filter_map(|row| Some(serde_json::to_vec(&row.records.as_ref()?.1)));
+    progress.chain(records).map(bytes_of).collect()
+}
+
 /// Commits of the engine to the fake store.
 impl Simulation {
     pub(super) fn commit(&mut self, commit: &Commit) {
@@ -8,6 +16,13 @@
             self.engine.commit_failed(&[], self.now_ms);
             return;
         }
+        let sizes = row_sizes(commit);
+        self.largest_row_bytes = self.largest_row_bytes.max(sizes.iter().copied().max().unwrap_or(0));
+        if sizes.iter().any(|bytes| *bytes > Self::ROW_BYTES) || sizes.iter().sum::<usize>() > Self::TXN_BYTES {
+            // The store refuses rows and transactions that are too large.
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
         if self.is_store_down {
             self.engine.commit_failed(&[], self.now_ms);
             return;
--- a/crates/domain/tests/engine/simulation/records.rs
+++ b/crates/domain/tests/engine/simulation/records.rs
@@ -29,10 +29,16 @@
         let stored = &self.store[job];
         let records = self.records_of(job);
         let done: Vec<_> = records.iter().filter(|record| record.how == EndKind::Done).collect();
+        let mut first_task = 0;
         for (number, step) in stored.job.steps.iter().enumerate() {
             let of_step = |record: &&&RunRecord| record.step as usize == number;
             for index in 0..step.count {
+                let has_bit = |occurrence| {
+                    let first_of_occurrence = stored.job.first_task_number(occurrence);
+                    (stored.progress.done).contains(first_of_occurrence + first_task + index as usize)
+                };
                 let is_shown = stored.progress.state == JobState::Done
+                    || (0..stored.job.occurrences()).any(has_bit)
                     || stored.progress.steps.values().any(|steps| {
                         steps
                             .get(&(number as u32))
@@ -47,6 +53,7 @@
                         .push(format!("{job}: step {number} task {index} is done without a record"));
                 }
             }
+            first_task += step.count as usize;
         }
     }
 }
