fix(domain): a row or commit that is too large holds up no other job

Cause: a progress row above the limit of the store was sent without its checkpoints, however large it still was. Nothing bounds the size of a commit as a whole either; the store takes 1 MB.

Ruled out, by reasoning alone: splitting commits after a refusal. It frees the other rows, but ends of runs are acknowledged only once all changes are durable, so the worker would list the ends of the large job again for ever.

Change: the engine measures rows before it sends them (`row_size.rs`); `Limits::value_bytes_max` replaces `row_bytes` of the node's settings. A row that is too large leaves out checkpoints, then trials. A job whose progress does not fit even so fails: its final row is small, its runs stop, and their ends can be acknowledged. `progress_too_large` and the counter `unstorable_jobs` show it. `checkpoints_left_out` is now a log line of the engine, once for as long as it lasts, at the level of these instead of a warning. Rows of one commit have 600,000 bytes at most; the rest follows in the next one.

`cargo test -p node -p daemon`: passes.

A store that refuses a row for another reason than its size still holds up all writes.

--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -34,11 +34,12 @@
             reclaim_ms: domain.reclaim_ms,
             worker_list_age_max_ms: domain.contact_ms * numerator_of_age / denominator_of_age,
             keep_finished_ms: (domain.status_s * 1_000.0) as u64 * RETENTION_FACTOR,
+            // The store counts the encoded size, a third larger.
+            value_bytes_max: domain.row_bytes as usize * 3 / 4,
         },
         revoke_ms: domain.revoke_ms,
         stop_grace_ms: (domain.process_grace_s * 1_000.0) as u64,
         has_cross_part_txns: domain.has_cross_part_txns,
-        row_bytes: domain.row_bytes as usize,
         cpu_share: domain.cpu_share,
         lease_ttl_ms: domain.contact_ms / LEASE_TTL_DIVISOR,
     }
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -39,6 +39,21 @@
     pub records: Option<(u32, Vec<RunRecord>)>,
 }
 
+impl CommitRow {
+    /// Returns the size of the progress and the run records in the store.
+    ///
+    /// # Panics
+    ///
+    /// Never: rows have string keys and finite numbers.
+    pub fn bytes(&self) -> usize {
+        let records = self.records.as_ref().map_or(0, |(_, records)| {
+            let row = serde_json::to_vec(records);
+            row.expect("rows have string keys and finite numbers").len()
+        });
+        self.progress.bytes() + records
+    }
+}
+
 /// Rows to write in one transaction that is conditional on the scheduler's epoch.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Commit {
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -5,7 +5,7 @@
 
 use super::keys::JobKey;
 use super::{Engine, WorkerKey};
-use crate::{Action, Commit, CommitRow, EntryState};
+use crate::{Action, Commit, EntryState};
 
 /// Write in flight.
 #[derive(Debug, Clone, Default)]
@@ -55,8 +55,12 @@
     /// Maximum number of rows about maintenance waves in one write.
     const WAVE_ROWS_PER_COMMIT: usize = 10;
 
+    /// Maximum size of the progress and run records in one write. The store takes 1 MB, counts the encoded size, a third
+    /// larger, and the rest of the transaction.
+    const ROW_BYTES_PER_COMMIT: usize = 600_000;
+
     /// Maximum number of run records in one row; a fraction of what fits into a row.
-    const RECORDS_PER_ROW: usize = 100;
+    pub(super) const RECORDS_PER_ROW: usize = 100;
 
     /// Interval between writes of the waiting-job counts, which may be up to 2 s old.
     const PENDING_INTERVAL_MS: u64 = 500;
@@ -186,11 +190,17 @@
         };
         let mut keys: Vec<_> = self.dirty.iter().copied().collect();
         keys.sort_by_key(|key| !self.jobs[*key].is_urgent);
+        let mut row_bytes = 0;
         for key in keys {
             if commit.entries() + Commit::ROW_ENTRIES > Commit::MAX_ENTRIES {
                 break;
             }
-            commit.rows.push(self.commit_row(key));
+            let row = self.commit_row(key, now_ms);
+            row_bytes += row.bytes();
+            if row_bytes > Self::ROW_BYTES_PER_COMMIT {
+                break;
+            }
+            commit.rows.push(row);
             write.jobs.push(key);
             let job = &mut self.jobs[key];
             if job.records.len() > Self::RECORDS_PER_ROW {
@@ -225,17 +235,6 @@
         removed.cloned().collect()
     }
 
-    fn commit_row(&self, key: JobKey) -> CommitRow {
-        let job = &self.jobs[key];
-        let records = &job.records[..job.records.len().min(Self::RECORDS_PER_ROW)];
-        CommitRow {
-            job: job.spec.id.clone(),
-            expected_version: job.version,
-            progress: job.progress(),
-            records: (!records.is_empty()).then(|| (job.record_rows, records.to_vec())),
-        }
-    }
-
     /// Handles the confirmation that the write in flight is durable.
     pub fn committed(&mut self, commit: &Commit, version: u64, now_ms: u64) {
         let Some(write) = self.commit.in_flight.take() else {
--- a/crates/domain/src/engine/job_entry.rs
+++ b/crates/domain/src/engine/job_entry.rs
@@ -20,6 +20,7 @@
 
 /// Scheduler's state of a job.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
 pub(super) struct JobEntry {
     pub spec: Rc<Job>,
     pub state: JobState,
@@ -36,6 +37,8 @@
     pub is_urgent: bool,
     /// A crash under one of its tasks is not durable yet; none of its tasks starts.
     pub has_unsaved_crash: bool,
+    /// Its last progress row was too large with all it holds.
+    pub is_row_reduced: bool,
     /// Progress as it was read from the store, for occurrences that are not open in memory.
     pub loaded: Option<Progress>,
     pub dirty_since_ms: Option<u64>,
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -44,6 +44,7 @@
             accepted_ms: now_ms,
             is_urgent: false,
             has_unsaved_crash: false,
+            is_row_reduced: false,
             loaded: Some(progress),
             dirty_since_ms: None,
             records: Vec::new(),
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -21,6 +21,7 @@
 mod records;
 mod renew;
 mod renewal_queue;
+mod row_size;
 mod run;
 mod run_progress;
 mod slow;
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -21,6 +21,8 @@
     pub lost_runs: u64,
     /// Tasks that were given up because workers crashed under them.
     pub given_up_tasks: u64,
+    /// Jobs that failed because their progress did not fit into a row of the store.
+    pub unstorable_jobs: u64,
     /// Runs preempted for work of higher priority.
     pub preempted: u64,
     /// Starts of tasks or gangs that had waited too long for preferences of placement to hold them back.
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -1,4 +1,4 @@
-/// Time limits and factors of the deployment, from the settings.
+/// Limits and factors of the deployment, from the settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limits {
     /// Maximum lease that a worker grants.
@@ -17,6 +17,8 @@
     pub worker_list_age_max_ms: u64,
     /// Retention of the rows of a job in a final state.
     pub keep_finished_ms: u64,
+    /// Maximum size of a row's value in the store.
+    pub value_bytes_max: usize,
 }
 
 impl Limits {
@@ -53,6 +55,7 @@
             reclaim_ms: 2_700,
             worker_list_age_max_ms: 2_400,
             keep_finished_ms: 600_000,
+            value_bytes_max: 49_152,
         }
     }
 }
--- a/crates/domain/src/progress.rs
+++ b/crates/domain/src/progress.rs
@@ -70,14 +70,29 @@
 }
 
 impl Progress {
-    /// Returns the progress without checkpoints, for a row that would be too large; the tasks then restart from the
-    /// beginning.
-    #[must_use]
-    pub fn without_checkpoints(mut self) -> Self {
+    /// Returns the size of the row in the store.
+    ///
+    /// # Panics
+    ///
+    /// Never: rows have string keys and finite numbers.
+    pub fn bytes(&self) -> usize {
+        let row = serde_json::to_vec(self);
+        row.expect("rows have string keys and finite numbers").len()
+    }
+
+    /// Drops the checkpoints, for a row that would be too large: the tasks then restart from the beginning.
+    pub fn drop_checkpoints(&mut self) {
         for step in self.steps.values_mut().flat_map(BTreeMap::values_mut) {
             step.checkpoints.clear();
         }
-        self
+    }
+
+    /// Drops the runs on probation, for a row that would be too large: a successor then does not learn of a crash in their
+    /// first moments.
+    pub fn drop_trials(&mut self) {
+        for step in self.steps.values_mut().flat_map(BTreeMap::values_mut) {
+            step.trials.clear();
+        }
     }
 }
 
--- a/crates/domain/tests/engine/progress_rows.rs
+++ b/crates/domain/tests/engine/progress_rows.rs
@@ -2,7 +2,7 @@
 
 use domain::{JobState, Progress, Resources, Step};
 
-use crate::simulation::{Simulation, job, step};
+use crate::simulation::{FAILING_SPEC, Simulation, job, step};
 
 /// Returns a step of tasks so small that thousands of them run at once.
 fn small_step(count: u32, estimate_ms: u64) -> Step {
@@ -61,6 +61,52 @@
     sim.assert_no_violations();
 }
 
+/// Guards against a job whose row the store refuses and that keeps all other jobs from progress: no end of theirs becomes
+/// durable, and they do not start again after a crash.
+#[test]
+fn row_that_is_too_large_holds_up_no_other_job() {
+    let mut sim = Simulation::new(1, 4);
+    let mut large = job("a", 1, small_step(2_000, 100));
+    large.spec = FAILING_SPEC.into();
+    large.attempts = 1_000;
+    let large = sim.submit(large);
+    let crashing = sim.submit(job("b", 1, step(1, 2, 20_000)));
+    sim.run_for(10_000);
+    let worker = sim.workers_of(&crashing)[0].clone();
+    sim.crash(&worker);
+    let other = sim.submit(job("c", 1, step(1, 2, 500)));
+    sim.run_until(5_000, |sim| sim.state(&other) == JobState::Done);
+    sim.run_until(5_000, |sim| sim.starts_of(&format!("{crashing}.0.0.0")) == 2);
+    sim.run_until(30_000, |sim| sim.state(&crashing) == JobState::Done);
+    assert_eq!(sim.state(&large), JobState::Failed);
+    sim.assert_no_violations();
+}
+
+/// Guards against a job that stops all writes because thousands of its tasks start at the same moment: the trials of
+/// their runs, which a row can do without, make it too large.
+#[test]
+fn job_of_many_tasks_that_start_together_is_written() {
+    let mut sim = Simulation::new(1, 4);
+    let id = sim.submit(job("a", 1, small_step(4_000, 60_000)));
+    sim.run_until(300, |sim| sim.state(&id) == JobState::Running);
+    assert_eq!(sim.refused_commits, 0);
+    sim.run_for(2_000);
+    assert_eq!(sim.state(&id), JobState::Running);
+    sim.assert_no_violations();
+}
+
+/// Guards against a commit that is larger than a transaction of the store may be.
+#[test]
+fn commit_of_many_large_rows_fits_into_a_transaction() {
+    let mut sim = Simulation::new(1, 4);
+    let ids: Vec<_> = (0..60)
+        .map(|number| sim.submit(job(&format!("{number}"), 1, small_step(600, 60_000))))
+        .collect();
+    sim.run_until(1_000, |sim| ids.iter().all(|id| sim.state(id) == JobState::Running));
+    assert_eq!(sim.refused_commits, 0);
+    sim.assert_no_violations();
+}
+
 /// Guards against rows of the former release that a new one reads as without progress, so that it repeats their tasks.
 #[test]
 fn rows_of_the_former_release_are_read() {
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -99,6 +99,8 @@
     pub waves: BTreeMap<u64, WaveProgress>,
     /// Size of the largest progress row that was sent to the store, as the store counts it.
     pub largest_row_bytes: usize,
+    /// Number of commits that the store refused because of their size.
+    pub refused_commits: u32,
     /// Machine management interface.
     pub maintenance: Maintenance,
     /// Tasks that crash the workers that start them.
@@ -158,12 +160,6 @@
 impl Simulation {
     pub const STEP_MS: u64 = 10;
 
-    /// Maximum size of a value in the store, in base64.
-    pub const ROW_BYTES: usize = 65_536;
-
-    /// Maximum size of a transaction of the store.
-    const TXN_BYTES: usize = 1_000_000;
-
     /// Time after which starts must fit into a capacity that has shrunk: the contact time and one heartbeat.
     pub const SHRINK_GRACE_MS: u64 = 4_500;
 
@@ -199,6 +195,7 @@
             interrupted_runs: 0,
             waves: BTreeMap::new(),
             largest_row_bytes: 0,
+            refused_commits: 0,
             maintenance: Maintenance::default(),
             crashes: Crashes::default(),
             has_stale_reports: false,
--- a/crates/domain/tests/engine/simulation/commits.rs
+++ b/crates/domain/tests/engine/simulation/commits.rs
@@ -10,6 +10,12 @@
 
 /// Commits of the engine to the fake store.
 impl Simulation {
+    /// Maximum size of a value in the store, in base64.
+    pub const ROW_BYTES: usize = 65_536;
+
+    /// Maximum size of a transaction of the store.
+    const TXN_BYTES: usize = 1_000_000;
+
     pub(super) fn commit(&mut self, commit: &Commit) {
         if commit.entries() > Commit::MAX_ENTRIES {
             // The store refuses transactions that are too large.
@@ -20,6 +26,7 @@
         self.largest_row_bytes = self.largest_row_bytes.max(sizes.iter().copied().max().unwrap_or(0));
         if sizes.iter().any(|bytes| *bytes > Self::ROW_BYTES) || sizes.iter().sum::<usize>() > Self::TXN_BYTES {
             // The store refuses rows and transactions that are too large.
+            self.refused_commits += 1;
             self.engine.commit_failed(&[], self.now_ms);
             return;
         }
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -178,12 +178,7 @@
                 key: row.job.clone(),
                 version: row.expected_version,
             });
-            let mut row_put = put(place.clone(), row.job.clone(), &row.progress);
-            if row_put.value.len() > self.shared.settings.value_bytes_max() {
-                spdlog::warn!("checkpoints_left_out", kv: { job = row.job.as_str(), bytes = row_put.value.len() });
-                row_put = put(place, row.job.clone(), &row.progress.clone().without_checkpoints());
-            }
-            txn.puts.push(row_put);
+            txn.puts.push(put(place, row.job.clone(), &row.progress));
             if let Some((number, records)) = &row.records {
                 let key = records_key(&row.job, self.engine.epoch(), *number);
                 let value = RecordsRow {
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -265,6 +265,7 @@
         set("lost_workers", stats.lost_workers);
         set("lost_runs", stats.lost_runs);
         set("given_up_tasks", stats.given_up_tasks);
+        set("unstorable_jobs", stats.unstorable_jobs);
         set("preempted", stats.preempted);
         set("overdue_starts", stats.overdue_starts);
         set("wasted_core_ms", stats.wasted_core_ms);
--- a/crates/node/src/request_handler/mod.rs
+++ b/crates/node/src/request_handler/mod.rs
@@ -129,7 +129,7 @@
                 });
             }
             let txn = self.insert_txn(&admitted, submission);
-            let bytes_max = self.shared.settings.value_bytes_max();
+            let bytes_max = self.shared.settings.limits.value_bytes_max;
             if txn.puts.iter().any(|put| put.value.len() > bytes_max) {
                 return Err(Refused::Invalid("the job is larger than a row of the store"));
             }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,8 +18,6 @@
     pub stop_grace_ms: u64,
     /// Whether a transaction of the store may span several parts.
     pub has_cross_part_txns: bool,
-    /// Maximum size of a row's value in the store.
-    pub row_bytes: usize,
     /// CPU share of the instance, in cores.
     pub cpu_share: f64,
     /// Time without a renewal after which another instance takes the lease over.
@@ -35,11 +33,6 @@
         Duration::from_millis(self.lease_ttl_ms / Self::RENEWALS_PER_TTL)
     }
 
-    /// Returns the maximum size of a value that is written. The store may count the encoded size, a third larger.
-    pub const fn value_bytes_max(&self) -> usize {
-        self.row_bytes * 3 / 4
-    }
-
     /// Returns the delay by which a small instance lets larger ones take the lease over first.
     pub fn takeover_delay_ms(&self) -> u64 {
         // Half a core is more than enough to schedule a thousand workers; smaller instances wait longer.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -322,7 +322,6 @@
         revoke_ms: 2_000,
         stop_grace_ms: 1_000,
         has_cross_part_txns: true,
-        row_bytes: 65_536,
         cpu_share,
         lease_ttl_ms: 600,
     }
