fix(domain): the progress of a task that lasts does not grow with its failures

Cause: a task that runs until it is cancelled starts again after every failure, and the progress row kept the number of each failed run, though no limit of attempts applies to it.

Ruled out: that something reads the numbers. Only the failed run itself is looked up, so that a repeated report does not count twice, and their count is compared for tasks that do not last (`renew.rs`).

Change: only the newest failed run of such a task is kept; `run_failed` shows `failures=1` for it.

--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -295,6 +295,10 @@
             }
             EndKind::Failed => {
                 if !state.failed[slot].contains(&end.run) {
+                    if shape.is_long_running {
+                        // It may fail without limit, so only the newest failure is kept.
+                        state.failed[slot].clear();
+                    }
                     state.failed[slot].push(end.run);
                 }
                 let failures = state.failed[slot].len() as u32;
--- a/crates/domain/tests/engine/progress_rows.rs
+++ b/crates/domain/tests/engine/progress_rows.rs
@@ -61,6 +61,21 @@
     sim.assert_no_violations();
 }
 
+/// Guards against a row that grows with every failure of a task that lasts, which starts again however it ends.
+#[test]
+fn failures_of_a_task_that_lasts_are_not_kept() {
+    let mut sim = Simulation::new(1, 4);
+    let mut lasting = job("a", 1, small_step(1, 100));
+    lasting.spec = FAILING_SPEC.into();
+    lasting.steps[0].is_long_running = true;
+    let id = sim.submit(lasting);
+    let task = format!("{id}.0.0.0");
+    sim.run_until(60_000, |sim| sim.starts_of(&task) > 20);
+    let failed: Vec<_> = sim.store[&id].progress.steps[&0][&0].failed.values().collect();
+    assert!(failed.iter().all(|runs| runs.len() == 1), "{failed:?}");
+    sim.assert_no_violations();
+}
+
 /// Guards against a job whose row the store refuses and that keeps all other jobs from progress: no end of theirs becomes
 /// durable, and they do not start again after a crash.
 #[test]
