--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -102,6 +102,10 @@
     /// Number of runs that maintenance interrupted.
     pub interrupted_runs: usize,
     pub waves: BTreeMap<u64, WaveProgress>,
+    /// Size of the largest progress row that was sent to the store, as the store counts it.
+    pub largest_row_bytes: usize,
+    /// Number of commits that the store refused because of their size.
+    pub refused_commits: u32,
     /// Machine management interface.
     pub maintenance: Maintenance,
     /// Tasks that crash the workers that start them.
@@ -199,6 +203,8 @@
             most_down: 0,
             interrupted_runs: 0,
             waves: BTreeMap::new(),
+            largest_row_bytes: 0,
+            refused_commits: 0,
             maintenance: Maintenance::default(),
             crashes: Crashes::default(),
             has_stale_reports: false,
