--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -253,8 +253,7 @@
 
     fn publish_stats(&self) {
         let stats = self.engine.stats();
-        let gauges = &self.shared.metrics.scheduler;
-        let set = |name: &str, value: u64| gauges.with_label_values(&[name]).set(value as i64);
+        let set = |name: &str, value: u64| self.shared.metrics.set_scheduler(name, value);
         set("starts", stats.starts);
         set("rejected_starts", stats.rejected_starts);
         set("unanswered_starts", stats.unanswered_starts);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -68,6 +68,11 @@
         metrics
     }
 
+    /// Sets a counter or gauge of the scheduler.
+    pub fn set_scheduler(&self, name: &str, value: u64) {
+        self.scheduler.with_label_values(&[name]).set(value as i64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
