fix(domain): a job long overdue returns to an excluded worker on which it failed

Cause: callers see a job with nothing running beside workers with room. An overdue job may use excluded workers, except those on which it failed; if only these have room, it waits for the end of the exclusion, up to 16 s. Ruled out: full workers and reservations; in the tally of each wait all workers with room are excluded. Change: after 2.5 s with nothing running, it starts there all the same. Its number of attempts bounds this.

--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -289,8 +289,10 @@
             .iter()
             .enumerate()
             .filter(|(_, candidate)| self.can_hold_task(candidate, unit, spec, shape))
-            // An overdue unit tries an excluded worker once; it failed there.
-            .filter(|(_, candidate)| !(candidate.is_excluded && failed_on.contains(&candidate.worker)))
+            // An excluded worker on which the unit failed would most likely fail it again.
+            .filter(|(_, candidate)| {
+                unit.is_long_overdue() || !(candidate.is_excluded && failed_on.contains(&candidate.worker))
+            })
             .filter(|(_, candidate)| !(avoids_crashed && candidate.has_crashed))
             .filter(|(_, candidate)| !are_suspects || self.is_open_to_suspects(candidate, unit))
             .filter(|(_, candidate)| !requires_ticket || self.is_permitted(unit, candidate.worker, now_ms))
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -23,9 +23,19 @@
     pub is_lasting: bool,
     /// It has had nothing running for so long that preferences of placement no longer hold it back.
     pub is_overdue: bool,
+    /// Time for which it has had nothing running.
+    pub idle_ms: u64,
 }
 
 impl PlacementUnit {
+    /// Time with nothing running after which a unit is overdue for long; callers miss it soon.
+    const LONG_OVERDUE_AFTER_MS: u64 = 2_500;
+
+    /// Returns whether it is overdue for so long that it even returns to an excluded worker on which it failed.
+    pub const fn is_long_overdue(&self) -> bool {
+        self.is_overdue && self.idle_ms >= Self::LONG_OVERDUE_AFTER_MS
+    }
+
     /// Returns the rank of its priority in the queue. Work that lasts and is overdue precedes all but urgent work: it
     /// serves users, and newer work would keep it waiting for as long as there is a queue.
     const fn rank(&self) -> u32 {
@@ -132,9 +142,10 @@
                     });
                     let (critical_path_ms, objective_ms) = (critical_paths[step], *objective_ms);
                     let deadline_ms = occurrence.due_ms + objective_ms;
-                    let is_idle_for_long = state
+                    let idle_ms = state
                         .idle_since_ms
-                        .is_some_and(|since_ms| now_ms >= since_ms + Self::OVERDUE_AFTER_MS);
+                        .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+                    let is_idle_for_long = idle_ms >= Self::OVERDUE_AFTER_MS;
                     let is_lasting = shape.is_long_running;
                     let is_overdue =
                         is_idle_for_long && (is_lasting || idle_services.contains(self, &job.spec.service));
@@ -160,6 +171,7 @@
                         has_suspects: state.has_suspects(),
                         is_lasting,
                         is_overdue,
+                        idle_ms,
                     });
                 }
             }
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -158,6 +158,7 @@
             has_suspects: state.has_suspects(),
             is_lasting: self.jobs[job].spec.steps[step as usize].is_long_running,
             is_overdue: false,
+            idle_ms: 0,
         }
     }
 
--- a/crates/domain/tests/engine/random_load.rs
+++ b/crates/domain/tests/engine/random_load.rs
@@ -150,10 +150,11 @@
 #[test]
 fn no_ready_task_waits_for_long_beside_idle_workers() {
     const SEEDS: u64 = 200;
-    // A task was kept for 3 s by a ticket for a worker on which its step was at its limit.
-    const FAILED_BEFORE: u64 = 309;
+    // A job was kept for 3 s from excluded workers on which it had failed, and by a ticket for a worker on which its step
+    // was at its limit.
+    const FAILED_BEFORE: [u64; 6] = [201, 309, 393, 490, 609, 658];
     let waits: Vec<_> = (0..SEEDS)
-        .chain([FAILED_BEFORE])
+        .chain(FAILED_BEFORE)
         .flat_map(|seed| {
             run_random_load(seed)
                 .into_iter()
