fix(domain): each start is listed in the row of its worker first, so that a successor holds only what it has to

The successor cannot reach the worker and has no row about it, so it keeps every job from starting that a former scheduler may have started. Change: a run is durable in the row of its worker before its start command is sent; starts of one pass share a write. The start bound says whether all starts are listed. While the store is slow, or a worker has more than 500 runs, that is taken back first, and starts do not wait, as before. A successor takes the runs of workers that have not replied after 0.5 s from their rows, and waits for these tasks only. A start that is not sent yet is dropped if its worker goes silent, leaves or shrinks, or its job no longer wants it; an overdue job starts no second task while one is being started. The simulation checks the row at each start.

--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{LastRuns, Progress, RunRecord, WaveRow, WorkerKey};
+use crate::{LastRuns, Progress, RunRecord, StartBoundRow, WaveRow, WorkerKey};
 
 /// Run of a task, as workers identify it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -64,9 +64,9 @@
     pub add_workers: Vec<(CompactString, CompactString)>,
     /// Workers that no longer run anything.
     pub remove_workers: Vec<CompactString>,
-    /// Runs that may be on workers which are unresponsive.
+    /// Runs that may be on workers.
     pub last_runs: Vec<(CompactString, LastRuns)>,
-    /// Workers that may get tasks again, so that what was written about their last runs is outdated.
+    /// Workers on which nothing runs, so that what was written about their last runs is outdated.
     pub remove_last_runs: Vec<CompactString>,
     /// Jobs whose retention after their final state has ended; all their rows except run records are deleted.
     pub remove_jobs: Vec<CompactString>,
@@ -186,7 +186,7 @@
     Commit(Commit),
     /// Write the start bound, up to which accepted jobs may be started; at most one write is in flight.
     WriteStartBound {
-        /// Store version of the bound.
-        version: u64,
+        /// Bound.
+        row: StartBoundRow,
     },
 }
--- a/crates/domain/src/engine/adopt.rs
+++ b/crates/domain/src/engine/adopt.rs
@@ -7,6 +7,7 @@
     /// Handles a run that this scheduler did not start: adopts it if its task needs it, else stops it.
     pub(super) fn adopt(&mut self, worker: WorkerKey, task_run: &TaskRun, now_ms: u64) -> RunKey {
         let mut run = Run::of_former_epoch(task_run.clone(), worker, now_ms);
+        run.is_listed = self.last_runs.contains(&self.workers[worker].entry.id, task_run);
         self.drop_outdated_trials(task_run, now_ms);
         if let Some((job, name)) = self.adoptable_task(task_run) {
             let shape = &self.jobs[job].spec.steps[name.step as usize];
@@ -49,6 +50,24 @@
         key
     }
 
+    /// Completes what is known of a run that only the store named until its worker lists it.
+    pub(super) fn confirm_recalled(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get_mut(key).filter(|run| run.is_recalled) else {
+            return;
+        };
+        // A crash from now on is one that no scheduler has counted.
+        run.is_crash_counted = false;
+        let shape = &self.jobs[run.job].spec.steps[run.step as usize];
+        if shape.is_filler {
+            run.work_percent = 0;
+        }
+        if shape.is_long_running && !run.is_lasting {
+            run.is_lasting = true;
+            let worker = &mut self.workers[run.worker];
+            worker.used_by_lasting = worker.used_by_lasting.plus(&run.need);
+        }
+    }
+
     /// Returns the resources that a run takes from its worker, if its job is known.
     fn need_of(&self, task_run: &TaskRun) -> Option<Resources> {
         let name: TaskName = task_run.task.parse().ok()?;
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -90,6 +90,7 @@
         let has_workers = !self.commit.add_workers.is_empty()
             || !self.commit.remove_workers.is_empty()
             || self.last_runs.is_due
+            || self.last_runs.awaits_rows
             || !self.waves.unpublished().is_empty()
             || !self.waves.unwritten_rows(1).is_empty();
         let has_unacked = !self.unacked.is_empty();
@@ -254,6 +255,7 @@
             self.commit.remove_workers.swap_remove(id);
         }
         self.last_runs.committed(commit);
+        self.runs_listed(commit);
         self.finished.removed(&commit.remove_jobs);
         self.waves_published(&commit.waves);
         self.wave_rows_written(&commit.wave_rows);
--- a/crates/domain/src/engine/crashes.rs
+++ b/crates/domain/src/engine/crashes.rs
@@ -154,7 +154,7 @@
     pub(super) fn suspect_runs(&self, runs: &[RunKey]) -> Vec<SuspectRun> {
         runs.iter()
             .filter_map(|key| self.runs.get(*key))
-            .filter(|run| !run.is_unwanted && !run.is_crash_counted)
+            .filter(|run| !run.is_unwanted && !run.is_crash_counted && !run.is_unsent)
             .map(|run| SuspectRun {
                 job: run.job,
                 occurrence: run.occurrence,
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -67,7 +67,7 @@
     /// Marks all rows of the store as read.
     pub fn set_loaded(&mut self, now_ms: u64) {
         self.is_loaded = true;
-        self.recall_last_runs(now_ms);
+        self.recall_unresponsive(now_ms);
         self.is_schedule_due = true;
     }
 
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod job_entry;
 mod job_state;
 mod keys;
+mod listed_starts;
 mod load;
 mod open_wave;
 mod place;
@@ -89,6 +90,8 @@
     lost_processes: crashes::LostProcesses,
     start_bound: start_bound::StartBound,
     last_runs: unresponsive::LastRunRows,
+    /// Starts whose runs are not listed yet.
+    listed_starts: Vec<listed_starts::ListedStart>,
     finished: finished::FinishedJobs,
     is_loaded: bool,
     took_over_ms: u64,
@@ -152,6 +155,7 @@
             lost_processes: crashes::LostProcesses::default(),
             start_bound: start_bound::StartBound::new(),
             last_runs: unresponsive::LastRunRows::default(),
+            listed_starts: Vec::new(),
             finished: finished::FinishedJobs::default(),
             is_loaded: false,
             took_over_ms: now_ms,
@@ -194,7 +198,7 @@
     /// Returns counters since the start of the epoch, and gauges.
     pub fn stats(&self) -> EngineStats {
         let mut stats = self.stats;
-        stats.running = self.runs.len() as u64;
+        stats.running = (self.runs.len() - self.listed_starts.len()) as u64;
         stats.workers = self.workers.len() as u64;
         stats.open_jobs = self.jobs.values().filter(|job| !job.is_final()).count() as u64;
         stats
@@ -231,6 +235,9 @@
 
     /// Runs the time-driven work: renews leases, expires unresponsive workers, places tasks and commits changes.
     pub fn tick(&mut self, now_ms: u64, now_unix_ms: u64, may_start: bool) {
+        if may_start {
+            self.send_listed_starts(now_ms);
+        }
         self.renew_due(now_ms, may_start);
         if now_ms >= self.next_scan_ms {
             self.next_scan_ms = now_ms + Self::SCAN_INTERVAL_MS;
@@ -261,6 +268,7 @@
         self.check_adopted(now_ms);
         self.open_occurrences(now_ms, now_unix_ms);
         self.queue_worker_rows();
+        self.recall_silent(now_ms);
         self.check_last_runs(now_ms);
         self.forget_lost_processes(now_ms);
         if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -63,7 +63,7 @@
             Some(Barrier::Leaving)
         } else if worker.unresponsive_since_ms.is_some()
             || now_ms >= worker.last_reply_ms + Self::MAX_REPLY_AGE_MS
-            || self.last_runs.may_contain(&worker.entry.id)
+            || self.last_runs.may_limit_leases(&worker.entry.id)
         {
             Some(Barrier::Silent)
         } else if worker.runs_of_unknown_need > 0 || worker.isolated_runs > 0 {
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -1,9 +1,10 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use super::Engine;
+use super::job_entry::JobEntry;
 use super::keys::JobKey;
 use super::waiting::has_turn;
+use super::{Engine, RunState};
 
 /// Waiting tasks of a step, which are placed together.
 #[derive(Debug, Clone, Copy)]
@@ -106,6 +107,20 @@
     /// Share of a service in use from which finite work waits for its turn however long that takes.
     const BUSY_SHARE: f64 = 0.5;
 
+    /// Time within which workers normally reply to a start command.
+    const START_REPLY_MS: u64 = 100;
+
+    /// Returns whether a start of a job waits for its row or for the reply of its worker.
+    fn is_starting(&self, job: &JobEntry, now_ms: u64) -> bool {
+        let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        let mut runs = steps
+            .flat_map(|state| state.active.iter().flatten())
+            .map(|key| &self.runs[*key]);
+        runs.any(|run| {
+            run.state == RunState::Starting && (run.is_unsent || now_ms < run.start_sent_ms + Self::START_REPLY_MS)
+        })
+    }
+
     /// Returns the steps that can start now, in queue order.
     pub(super) fn ready_units(&mut self, now_ms: u64) -> Vec<PlacementUnit> {
         let mut units = Vec::new();
@@ -147,8 +162,9 @@
                         .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
                     let is_idle_for_long = idle_ms >= Self::OVERDUE_AFTER_MS;
                     let is_lasting = shape.is_long_running;
-                    let is_overdue =
-                        is_idle_for_long && (is_lasting || idle_services.contains(self, &job.spec.service));
+                    let is_overdue = is_idle_for_long
+                        && (is_lasting
+                            || (idle_services.contains(self, &job.spec.service) && !self.is_starting(job, now_ms)));
                     let lateness = if is_lasting || now_ms + critical_path_ms <= deadline_ms {
                         0
                     } else if now_ms + critical_path_ms <= occurrence.due_ms + objective_ms * Self::LATE_FACTOR {
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -30,7 +30,9 @@
             // lease indefinitely.
             let lease_until_ms = worker
                 .lease_until_ms(now_ms, limits.lease_max_ms, Limits::CLOCK_DRIFT)
-                .filter(|_| worker.unresponsive_since_ms.is_none() && !self.last_runs.may_contain(&worker.entry.id));
+                .filter(|_| {
+                    worker.unresponsive_since_ms.is_none() && !self.last_runs.may_limit_leases(&worker.entry.id)
+                });
             let is_confirmed = worker.is_fenced && lease_until_ms.is_some();
             let wait_ms = if has_unacked || !is_confirmed {
                 0
@@ -164,6 +166,7 @@
             Some(key) => *key,
             None => self.adopt(worker, &task_run, now_ms),
         };
+        self.confirm_recalled(key);
         let run = self.runs.get_mut(key)?;
         if run.worker != worker {
             return None;
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -49,6 +49,10 @@
     pub is_adopted: bool,
     /// It is known from the store only: its worker has not listed it in this epoch.
     pub is_recalled: bool,
+    /// A durable row about the last runs of its worker contains it.
+    pub is_listed: bool,
+    /// Its start command waits for that row and was not sent yet.
+    pub is_unsent: bool,
     /// Tail latency in ms of a task that serves users; processor use of any other, over the last half second.
     pub recent: f64,
     pub progress: RunProgress,
@@ -86,6 +90,8 @@
             resumed: true,
             is_adopted: true,
             is_recalled: false,
+            is_listed: false,
+            is_unsent: false,
             recent: 0.0,
             progress: RunProgress::default(),
             work_percent: 100,
--- a/crates/domain/src/engine/start_bound.rs
+++ b/crates/domain/src/engine/start_bound.rs
@@ -1,18 +1,25 @@
 use super::Engine;
 use super::job_entry::JobEntry;
-use crate::Action;
+use crate::{Action, StartBoundRow};
 
 /// Durable upper bound on the store versions of jobs that this epoch may have started.
 ///
 /// A job is started only after the store confirmed a bound that is not below the job's version, so that a successor
-/// that cannot reach all workers knows which jobs no former scheduler can have started. While the store is slow, the
-/// bound is lifted so that starts do not wait for the store.
+/// that cannot reach all workers knows which jobs no former scheduler can have started. It also says whether each start
+/// is listed in the row of its worker, so that the successor knows which tasks may be on a worker that it cannot reach.
+/// While the store is slow, the bound is lifted and starts are not listed, so that they do not wait for the store.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StartBound {
     /// Bound of the former epochs; `None` if the store holds none, so that they may have started any job.
     former: Option<u64>,
+    /// The former epochs listed all their starts.
+    did_list_runs: bool,
     /// Jobs above this version are not started; the bound in the store is not lower.
     confirmed: u64,
+    /// The store says that all starts are listed.
+    are_runs_listed: bool,
+    /// The store may say that all starts are listed; it does if this is not set by a write whose outcome is unknown.
+    may_say_listed: bool,
     /// Version of the newest open job that was read.
     requested: u64,
     sent_ms: Option<u64>,
@@ -36,7 +43,10 @@
     pub const fn new() -> Self {
         Self {
             former: None,
+            did_list_runs: false,
             confirmed: 0,
+            are_runs_listed: false,
+            may_say_listed: false,
             requested: 0,
             sent_ms: None,
             retry_ms: 0,
@@ -59,43 +69,68 @@
         self.former.is_none_or(|former| job.inserted_version <= former)
     }
 
-    fn due(&mut self, now_ms: u64) -> Option<u64> {
+    /// Returns whether the former epochs listed all their starts.
+    pub const fn did_list_runs(&self) -> bool {
+        self.did_list_runs
+    }
+
+    /// Returns whether a start has to wait until its run is listed.
+    pub const fn requires_listing(&self, now_ms: u64) -> bool {
+        self.may_say_listed || now_ms >= self.unbounded_until_ms
+    }
+
+    /// Returns whether the store is to say that all starts are listed, and may not say so yet.
+    const fn awaits_listing(&self, now_ms: u64) -> bool {
+        !self.may_say_listed && now_ms >= self.unbounded_until_ms
+    }
+
+    /// Returns the row to write, if any. `are_runs_listed` says whether all runs are listed.
+    fn due(&mut self, are_runs_listed: bool, now_ms: u64) -> Option<StartBoundRow> {
         if self.sent_ms.is_some() || now_ms < self.retry_ms {
             return None;
         }
-        let version = if now_ms < self.unbounded_until_ms {
-            Self::UNBOUNDED
-        } else {
-            self.requested
+        let is_lifted = now_ms < self.unbounded_until_ms;
+        let row = StartBoundRow {
+            version: if is_lifted { Self::UNBOUNDED } else { self.requested },
+            // Once the store says so, no start goes without.
+            are_runs_listed: !is_lifted && (self.may_say_listed || are_runs_listed),
         };
-        if self.confirmed == Self::UNBOUNDED && version != Self::UNBOUNDED {
+        let is_listing_written =
+            self.may_say_listed == row.are_runs_listed && self.are_runs_listed == row.are_runs_listed;
+        if self.confirmed == Self::UNBOUNDED && !is_lifted {
             // From now on, the store may hold the lower bound.
-            self.confirmed = version;
-        } else if version <= self.confirmed {
+            self.confirmed = row.version;
+        } else if row.version <= self.confirmed && is_listing_written {
             return None;
         }
+        self.may_say_listed |= row.are_runs_listed;
+        self.are_runs_listed &= row.are_runs_listed;
         self.sent_ms = Some(now_ms);
-        Some(version)
+        Some(row)
     }
 
-    fn written(&mut self, version: u64, is_confirmed: bool, now_ms: u64) {
+    fn written(&mut self, row: StartBoundRow, is_confirmed: bool, now_ms: u64) {
         let took_ms = now_ms.saturating_sub(self.sent_ms.take().unwrap_or(now_ms));
         if is_confirmed {
-            self.confirmed = self.confirmed.max(version);
-        } else {
-            self.retry_ms = now_ms + Self::RETRY_MS;
-        }
-        if is_confirmed {
+            self.confirmed = self.confirmed.max(row.version);
+            self.are_runs_listed = row.are_runs_listed;
+            self.may_say_listed = row.are_runs_listed;
             self.observe(took_ms, now_ms);
         } else {
-            self.unbounded_until_ms = now_ms + Self::UNBOUNDED_MS;
+            self.retry_ms = now_ms + Self::RETRY_MS;
+            self.lift(now_ms);
         }
     }
 
+    /// Lifts the bound for some time.
+    pub const fn lift(&mut self, now_ms: u64) {
+        self.unbounded_until_ms = now_ms + Self::UNBOUNDED_MS;
+    }
+
     /// Takes the latency of a write to the store; a slow write lifts the bound before a start has to wait for it.
     pub fn observe(&mut self, took_ms: u64, now_ms: u64) {
         if took_ms > Self::SLOW_WRITE_MS {
-            self.unbounded_until_ms = now_ms + Self::UNBOUNDED_MS;
+            self.lift(now_ms);
         }
     }
 }
@@ -103,15 +138,18 @@
 /// Start bound.
 impl Engine {
     /// Sets the bound of the former epochs, as read from the store.
-    pub fn set_former_start_bound(&mut self, version: Option<u64>) {
+    pub fn set_former_start_bound(&mut self, row: Option<StartBoundRow>) {
         let bound = &mut self.start_bound;
-        bound.former = version;
-        bound.confirmed = bound.confirmed.max(version.unwrap_or(0));
+        bound.former = row.map(|row| row.version);
+        bound.confirmed = bound.confirmed.max(bound.former.unwrap_or(0));
+        bound.did_list_runs = row.is_some_and(|row| row.are_runs_listed);
+        bound.are_runs_listed = bound.did_list_runs;
+        bound.may_say_listed = bound.did_list_runs;
     }
 
     /// Handles the outcome of writing a bound.
-    pub fn start_bound_written(&mut self, version: u64, is_confirmed: bool, now_ms: u64) {
-        self.start_bound.written(version, is_confirmed, now_ms);
+    pub fn start_bound_written(&mut self, row: StartBoundRow, is_confirmed: bool, now_ms: u64) {
+        self.start_bound.written(row, is_confirmed, now_ms);
         self.is_schedule_due |= is_confirmed;
     }
 
@@ -120,8 +158,9 @@
             // Former epochs may have started jobs that are not loaded yet.
             return;
         }
-        if let Some(version) = self.start_bound.due(now_ms) {
-            self.actions.push(Action::WriteStartBound { version });
+        let are_runs_listed = self.start_bound.awaits_listing(now_ms) && self.are_all_runs_listed(now_ms);
+        if let Some(row) = self.start_bound.due(are_runs_listed, now_ms) {
+            self.actions.push(Action::WriteStartBound { row });
         }
     }
 }
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -72,6 +72,9 @@
         let spec = std::rc::Rc::clone(&self.jobs[job].spec);
         let shape = &spec.steps[step as usize];
         let worker = &self.workers[worker_key];
+        if worker.runs.len() >= Self::MAX_LAST_RUNS {
+            self.start_bound.lift(now_ms);
+        }
         let Some(lease_until_ms) = worker.lease_until_ms(now_ms, self.limits.lease_max_ms, Limits::CLOCK_DRIFT) else {
             return;
         };
@@ -115,6 +118,8 @@
             resumed: checkpoint.is_some(),
             is_adopted: false,
             is_recalled: false,
+            is_listed: false,
+            is_unsent: true,
             checkpoint: checkpoint.clone(),
             recent: 0.0,
             progress: RunProgress::default(),
@@ -134,10 +139,6 @@
             self.jobs[job].is_urgent = true;
             self.mark_dirty(job, now_ms);
         }
-        let lease_expiry_ms = self.limits.lease_expiry_ms();
-        let worker = &mut self.workers[worker_key];
-        worker.lease_expiry_ms = worker.lease_expiry_ms.max(now_ms + lease_expiry_ms);
-        self.stats.starts += 1;
         let command = StartCommand {
             task_run,
             spec: spec.spec.clone(),
@@ -145,15 +146,13 @@
             checkpoint,
             ticket: self.ticket_for(PlacementUnitKey::new(job, occurrence, step), worker_key, now_ms),
         };
-        self.actions.push(Action::Start {
-            worker: worker_key,
-            command,
-        });
+        self.send_start(key, command, now_ms);
     }
 
     pub(super) fn add_run(&mut self, run: Run) -> RunKey {
         let worker_key = run.worker;
         let (need, is_need_unknown, is_isolated) = (run.need, run.is_need_unknown, run.is_isolated);
+        let is_listed = run.is_listed;
         let task_run = run.id.clone();
         let lasting = run.lasting_need();
         let key = self.runs.insert(run);
@@ -164,6 +163,7 @@
         worker.used_by_lasting = worker.used_by_lasting.plus(&lasting);
         worker.runs_of_unknown_need += u32::from(is_need_unknown);
         worker.isolated_runs += u32::from(is_isolated);
+        worker.unlisted_runs += u32::from(!is_listed);
         key
     }
 
@@ -176,6 +176,7 @@
             worker.used_by_lasting = worker.used_by_lasting.minus(&run.lasting_need());
             worker.runs_of_unknown_need -= u32::from(run.is_need_unknown);
             worker.isolated_runs -= u32::from(run.is_isolated);
+            worker.unlisted_runs -= u32::from(!run.is_listed);
         }
         self.run_keys.remove(&run.id);
         self.unconfirmed_stops.swap_remove(&key);
@@ -212,6 +213,10 @@
     pub(super) fn stop_run(&mut self, key: RunKey, now_ms: u64) {
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = RunState::Stopping;
+        if run.is_unsent {
+            // It is removed before its start command would be sent.
+            return;
+        }
         if !run.is_void {
             self.unconfirmed_stops.insert(key);
         }
--- a/crates/domain/src/engine/unresponsive.rs
+++ b/crates/domain/src/engine/unresponsive.rs
@@ -5,27 +5,50 @@
 use super::{Engine, Run, Worker, WorkerKey};
 use crate::{Commit, LastRuns, Limits, TaskRun};
 
-/// Rows about the last runs of unresponsive workers.
+/// What the store may hold about the runs of a worker.
+#[derive(Debug, Clone, Default)]
+struct StoredRow {
+    /// Runs in the row, if that is known.
+    runs: Option<Vec<TaskRun>>,
+    /// The row may say when the leases end, so that they must not be renewed.
+    may_limit_leases: bool,
+}
+
+/// Rows about the last runs of workers.
 #[derive(Debug, Clone, Default)]
 pub(super) struct LastRunRows {
-    /// Workers about which the store may hold a row. The runs are those of the durable row of this epoch, if it is known.
-    rows: IndexMap<CompactString, Option<Vec<TaskRun>>>,
+    rows: IndexMap<CompactString, StoredRow>,
     /// Rows of former epochs, until all jobs are read.
     former: Vec<(CompactString, LastRuns)>,
+    /// When workers that have not replied count as unresponsive; `None` once their runs are recalled.
+    recall_ms: Option<u64>,
     /// A row has to be written or removed.
     pub is_due: bool,
+    /// Starts wait for a row.
+    pub awaits_rows: bool,
 }
 
 impl LastRunRows {
-    /// Returns whether the store may hold a row about a worker; nothing may start there until its removal is durable.
-    pub fn may_contain(&self, worker: &CompactString) -> bool {
-        self.rows.contains_key(worker)
+    /// Returns whether the store may hold a row about a worker that says when its leases end; nothing may start there and
+    /// no lease may be renewed until that is certainly not so.
+    pub fn may_limit_leases(&self, worker: &CompactString) -> bool {
+        self.rows.get(worker).is_some_and(|row| row.may_limit_leases)
+    }
+
+    /// Returns whether the store holds a row about a worker that contains a run.
+    pub fn contains(&self, worker: &CompactString, run: &TaskRun) -> bool {
+        let row = self.rows.get(worker).and_then(|row| row.runs.as_ref());
+        row.is_some_and(|runs| runs.contains(run))
     }
 
     /// Takes note of a durable write.
     pub fn committed(&mut self, commit: &Commit) {
         for (id, last) in &commit.last_runs {
-            self.rows.insert(id.clone(), Some(last.runs.clone()));
+            let row = StoredRow {
+                runs: Some(last.runs.clone()),
+                may_limit_leases: last.lease_left_ms.is_some(),
+            };
+            self.rows.insert(id.clone(), row);
         }
         for id in &commit.remove_last_runs {
             self.rows.shift_remove(id);
@@ -35,9 +58,9 @@
 
 /// Unresponsive workers across a takeover.
 ///
-/// A successor does not know what a worker runs that does not reply, so it would have to keep every job from starting
-/// that a former scheduler may have started there. The scheduler therefore writes down the runs of a worker that stays
-/// unresponsive, and starts nothing there until the removal of that row is durable.
+/// A successor does not know what a worker runs that does not reply. The row of the worker lists its runs, see
+/// [`super::listed_starts`]. If it stays unresponsive, the scheduler adds to the row when its leases end, and neither
+/// renews them nor starts anything there until the row is written anew or its removal is durable.
 impl Engine {
     /// Time from the first failed renewal after which the runs of a worker are written. One that replies sooner gets tasks
     /// at once, without waiting for the removal of a row.
@@ -49,30 +72,70 @@
     /// Entries of a write that are left to the progress of jobs.
     const JOB_ENTRIES: usize = 30;
 
-    /// Maximum number of runs in a row; of a worker with more, a successor knows nothing.
-    const MAX_LAST_RUNS: usize = 200;
+    /// Maximum number of runs in a row; while a worker has more, starts are not listed.
+    pub(super) const MAX_LAST_RUNS: usize = 500;
+
+    /// Maximum number of runs in the rows of one write.
+    const LAST_RUN_ENTRIES: usize = 2_000;
+
+    /// Time after which a successor takes the runs of a worker from its row, as the worker has not replied.
+    const RECALL_AFTER_MS: u64 = 500;
 
     /// Adds the rows that former schedulers wrote. Call it before [`Engine::set_loaded`].
     pub fn add_last_runs(&mut self, rows: Vec<(CompactString, LastRuns)>) {
         for (id, last) in rows {
-            self.last_runs.rows.insert(id.clone(), None);
+            let may_limit_leases = last.lease_left_ms.is_some();
+            let row = StoredRow {
+                // The row of an unresponsive worker is written anew in each epoch.
+                runs: Some(last.runs.clone()).filter(|_| !may_limit_leases),
+                may_limit_leases,
+            };
+            self.last_runs.rows.insert(id.clone(), row);
             self.last_runs.former.push((id, last));
         }
     }
 
-    /// Adds the runs that the former scheduler wrote down for workers which have not replied to this one.
-    ///
-    /// Only rows of the epoch before this one count: a scheduler in between may have used the worker again. It has written
-    /// the row anew otherwise.
-    pub(super) fn recall_last_runs(&mut self, now_ms: u64) {
+    /// Adds the runs on workers that were unresponsive before the takeover, as soon as all jobs are read.
+    pub(super) fn recall_unresponsive(&mut self, now_ms: u64) {
+        self.last_runs.recall_ms = Some(now_ms + Self::RECALL_AFTER_MS);
+        let former = std::mem::take(&mut self.last_runs.former);
+        let (unresponsive, others) = former.into_iter().partition(|(_, last)| last.lease_left_ms.is_some());
+        self.last_runs.former = others;
+        self.recall_last_runs(unresponsive, now_ms);
+    }
+
+    /// Adds the runs on workers that have not replied for some time after the takeover.
+    pub(super) fn recall_silent(&mut self, now_ms: u64) {
+        if self.last_runs.recall_ms.take_if(|at_ms| now_ms >= *at_ms).is_none() {
+            return;
+        }
         let former = std::mem::take(&mut self.last_runs.former);
+        if !self.start_bound.did_list_runs() {
+            return;
+        }
+        self.recall_last_runs(former, now_ms);
+        for worker in self.workers.values_mut() {
+            // Nothing was ever started on a worker without a row.
+            worker.has_known_runs |=
+                worker.may_hold_unreported_runs() && !self.last_runs.rows.contains_key(&worker.entry.id);
+        }
+    }
+
+    /// Adds the runs in the rows of workers which have not replied to this scheduler.
+    ///
+    /// Unless the former schedulers listed all their starts, only the rows of unresponsive workers count, and only those of
+    /// the epoch before this one: a scheduler in between may have used the worker again. It has written the row anew
+    /// otherwise.
+    fn recall_last_runs(&mut self, former: Vec<(CompactString, LastRuns)>, now_ms: u64) {
         let (mut known, mut held) = (0, 0);
         for (id, last) in former {
             let Some(key) = self.worker_ids.get(&id).copied() else {
                 continue;
             };
-            let is_known = self.workers[key].may_hold_unreported_runs()
-                && last.epoch + 1 == self.epoch
+            let is_trusted =
+                self.start_bound.did_list_runs() || (last.lease_left_ms.is_some() && last.epoch + 1 == self.epoch);
+            let is_known = is_trusted
+                && self.workers[key].may_hold_unreported_runs()
                 && !last.runs.iter().any(|run| self.is_of_unopened_occurrence(run));
             if !is_known {
                 continue;
@@ -139,6 +202,7 @@
             // The former scheduler counted the crashes that it knew of; those under a run on probation are in its trial.
             is_crash_counted: true,
             last_listed_ms: None,
+            is_listed: self.last_runs.contains(&self.workers[worker].entry.id, task_run),
             ..Run::of_former_epoch(task_run.clone(), worker, now_ms)
         };
         let key: RunKey = self.add_run(run);
@@ -158,35 +222,46 @@
             || self.workers.values().any(|worker| self.needs_row(worker, now_ms));
     }
 
-    /// Returns whether a row has to be removed: its worker replies, or cannot have runs any more.
+    /// Returns whether a row has to be removed: its worker has no runs and needs no row.
     fn is_row_outdated(&self, id: &CompactString) -> bool {
         let worker = self.worker_ids.get(id).map(|key| &self.workers[*key]);
-        worker.is_none_or(|worker| !worker.is_recorded || (worker.is_fenced && worker.unresponsive_since_ms.is_none()))
+        worker.is_none_or(|worker| {
+            let replies = worker.is_fenced && worker.unresponsive_since_ms.is_none();
+            !worker.is_recorded || (replies && worker.runs.is_empty() && self.last_runs.may_limit_leases(id))
+        })
     }
 
-    /// Returns whether the runs of a worker have to be written: it is unresponsive, and all that may be on it is known.
+    /// Returns whether the runs of a worker have to be written.
     fn needs_row(&self, worker: &Worker, now_ms: u64) -> bool {
-        let Some(noticed_ms) = worker.noticed_silent_ms.filter(|_| worker.is_recorded) else {
-            return false;
-        };
-        let is_known = worker.is_fenced || worker.has_known_runs || now_ms > worker.lease_expiry_ms;
-        if !is_known || worker.runs.len() > Self::MAX_LAST_RUNS {
+        let is_too_large = worker.runs.len() > Self::MAX_LAST_RUNS;
+        if !worker.is_recorded || is_too_large || !Self::knows_runs_of(worker, now_ms) {
             return false;
         }
-        match self.last_runs.rows.get(&worker.entry.id) {
-            None => now_ms >= noticed_ms + Self::UNRESPONSIVE_MS,
-            Some(None) => true,
-            Some(Some(durable)) => {
+        let row = self.last_runs.rows.get(&worker.entry.id);
+        let may_limit_leases = row.is_some_and(|row| row.may_limit_leases);
+        let Some(noticed_ms) = worker.noticed_silent_ms else {
+            let has_unlisted = worker.unlisted_runs > 0 && self.start_bound.requires_listing(now_ms);
+            return worker.is_fenced && (has_unlisted || (may_limit_leases && !worker.runs.is_empty()));
+        };
+        match row {
+            Some(StoredRow {
+                runs: Some(durable),
+                may_limit_leases: true,
+            }) => {
                 let runs = || worker.runs.iter().map(|key| &self.runs[*key].id);
                 durable.len() != worker.runs.len() || !runs().all(|run| durable.contains(run))
             }
+            Some(StoredRow {
+                may_limit_leases: true, ..
+            }) => true,
+            _ => now_ms >= noticed_ms + Self::UNRESPONSIVE_MS,
         }
     }
 
-    /// Adds the rows that are due to a write: first removals, after which workers get tasks again, then workers about which
-    /// the store holds no row of this epoch.
+    /// Adds the rows that are due to a write: first removals, after which workers get tasks again, then workers that reply,
+    /// then those about which the store holds no row of this epoch.
     pub(super) fn add_last_runs_to(&mut self, commit: &mut Commit, now_ms: u64) {
-        if !std::mem::take(&mut self.last_runs.is_due) {
+        if !std::mem::take(&mut self.last_runs.is_due) && !self.last_runs.awaits_rows {
             return;
         }
         let used = commit.entries() + Commit::REVISION_ENTRIES + Self::JOB_ENTRIES;
@@ -198,25 +273,38 @@
             .values()
             .filter(|worker| self.needs_row(worker, now_ms))
             .collect();
-        due.sort_by_key(|worker| matches!(self.last_runs.rows.get(&worker.entry.id), Some(Some(_))));
+        due.sort_by_key(|worker| {
+            let row = self.last_runs.rows.get(&worker.entry.id);
+            (worker.noticed_silent_ms, row.is_some_and(|row| row.runs.is_some()))
+        });
         due.truncate(most - commit.remove_last_runs.len());
-        commit.last_runs = due
-            .into_iter()
-            .map(|worker| {
-                let runs = worker.runs.iter().map(|key| self.runs[*key].id.clone());
-                let last = LastRuns {
-                    epoch: self.epoch,
-                    runs: runs.collect(),
-                    lease_left_ms: Some(worker.lease_expiry_ms.saturating_sub(now_ms)),
-                };
-                (worker.entry.id.clone(), last)
-            })
-            .collect();
+        let mut entries = 0;
+        let rows = due.into_iter().map_while(|worker| {
+            entries += worker.runs.len();
+            let is_first = entries == worker.runs.len();
+            (is_first || entries <= Self::LAST_RUN_ENTRIES).then(|| self.last_runs_row(worker, now_ms))
+        });
+        commit.last_runs = rows.collect();
         for (id, last) in &commit.last_runs {
             // The write may take effect although it seems to fail.
-            self.last_runs.rows.insert(id.clone(), None);
-            self.log_lines
-                .push(format!("last_runs_written worker={id} runs={}", last.runs.len()));
+            let row = self.last_runs.rows.entry(id.clone()).or_default();
+            row.runs = None;
+            if last.lease_left_ms.is_some() {
+                row.may_limit_leases = true;
+                self.log_lines
+                    .push(format!("last_runs_written worker={id} runs={}", last.runs.len()));
+            }
         }
     }
+
+    fn last_runs_row(&self, worker: &Worker, now_ms: u64) -> (CompactString, LastRuns) {
+        let runs = worker.runs.iter().map(|key| self.runs[*key].id.clone());
+        let lease_left_ms = worker.lease_expiry_ms.saturating_sub(now_ms);
+        let last = LastRuns {
+            epoch: self.epoch,
+            runs: runs.collect(),
+            lease_left_ms: worker.noticed_silent_ms.map(|_| lease_left_ms),
+        };
+        (worker.entry.id.clone(), last)
+    }
 }
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -46,6 +46,8 @@
     pub used_by_lasting: Resources,
     /// Number of its runs whose resources are not known; while there is one, nothing is placed on it.
     pub runs_of_unknown_need: u32,
+    /// Number of its runs that no durable row about its last runs contains.
+    pub unlisted_runs: u32,
     /// Number of its runs of suspect tasks that are on probation; while there is one, nothing else is placed on it.
     pub isolated_runs: u32,
     /// Its process, or the one before at its address, crashed, and no run has outlived its probation since.
@@ -88,6 +90,7 @@
             used: Resources::default(),
             used_by_lasting: Resources::default(),
             runs_of_unknown_need: 0,
+            unlisted_runs: 0,
             isolated_runs: 0,
             has_crashed: false,
             failed_jobs: Vec::new(),
--- a/crates/domain/src/engine/worker_loss.rs
+++ b/crates/domain/src/engine/worker_loss.rs
@@ -84,7 +84,7 @@
             .runs
             .iter()
             .copied()
-            .filter(|run| !listed.contains(run) && !lost.contains(run))
+            .filter(|run| !listed.contains(run) && !lost.contains(run) && !self.runs[*run].is_unsent)
             .filter(|run| {
                 let run = &self.runs[*run];
                 run.start_sent_ms < sent_ms || run.is_void || run.confirmed_ms.is_none()
@@ -131,10 +131,12 @@
             let Some(run) = self.runs.get(run_key).cloned() else {
                 continue;
             };
-            self.stats.broken += 1;
-            self.stats.lost_runs += 1;
-            self.log_lost_run(&run, cause, now_ms);
-            self.record_lease_expiry(&run, now_ms);
+            if !run.is_unsent {
+                self.stats.broken += 1;
+                self.stats.lost_runs += 1;
+                self.log_lost_run(&run, cause, now_ms);
+                self.record_lease_expiry(&run, now_ms);
+            }
             self.remove_run(run_key, now_ms);
             let is_gang = !run.is_unwanted
                 && self
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -17,7 +17,8 @@
 pub use crashes::{Crashes, Return};
 use domain::{
     Action, Commit, Config, EndKind, Engine, Job, JobState, LastRuns, Limits, Machine, MachineState, Organisation,
-    Progress, Rejection, Resources, Route, RunRecord, StartOutcome, Step, StoredJob, TaskName, WaveProgress, WorkerKey,
+    Progress, Rejection, Resources, Route, RunRecord, StartBoundRow, StartOutcome, Step, StoredJob, TaskName,
+    WaveProgress, WorkerKey,
 };
 use entry::entry;
 use fake_worker::FakeRun;
@@ -74,7 +75,7 @@
     pub used_workers: BTreeMap<CompactString, CompactString>,
     /// Stored runs of workers that were unresponsive.
     pub last_runs: BTreeMap<CompactString, LastRuns>,
-    pub start_bound: Option<u64>,
+    pub start_bound: Option<StartBoundRow>,
     /// Durable run records by job, epoch and sequence number of the row.
     pub records: BTreeMap<(CompactString, u64, u32), Vec<RunRecord>>,
     /// Whether a new scheduler reads the list of workers only after their first reports.
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -12,6 +12,7 @@
                 let Some(id) = self.target(worker) else { return };
                 self.starts
                     .push((self.now_ms, command.task_run.task.clone(), id.clone()));
+                self.check_listed(&id, &command.task_run);
                 let outcome = self.start(&id, &command);
                 self.engine
                     .start_replied(worker, &command.task_run, outcome, self.now_ms);
@@ -54,12 +55,11 @@
                 self.reply_to_hint_call();
             }
             Action::ListMachines | Action::StartMaintenance { .. } => self.apply_maintenance_action(action),
-            Action::WriteStartBound { version } => {
+            Action::WriteStartBound { row } => {
                 if !self.is_store_down {
-                    self.start_bound = Some(version);
+                    self.start_bound = Some(row);
                 }
-                self.engine
-                    .start_bound_written(version, !self.is_store_down, self.now_ms);
+                self.engine.start_bound_written(row, !self.is_store_down, self.now_ms);
             }
             Action::Commit(commit) => self.commit(&commit),
         }
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Checks that the row of a worker contains a run before its start command is sent.
+    fn check_listed(&mut self, id: &CompactString, run: &domain::TaskRun) {
+        let is_listed = |row: &LastRuns| row.lease_left_ms.is_none() && row.runs.contains(run);
+        if self.start_bound.is_some_and(|bound| bound.are_runs_listed) && !self.last_runs.get(id).is_some_and(is_listed)
+        {
+            self.violations
+                .push(format!("{} started on {id} without a row", run.task));
+        }
+    }
+
     fn start(&mut self, id: &CompactString, command: &domain::StartCommand) -> StartOutcome {
         if self.lose_starts > 0 {
             self.lose_starts -= 1;
@@ -131,7 +141,10 @@
             return StartOutcome::Rejected(Rejection::Malformed);
         };
         let stored = &self.store[&name.job];
-        if self.start_bound.is_none_or(|bound| stored.inserted_version > bound) {
+        if self
+            .start_bound
+            .is_none_or(|bound| stored.inserted_version > bound.version)
+        {
             self.violations.push(format!(
                 "{} started beyond {:?}",
                 command.task_run.task, self.start_bound
--- a/crates/domain/tests/engine/takeover.rs
+++ b/crates/domain/tests/engine/takeover.rs
@@ -89,6 +89,10 @@
     sim.assert_no_violations();
 }
 
+fn bound(sim: &Simulation) -> Option<u64> {
+    sim.start_bound.map(|row| row.version)
+}
+
 /// Guards against a new scheduler that lowers the start bound before it knows what the previous one started.
 #[test]
 fn start_bound_never_falls_below_a_started_job() {
@@ -99,14 +103,14 @@
     // The failed write raised the bound to its maximum.
     sim.is_store_down = false;
     sim.run_until(1_000, |sim| !sim.workers_of(&id).is_empty());
-    assert_eq!(sim.start_bound, Some(u64::MAX));
+    assert_eq!(bound(&sim), Some(u64::MAX));
     let inserted = sim.store[&id].inserted_version;
     sim.take_over();
     for _ in 0..800 {
         sim.run_for(10);
-        assert!(sim.start_bound >= Some(inserted), "{:?}", sim.start_bound);
+        assert!(bound(&sim) >= Some(inserted), "{:?}", sim.start_bound);
     }
-    assert_eq!(sim.start_bound, Some(inserted));
+    assert_eq!(bound(&sim), Some(inserted));
     sim.assert_no_violations();
 }
 
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use actix::{AsyncContext, Context};
-use domain::{Action, Commit, MaintenanceReply, Rejection, StartCommand, StartOutcome};
+use domain::{Action, Commit, MaintenanceReply, Rejection, StartBoundRow, StartCommand, StartOutcome};
 
 use super::{Input, SchedulerDriver, SentWrite};
 use crate::clock::boot_ms;
@@ -133,11 +133,11 @@
                     driver.do_send(Input::MaintenanceReplied(wave, machine, reply));
                 });
             }
-            Action::WriteStartBound { version } => {
-                let (txn, sent) = self.start_bound_txn(version);
+            Action::WriteStartBound { row } => {
+                let (txn, sent) = self.start_bound_txn(row);
                 actix_rt::spawn(async move {
                     let result = shared.transact(&txn).await;
-                    driver.do_send(Input::StartBoundWritten(version, sent, result));
+                    driver.do_send(Input::StartBoundWritten(row, sent, result));
                 });
             }
             Action::Commit(commit) => {
@@ -233,7 +233,7 @@
 
     /// Builds the transaction that writes the start bound. The version of its row is a condition, so that a write
     /// without a reply cannot take effect after a newer one.
-    fn start_bound_txn(&mut self, version: u64) -> (Txn, SentWrite) {
+    fn start_bound_txn(&mut self, row: StartBoundRow) -> (Txn, SentWrite) {
         let place = self.shared.parts.of_lease_holder(START_BOUND);
         let own = Condition {
             place: place.clone(),
@@ -242,7 +242,7 @@
         };
         let mut txn = Txn {
             conditions: vec![self.epoch_condition(), own],
-            puts: vec![put(place, START_BOUND_KEY, &version)],
+            puts: vec![put(place, START_BOUND_KEY, &row)],
             ..Txn::default()
         };
         let sent = self.add_heartbeat(&mut txn);
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -1,7 +1,8 @@
 use actix::Message;
 use compact_str::CompactString;
 use domain::{
-    Commit, LastRuns, Machine, MaintenanceReply, StartOutcome, StoredJob, TaskRun, WaveRow, WorkerKey, WorkerReport,
+    Commit, LastRuns, Machine, MaintenanceReply, StartBoundRow, StartOutcome, StoredJob, TaskRun, WaveRow, WorkerKey,
+    WorkerReport,
 };
 
 use crate::ports::{RenewError, TxnError, WorkerChange};
@@ -48,11 +49,11 @@
     /// Wave, machine and reply of a maintenance command.
     MaintenanceReplied(u64, CompactString, MaintenanceReply),
     /// Start bound of earlier epochs and the version of its row.
-    FormerStartBound(Option<(u64, u64)>),
+    FormerStartBound(Option<(StartBoundRow, u64)>),
     /// Version of the row with the revision of the list of used workers; 0 if there is none.
     UsedWorkersRevision(u64),
     /// Start bound and result of its write.
-    StartBoundWritten(u64, SentWrite, Result<u64, TxnError>),
+    StartBoundWritten(StartBoundRow, SentWrite, Result<u64, TxnError>),
     /// Commit and result of its write.
     Committed(Box<Commit>, SentWrite, Result<u64, TxnError>),
     /// Another instance holds the lease, or this instance is stopping.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -11,7 +11,7 @@
 
 use actix::prelude::*;
 use compact_str::CompactString;
-use domain::{Commit, Engine, Explanation, WorkerKey};
+use domain::{Commit, Engine, Explanation, StartBoundRow, WorkerKey};
 pub(crate) use input::Input;
 use input::SentWrite;
 use timer::Tick;
@@ -197,7 +197,7 @@
         true
     }
 
-    fn start_bound_written(&mut self, version: u64, sent: SentWrite, result: &Result<u64, TxnError>) {
+    fn start_bound_written(&mut self, row: StartBoundRow, sent: SentWrite, result: &Result<u64, TxnError>) {
         match result {
             Ok(row_version) => {
                 self.confirm(sent);
@@ -211,9 +211,9 @@
                 let own = conflict.iter().find(|row| row.table == START_BOUND);
                 self.start_bound_row_version = own.map_or(0, |row| row.version);
             }
-            Err(error) => spdlog::warn!("start_bound_failed", kv: { version, cause = error.to_string() }),
+            Err(error) => spdlog::warn!("start_bound_failed", kv: { version = row.version, cause = error.to_string() }),
         }
-        self.engine.start_bound_written(version, result.is_ok(), boot_ms());
+        self.engine.start_bound_written(row, result.is_ok(), boot_ms());
     }
 
     fn worker_change(&mut self, change: WorkerChange, now_ms: u64) {
@@ -371,10 +371,10 @@
             }
             Input::FormerStartBound(bound) => {
                 self.start_bound_row_version = bound.map_or(0, |(_, row_version)| row_version);
-                self.engine.set_former_start_bound(bound.map(|(version, _)| version));
+                self.engine.set_former_start_bound(bound.map(|(row, _)| row));
             }
             Input::UsedWorkersRevision(row_version) => self.used_workers_revision = row_version,
-            Input::StartBoundWritten(version, sent, result) => self.start_bound_written(version, sent, &result),
+            Input::StartBoundWritten(row, sent, result) => self.start_bound_written(row, sent, &result),
             Input::Committed(commit, sent, result) => self.committed(&commit, sent, result),
             Input::Stop => {
                 self.is_stopped = true;
--- a/crates/node/tests/used_workers.rs
+++ b/crates/node/tests/used_workers.rs
@@ -88,7 +88,10 @@
     let former = Txn {
         puts: vec![
             put("workers", "10.0.0.1:w0".into()),
-            put("last_runs", serde_json::json!({ "epoch": 0, "runs": [] })),
+            put(
+                "last_runs",
+                serde_json::json!({ "epoch": 0, "runs": [], "lease_left_ms": 6_000 }),
+            ),
         ],
         ..Txn::default()
     };
