fix(domain): the row of an unresponsive worker says how long its leases last as of a second ago

Cause: a successor counts the lease time in the row from its takeover, as it does not know when the row was written. Ruled out: the time of day in the row, as it may jump on some machines. Change: the row is written anew each second until the leases have expired.

--- a/crates/domain/src/engine/unresponsive.rs
+++ b/crates/domain/src/engine/unresponsive.rs
@@ -12,6 +12,8 @@
     runs: Option<Vec<TaskRun>>,
     /// The row may say when the leases end, so that they must not be renewed.
     may_limit_leases: bool,
+    /// When the last write of the row began.
+    written_ms: u64,
 }
 
 /// Rows about the last runs of workers.
@@ -44,11 +46,9 @@
     /// Takes note of a durable write.
     pub fn committed(&mut self, commit: &Commit) {
         for (id, last) in &commit.last_runs {
-            let row = StoredRow {
-                runs: Some(last.runs.clone()),
-                may_limit_leases: last.lease_left_ms.is_some(),
-            };
-            self.rows.insert(id.clone(), row);
+            let row = self.rows.entry(id.clone()).or_default();
+            row.runs = Some(last.runs.clone());
+            row.may_limit_leases = last.lease_left_ms.is_some();
         }
         for id in &commit.remove_last_runs {
             self.rows.shift_remove(id);
@@ -66,6 +66,10 @@
     /// at once, without waiting for the removal of a row.
     const UNRESPONSIVE_MS: u64 = 2_000;
 
+    /// Interval of writing anew how long the leases of an unresponsive worker last: a successor counts that time from its
+    /// takeover, as it does not know when the row was written.
+    const REFRESH_MS: u64 = 1_000;
+
     /// Maximum number of rows about last runs in one write, so that jobs do not wait while a whole data centre is cut off.
     const LAST_RUNS_PER_COMMIT: usize = 40;
 
@@ -89,6 +93,7 @@
                 // The row of an unresponsive worker is written anew in each epoch.
                 runs: Some(last.runs.clone()).filter(|_| !may_limit_leases),
                 may_limit_leases,
+                written_ms: 0,
             };
             self.last_runs.rows.insert(id.clone(), row);
             self.last_runs.former.push((id, last));
@@ -243,19 +248,15 @@
             let has_unlisted = worker.unlisted_runs > 0 && self.start_bound.requires_listing(now_ms);
             return worker.is_fenced && (has_unlisted || (may_limit_leases && !worker.runs.is_empty()));
         };
-        match row {
-            Some(StoredRow {
-                runs: Some(durable),
-                may_limit_leases: true,
-            }) => {
-                let runs = || worker.runs.iter().map(|key| &self.runs[*key].id);
-                durable.len() != worker.runs.len() || !runs().all(|run| durable.contains(run))
-            }
-            Some(StoredRow {
-                may_limit_leases: true, ..
-            }) => true,
-            _ => now_ms >= noticed_ms + Self::UNRESPONSIVE_MS,
-        }
+        let Some(row) = row.filter(|row| row.may_limit_leases) else {
+            return now_ms >= noticed_ms + Self::UNRESPONSIVE_MS;
+        };
+        let Some(durable) = &row.runs else { return true };
+        let mut runs = worker.runs.iter().map(|key| &self.runs[*key].id);
+        let is_old = now_ms >= row.written_ms + Self::REFRESH_MS && now_ms < worker.lease_expiry_ms;
+        (is_old && !worker.runs.is_empty())
+            || durable.len() != worker.runs.len()
+            || !runs.all(|run| durable.contains(run))
     }
 
     /// Adds the rows that are due to a write: first removals, after which workers get tasks again, then workers that reply,
@@ -289,8 +290,8 @@
             // The write may take effect although it seems to fail.
             let row = self.last_runs.rows.entry(id.clone()).or_default();
             row.runs = None;
-            if last.lease_left_ms.is_some() {
-                row.may_limit_leases = true;
+            row.written_ms = now_ms;
+            if last.lease_left_ms.is_some() && !std::mem::replace(&mut row.may_limit_leases, true) {
                 self.log_lines
                     .push(format!("last_runs_written worker={id} runs={}", last.runs.len()));
             }
--- a/crates/domain/tests/engine/silent_workers.rs
+++ b/crates/domain/tests/engine/silent_workers.rs
@@ -149,6 +149,18 @@
     }
 }
 
+/// Guards against a task that waits for the lease of a lost worker as it was when its row was first written, as if the
+/// time until the takeover had not passed.
+#[test]
+fn wait_for_a_lease_includes_the_time_before_the_takeover() {
+    let (mut sim, long, _) = with_silent_worker(5_000);
+    sim.take_over();
+    let waited_ms = sim.run_until(12_000, |sim| sim.starts_of(&format!("{long}.0.0.1")) == 2);
+    // The lease of 6 s ends 1 s after the takeover; the row says so within a second.
+    assert!(waited_ms <= 2_500, "{waited_ms} ms");
+    sim.assert_no_violations();
+}
+
 /// Guards against a row that still names a run which has ended: the later run of the task elsewhere would be stopped.
 #[rstest]
 fn later_run_of_a_task_goes_on_beside_a_row_that_names_the_former(#[values(false, true)] is_gang: bool) {
