fix(domain): a failure that a crash hides counts as no confirmed crash of a task that lasts

Cause: callers see a sound service shown as failed. A task that lasts and fails now and then may have failed just before its worker crashed, which loses the report of that end; the crash counted as confirmed, and three of them give a job up. Ruled out: the same for finite tasks; their expected end is taken into account, and each failure uses up an attempt. Change: such a crash is unconfirmed if the task has failed before and its run has outlived the probation. Before / after: failed_runs_of_a_task_that_lasts_count_as_no_crash failed (job given up after three crashes with none of its runs on them) and passes; 70 tests of worker_crashes pass.

--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod adopt;
 mod candidate;
 mod commits;
+mod crash_evidence;
 mod crashes;
 mod explain;
 mod finished;
--- a/crates/domain/tests/engine/worker_crashes.rs
+++ b/crates/domain/tests/engine/worker_crashes.rs
@@ -157,6 +157,35 @@
     sim.assert_no_violations();
 }
 
+/// Guards against a task that lasts and fails now and then, and is given up because workers crash after it had ended there.
+#[test]
+fn failed_runs_of_a_task_that_lasts_count_as_no_crash() {
+    let fail_run = |sim: &mut Simulation| {
+        let runs = sim.workers.values_mut().flat_map(|worker| &mut worker.runs);
+        runs.for_each(|run| run.fails = true);
+    };
+    let mut sim = Simulation::new(1, 4);
+    let mut lasting = job("a", 1, step(1, 1, 600_000));
+    lasting.steps[0].is_long_running = true;
+    let id = sim.submit(lasting);
+    let task = format!("{id}.0.0.0");
+    sim.run_for(1_000);
+    fail_run(&mut sim);
+    for _ in 0..3 {
+        sim.run_for(1_500);
+        let worker = sim.worker_of_task(&task);
+        sim.workers.get_mut(&worker).unwrap().is_unresponsive = true;
+        fail_run(&mut sim);
+        sim.run_until(500, |sim| sim.workers_of(&id).is_empty());
+        sim.restart(&worker);
+        sim.workers.get_mut(&worker).unwrap().is_unresponsive = false;
+        sim.run_until(20_000, |sim| !sim.workers_of(&id).is_empty());
+    }
+    sim.run_for(1_000);
+    assert_ne!(sim.state(&id), JobState::Failed, "{}", sim.log_lines.join("\n"));
+    sim.assert_no_violations();
+}
+
 /// Guards against a long job that is given up because its workers crashed three times in hours.
 #[test]
 fn crashes_before_a_long_run_are_forgotten() {
