fix(domain): starts do not wait for rows that the store refuses or is slow to write

Rows share a transaction with the progress of jobs. If the store refuses it within milliseconds, no write counts as slow, the bound stays as it is, and no task of any job starts (LOST). Change: a start that has waited 250 ms for its row lifts the bound, whose write has a transaction of its own. Rows for which starts wait are written in the order of the queue, before removals and rewrites; a gang is sent once all its members are listed; a dropped start takes its trial back; a row that cannot be read, like a gang that is ending, is no longer taken for what it is not by a successor, and failed runs in a row are skipped. Before / after: starts_do_not_wait_for_writes_that_are_refused failed (no start within 1.5 s) and passes; 199 tests of the engine pass. The other points were found by reading, without a run that shows them.

--- a/crates/domain/src/engine/listed_starts.rs
+++ b/crates/domain/src/engine/listed_starts.rs
@@ -1,7 +1,7 @@
 use super::keys::RunKey;
 use super::place::Barrier;
 use super::queue::PlacementUnitKey;
-use super::{Engine, RunState, Worker, WorkerKey};
+use super::{Engine, Run, RunState, Worker, WorkerKey};
 use crate::{Action, Commit, Limits, StartCommand};
 
 /// Start whose run has to be listed in the row of its worker before the command is sent.
@@ -9,6 +9,8 @@
 pub(super) struct ListedStart {
     pub run: RunKey,
     pub command: StartCommand,
+    /// When the run was placed.
+    pub placed_ms: u64,
 }
 
 /// Starts that wait for the rows of their workers.
@@ -16,9 +18,16 @@
 /// A successor that cannot reach a worker has to keep every task from starting that may be on it. It knows these tasks
 /// if each run is durable in the row of its worker before the start command is sent.
 impl Engine {
+    /// Time after which starts no longer wait for rows; the store normally answers within milliseconds.
+    const MAX_START_WAIT_MS: u64 = 250;
+
     /// Sends a start command once its run is listed, or at once if starts need not be listed.
     pub(super) fn send_start(&mut self, run: RunKey, command: StartCommand, now_ms: u64) {
-        self.listed_starts.push(ListedStart { run, command });
+        self.listed_starts.push(ListedStart {
+            run,
+            command,
+            placed_ms: now_ms,
+        });
         if self.start_bound.requires_listing(now_ms) {
             self.last_runs.awaits_rows = true;
         } else {
@@ -31,30 +40,60 @@
         let requires_listing = self.start_bound.requires_listing(now_ms);
         let is_list_stale = self.stale_worker_list_ms(now_ms).is_some();
         let mut waiting = Vec::new();
+        let mut awaits_rows = false;
         for start in std::mem::take(&mut self.listed_starts) {
             let Some(run) = self.runs.get(start.run) else {
                 continue;
             };
+            let awaits_row = requires_listing && !self.is_start_listed(run);
             if run.state != RunState::Starting || !self.may_still_start_on(run.worker, now_ms) {
-                self.remove_run(start.run, now_ms);
-            } else if is_list_stale || (requires_listing && !run.is_listed) {
+                self.drop_start(start.run, now_ms);
+            } else if awaits_row || is_list_stale {
+                if awaits_row && now_ms >= start.placed_ms + Self::MAX_START_WAIT_MS {
+                    self.start_bound.lift(now_ms);
+                }
+                awaits_rows |= awaits_row;
                 waiting.push(start);
             } else {
                 self.send_listed_start(start, now_ms);
             }
         }
-        self.last_runs.awaits_rows = !waiting.is_empty();
+        self.last_runs.awaits_rows = awaits_rows;
         self.listed_starts = waiting;
     }
 
-    fn send_listed_start(&mut self, ListedStart { run: key, mut command }: ListedStart, now_ms: u64) {
+    /// Returns whether a run and, as a gang starts as a whole, the other members of its gang are listed.
+    fn is_start_listed(&self, run: &Run) -> bool {
+        let is_gang = self.job_of(run).spec.steps[run.step as usize].is_gang;
+        let Some(state) = self.step_of(run).filter(|_| is_gang) else {
+            return run.is_listed;
+        };
+        let mut members = state.active.iter().flatten().map(|key| &self.runs[*key]);
+        members.all(|member| member.is_listed || !member.is_unsent)
+    }
+
+    /// Removes a run whose start command was not sent.
+    fn drop_start(&mut self, key: RunKey, now_ms: u64) {
+        let Some(run) = self.runs.get(key) else { return };
+        let (job, has_trial) = (run.job, run.is_suspect);
+        self.remove_run(key, now_ms);
+        if has_trial && self.jobs.contains_key(job) {
+            // A successor would count a crash under the trial that may be durable.
+            self.mark_dirty(job, now_ms);
+        }
+    }
+
+    fn send_listed_start(&mut self, start: ListedStart, now_ms: u64) {
+        let ListedStart {
+            run: key, mut command, ..
+        } = start;
         let limits = self.limits;
         let run = &mut self.runs[key];
         let worker_key = run.worker;
         let unit = PlacementUnitKey::new(run.job, run.occurrence, run.step);
         let worker = &mut self.workers[worker_key];
         let Some(lease_until_ms) = worker.lease_until_ms(now_ms, limits.lease_max_ms, Limits::CLOCK_DRIFT) else {
-            self.remove_run(key, now_ms);
+            self.drop_start(key, now_ms);
             return;
         };
         run.is_unsent = false;
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -199,7 +199,7 @@
     /// Returns counters since the start of the epoch, and gauges.
     pub fn stats(&self) -> EngineStats {
         let mut stats = self.stats;
-        stats.running = (self.runs.len() - self.listed_starts.len()) as u64;
+        stats.running = self.runs.len().saturating_sub(self.listed_starts.len()) as u64;
         stats.workers = self.workers.len() as u64;
         stats.open_jobs = self.jobs.values().filter(|job| !job.is_final()).count() as u64;
         stats
--- a/crates/domain/src/engine/unresponsive.rs
+++ b/crates/domain/src/engine/unresponsive.rs
@@ -1,3 +1,5 @@
+use std::collections::HashMap;
+
 use compact_str::CompactString;
 use indexmap::IndexMap;
 
@@ -191,9 +193,12 @@
         let Some(state) = self.step_mut(job, name.occurrence, name.step) else {
             return false;
         };
-        if is_gang && state.gang_run.is_some_and(|run| run > task_run.run) {
+        let slot = if is_gang { 0 } else { name.index as usize };
+        let has_ended = state.failed[slot].contains(&task_run.run);
+        if has_ended || (is_gang && state.gang_run.is_some_and(|run| run > task_run.run)) {
             return false;
         }
+        let is_gang_ending = state.is_gang_ending;
         let is_suspect = state.is_suspect(name.index);
         let run = Run {
             job,
@@ -218,6 +223,9 @@
                 state.gang_run = Some(task_run.run);
             }
         }
+        if is_gang_ending {
+            self.stop_run(key, now_ms);
+        }
         true
     }
 
@@ -260,8 +268,8 @@
             || !runs.all(|run| durable.contains(run))
     }
 
-    /// Adds the rows that are due to a write: first removals, after which workers get tasks again, then workers that reply,
-    /// then those about which the store holds no row of this epoch.
+    /// Adds the rows that are due to a write: first those for which starts wait, in the order of the queue, then of workers
+    /// that reply, then of those about which the store holds no row of this epoch. Removals take at most half.
     pub(super) fn add_last_runs_to(&mut self, commit: &mut Commit, now_ms: u64) {
         if !std::mem::take(&mut self.last_runs.is_due) && !self.last_runs.awaits_rows {
             return;
@@ -269,19 +277,33 @@
         let used = commit.entries() + Commit::REVISION_ENTRIES + Self::JOB_ENTRIES;
         let most = Self::LAST_RUNS_PER_COMMIT.min(Commit::MAX_ENTRIES.saturating_sub(used));
         let ids = self.last_runs.rows.keys();
-        commit.remove_last_runs = ids.filter(|id| self.is_row_outdated(id)).take(most).cloned().collect();
-        let mut due: Vec<&Worker> = self
+        let outdated = ids.filter(|id| self.is_row_outdated(id));
+        commit.remove_last_runs = outdated.take(most / 2).cloned().collect();
+        let mut ranks = HashMap::new();
+        for (rank, start) in self.listed_starts.iter().enumerate() {
+            if let Some(run) = self.runs.get(start.run) {
+                ranks.entry(run.worker).or_insert(rank);
+            }
+        }
+        let mut due: Vec<(WorkerKey, &Worker)> = self
             .workers
-            .values()
-            .filter(|worker| self.needs_row(worker, now_ms))
+            .iter()
+            .filter(|(_, worker)| self.needs_row(worker, now_ms))
             .collect();
-        due.sort_by_key(|worker| {
+        due.sort_by_key(|(key, worker)| {
             let row = self.last_runs.rows.get(&worker.entry.id);
-            (worker.noticed_silent_ms, row.is_some_and(|row| row.runs.is_some()))
+            let has_silence_row = row.is_some_and(|row| row.may_limit_leases && row.runs.is_some());
+            let rank = ranks.get(key).copied().unwrap_or(usize::MAX);
+            (
+                rank,
+                worker.noticed_silent_ms.is_some(),
+                has_silence_row,
+                worker.noticed_silent_ms,
+            )
         });
         due.truncate(most - commit.remove_last_runs.len());
         let mut entries = 0;
-        let rows = due.into_iter().map_while(|worker| {
+        let rows = due.into_iter().map_while(|(_, worker)| {
             entries += worker.runs.len();
             let is_first = entries == worker.runs.len();
             (is_first || entries <= Self::LAST_RUN_ENTRIES).then(|| self.last_runs_row(worker, now_ms))
--- a/crates/domain/tests/engine/listed_starts.rs
+++ b/crates/domain/tests/engine/listed_starts.rs
@@ -102,3 +102,17 @@
     assert_eq!(serde_json::from_str::<StartBoundRow>(&listed).unwrap(), row(true));
     assert!(serde_json::from_str::<u64>(&listed).is_err(), "{listed}");
 }
+
+/// Guards against starts that wait for ever while the store refuses the writes of other rows.
+#[test]
+fn starts_do_not_wait_for_writes_that_are_refused() {
+    let mut sim = Simulation::new(2, 2);
+    let first = sim.submit(job("a", 1, step(2, 2, 60_000)));
+    sim.run_until(1_000, |sim| sim.workers_of(&first).len() == 1);
+    sim.run_for(500);
+    assert!(sim.start_bound.unwrap().are_runs_listed);
+    sim.are_commits_refused = true;
+    let second = sim.submit(job("b", 1, step(2, 2, 60_000)));
+    sim.run_until(1_500, |sim| !sim.workers_of(&second).is_empty());
+    sim.assert_no_violations();
+}
--- a/crates/node/src/driver/feeds.rs
+++ b/crates/node/src/driver/feeds.rs
@@ -5,7 +5,7 @@
 use actix::Addr;
 use actix_rt::time::sleep;
 use compact_str::CompactString;
-use domain::{Job, Progress, StoredJob};
+use domain::{Job, LastRuns, Progress, StartBoundRow, StoredJob};
 
 use super::{Input, SchedulerDriver};
 use crate::clock::boot_ms;
@@ -57,13 +57,18 @@
         .filter_map(|row| Some((row.key.clone(), decode::<CompactString>(row)?)))
         .collect();
     driver.do_send(Input::UsedWorkers(used));
-    let last_runs = rows_of(LAST_RUNS)
+    let last_runs: Vec<(CompactString, LastRuns)> = rows_of(LAST_RUNS)
         .filter_map(|row| Some((row.key.clone(), decode(row)?)))
         .collect();
+    let are_rows_complete = last_runs.len() == rows_of(LAST_RUNS).count();
     driver.do_send(Input::LastRuns(last_runs));
     let revision = rows_of(USED_WORKERS_REVISION).next().map_or(0, |row| row.version);
     driver.do_send(Input::UsedWorkersRevision(revision));
-    let bound = rows_of(START_BOUND).find_map(|row| Some((decode(row)?, row.version)));
+    let mut bound = rows_of(START_BOUND).find_map(|row| Some((decode::<StartBoundRow>(row)?, row.version)));
+    if let Some((row, _)) = &mut bound {
+        // A worker whose row cannot be read may run anything.
+        row.are_runs_listed &= are_rows_complete;
+    }
     driver.do_send(Input::FormerStartBound(bound));
     let pending = rows_of(PENDING)
         .filter_map(|row| Some((row.key.clone(), decode::<u64>(row)?)))
