fix(domain): no task starts while the feed of jobs is too old, as its job may have been cancelled

The holder's feed of jobs waits 2 s for changes and times out 2 s later, after more than `contact_ms`; until then nothing keeps jobs from starting whose cancellations it has not read. Ruled out: a shorter wait alone (the next channel may be silent as well, and a silence ends after up to 2.7 s); by reading, refusals by the store as a sign that the feed is sound, as the rates of calls may be exceeded. Change: starts, also those that are placed and not sent, need a feed of jobs that was confirmed at most 4/5 of `contact_ms` ago, as they need the list of workers; the age counts from the request. Both ages share one type. The feed waits 700 ms at most, less by what the former reply was late, and not at all after a failure or a takeover, so that a slow or returning store confirms early. An idle holder calls once in 0.7 s instead of 2 s. `explain` and the log name a stale feed.

--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -158,6 +158,7 @@
         WaitCause::UnsavedCrash => "the store to confirm the crash of a worker under one of its tasks".into(),
         WaitCause::Isolation => "a worker without other new work, as a worker crashed under one of its tasks".into(),
         WaitCause::StaleWorkerList { age_ms } => format!("the list of workers, which is {age_ms} ms old"),
+        WaitCause::StaleJobs { age_ms } => format!("the feed of jobs, which is {age_ms} ms old"),
         WaitCause::SilentWorkers { workers } => {
             format!("workers of an earlier epoch that do not answer: {}", workers.join(", "))
         }
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -108,6 +108,9 @@
         if let Some(age_ms) = self.stale_worker_list_ms(now_ms) {
             return WaitCause::StaleWorkerList { age_ms };
         }
+        if let Some(age_ms) = self.stale_jobs_ms(now_ms) {
+            return WaitCause::StaleJobs { age_ms };
+        }
         let unit = self.unit_of(key, occurrence, step, now_ms);
         let candidates = self.candidates(now_ms);
         let usable: Vec<_> = candidates
--- a/crates/domain/src/engine/listed_starts.rs
+++ b/crates/domain/src/engine/listed_starts.rs
@@ -29,7 +29,7 @@
     /// Sends the start commands that wait for nothing any more, and drops those that must not be sent.
     pub(super) fn send_listed_starts(&mut self, now_ms: u64) {
         let requires_listing = self.start_bound.requires_listing(now_ms);
-        let is_list_stale = self.stale_worker_list_ms(now_ms).is_some();
+        let has_stale_feed = self.has_stale_feed(now_ms);
         let mut waiting = Vec::new();
         for start in std::mem::take(&mut self.listed_starts) {
             let Some(run) = self.runs.get(start.run) else {
@@ -37,7 +37,7 @@
             };
             if run.state != RunState::Starting || !self.may_still_start_on(run.worker, now_ms) {
                 self.remove_run(start.run, now_ms);
-            } else if is_list_stale || (requires_listing && !run.is_listed) {
+            } else if has_stale_feed || (requires_listing && !run.is_listed) {
                 waiting.push(start);
             } else {
                 self.send_listed_start(start, now_ms);
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -104,27 +104,34 @@
 
     /// Takes note of a reply of the store that held all changes of the list of workers up to `as_of_ms`.
     pub fn confirm_worker_list(&mut self, as_of_ms: u64) {
-        self.workers_confirmed_ms = self.workers_confirmed_ms.max(as_of_ms);
-        self.is_schedule_due |= self.is_worker_list_stale;
+        self.is_schedule_due |= self.worker_list_freshness.confirm(as_of_ms);
+    }
+
+    /// Takes note of a reply of the store that held all new jobs and cancellations up to `as_of_ms`.
+    pub fn confirm_jobs(&mut self, as_of_ms: u64) {
+        self.is_schedule_due |= self.jobs_freshness.confirm(as_of_ms);
     }
 
     /// Returns the age of the list of workers if it is too old for new starts: a worker may have shrunk since.
     pub(super) fn stale_worker_list_ms(&self, now_ms: u64) -> Option<u64> {
-        let age_ms = now_ms.saturating_sub(self.workers_confirmed_ms);
-        (age_ms > self.limits.worker_list_age_max_ms).then_some(age_ms)
-    }
-
-    /// Returns whether the list of workers is new enough for starts; logs when that changes.
-    pub(super) fn is_worker_list_current(&mut self, now_ms: u64) -> bool {
-        let stale_ms = self.stale_worker_list_ms(now_ms);
-        if stale_ms.is_some() != self.is_worker_list_stale {
-            self.is_worker_list_stale = stale_ms.is_some();
-            self.log_lines.push(stale_ms.map_or_else(
-                || "worker_list_current".to_owned(),
-                |age_ms| format!("worker_list_stale age_ms={age_ms}"),
-            ));
-        }
-        stale_ms.is_none()
+        self.worker_list_freshness.stale_ms(now_ms)
+    }
+
+    /// Returns the age of the newest known cancellations if it is too high for new starts: jobs may be cancelled since.
+    pub(super) fn stale_jobs_ms(&self, now_ms: u64) -> Option<u64> {
+        self.jobs_freshness.stale_ms(now_ms)
+    }
+
+    /// Returns whether the list of workers or what is known of jobs is too old for starts.
+    pub(super) fn has_stale_feed(&self, now_ms: u64) -> bool {
+        self.stale_worker_list_ms(now_ms).is_some() || self.stale_jobs_ms(now_ms).is_some()
+    }
+
+    /// Returns whether the list of workers and what is known of jobs are new enough for starts; logs when that changes.
+    pub(super) fn has_current_feeds(&mut self, now_ms: u64) -> bool {
+        self.log_lines.extend(self.worker_list_freshness.log_line(now_ms));
+        self.log_lines.extend(self.jobs_freshness.log_line(now_ms));
+        !self.has_stale_feed(now_ms)
     }
 
     /// Adds or updates a worker from its entry in the platform's list.
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod finished;
 mod forecast;
+mod freshness;
 mod gangs;
 mod health;
 mod hints;
@@ -58,7 +59,6 @@
 
 /// Scheduler of one domain: the jobs and workers of a region.
 #[derive(Debug)]
-#[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
 pub struct Engine {
     epoch: u64,
     limits: Limits,
@@ -95,10 +95,10 @@
     finished: finished::FinishedJobs,
     is_loaded: bool,
     took_over_ms: u64,
-    /// Time as of which the list of workers, and so their capacity, was last confirmed to be the newest.
-    workers_confirmed_ms: u64,
-    /// The list of workers is too old for new starts.
-    is_worker_list_stale: bool,
+    /// Age of the list of workers: one may have shrunk since.
+    worker_list_freshness: freshness::Freshness,
+    /// Age of what is known of jobs: one may have been cancelled since.
+    jobs_freshness: freshness::Freshness,
     /// Time by which all former schedulers have stopped acting.
     former_acts_until_ms: u64,
     next_schedule_ms: u64,
@@ -159,8 +159,8 @@
             finished: finished::FinishedJobs::default(),
             is_loaded: false,
             took_over_ms: now_ms,
-            workers_confirmed_ms: 0,
-            is_worker_list_stale: false,
+            worker_list_freshness: freshness::Freshness::new("worker_list", limits.worker_list_age_max_ms),
+            jobs_freshness: freshness::Freshness::new("jobs", limits.jobs_age_max_ms),
             former_acts_until_ms: now_ms + limits.store_grace_ms,
             next_schedule_ms: now_ms,
             is_schedule_due: true,
@@ -250,7 +250,7 @@
             self.note_idle_steps(now_ms);
             self.check_health(now_ms);
             self.move_off_draining_workers(now_ms);
-            if self.is_worker_list_current(now_ms) {
+            if self.has_current_feeds(now_ms) {
                 self.move_slow_work(now_ms);
                 self.place_all(now_ms);
             }
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -74,6 +74,11 @@
         /// Age of the list.
         age_ms: u64,
     },
+    /// The feed of jobs could not be read for this long, so the job may have been cancelled.
+    StaleJobs {
+        /// Age of the newest known cancellations.
+        age_ms: u64,
+    },
     /// Workers that an earlier epoch used are unresponsive; tasks of the job may run there.
     SilentWorkers {
         /// Their ids.
@@ -117,6 +122,7 @@
             Self::UnsavedCrash => "unsaved_crash",
             Self::Isolation => "isolation",
             Self::StaleWorkerList { .. } => "stale_worker_list",
+            Self::StaleJobs { .. } => "stale_jobs",
             Self::SilentWorkers { .. } => "silent_workers",
             Self::EarlierSteps { .. } => "earlier_steps",
             Self::FormerRun => "former_run",
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -15,6 +15,8 @@
     pub reclaim_ms: u64,
     /// Maximum age of the list of workers for new starts: a capacity that has shrunk must be respected by then.
     pub worker_list_age_max_ms: u64,
+    /// Maximum age of the newest known cancellations for new starts: a cancelled job must not start by then.
+    pub jobs_age_max_ms: u64,
     /// Retention of the rows of a job in a final state.
     pub keep_finished_ms: u64,
     /// Maximum size of a row's value in the store.
@@ -54,6 +56,7 @@
             remote_factor: 3.0,
             reclaim_ms: 2_700,
             worker_list_age_max_ms: 2_400,
+            jobs_age_max_ms: 2_400,
             keep_finished_ms: 600_000,
             value_bytes_max: 49_152,
         }
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod progress_rows;
 mod random_faults;
 mod random_load;
+mod silent_job_feed;
 mod silent_workers;
 mod simulation;
 mod takeover;
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -82,6 +82,8 @@
     pub is_list_late: bool,
     /// Whether the list of workers cannot be read.
     pub is_list_unreadable: bool,
+    /// Whether the feed of jobs and cancellations delivers nothing.
+    pub is_job_feed_silent: bool,
     /// Time by which the former scheduler has stopped acting, if a new one knows it.
     pub former_acts_until_ms: Option<u64>,
     /// Whether the store refuses writes.
@@ -193,6 +195,7 @@
             records: BTreeMap::new(),
             is_list_late: false,
             is_list_unreadable: false,
+            is_job_feed_silent: false,
             former_acts_until_ms: None,
             is_store_down: false,
             start_delay_ms: None,
@@ -316,7 +319,17 @@
 
     pub fn cancel(&mut self, id: &str) {
         self.store.get_mut(id).expect("the job was submitted").is_cancelled = true;
-        self.engine.cancel(id, self.now_ms);
+        if !self.is_job_feed_silent {
+            self.engine.cancel(id, self.now_ms);
+        }
+    }
+
+    /// Ends a silence of the feed of jobs, which then delivers the cancellations.
+    pub fn restore_job_feed(&mut self) {
+        self.is_job_feed_silent = false;
+        for stored in self.store.values().filter(|stored| stored.is_cancelled) {
+            self.engine.cancel(&stored.job.id, self.now_ms);
+        }
     }
 
     pub fn state(&self, id: &str) -> JobState {
@@ -364,6 +377,9 @@
         if !self.is_list_unreadable {
             self.engine.confirm_worker_list(self.now_ms);
         }
+        if !self.is_job_feed_silent {
+            self.engine.confirm_jobs(self.now_ms);
+        }
         self.engine.tick(self.now_ms, self.now_ms, true);
         let now_ms = self.now_ms;
         self.log_lines.extend(
--- a/crates/domain/tests/engine/simulation/idle_tasks.rs
+++ b/crates/domain/tests/engine/simulation/idle_tasks.rs
@@ -73,6 +73,7 @@
         (is_changed && !is_first_step)
             || self.is_store_down
             || self.is_list_unreadable
+            || self.is_job_feed_silent
             || self.has_stale_reports
             || self.lose_starts > 0
             || self.lose_commit_replies > 0
--- a/crates/node/src/driver/feeds.rs
+++ b/crates/node/src/driver/feeds.rs
@@ -83,6 +83,7 @@
     shared: &SharedRef<S, W>,
     driver: &Addr<SchedulerDriver<S, W>>,
 ) -> Option<u64> {
+    let requested_ms = boot_ms();
     let (rows, after) = read_until_success(shared, driver, &shared.parts.of_jobs(JOBS)).await?;
     let (progress, _) = read_until_success(shared, driver, &shared.parts.of_jobs(PROGRESS)).await?;
     let progress: HashMap<_, _> = progress.iter().map(|row| (row.key.clone(), row)).collect();
@@ -110,6 +111,7 @@
     spdlog::info!("rows_loaded", kv: { jobs = jobs.len(), cancels = cancels.len(), version = after });
     driver.do_send(Input::Jobs(jobs));
     driver.do_send(Input::Cancels(cancels));
+    driver.do_send(Input::JobsConfirmed(requested_ms));
     Some(after)
 }
 
@@ -119,15 +121,22 @@
     driver: Addr<SchedulerDriver<S, W>>,
     mut after: u64,
 ) {
-    const FEED_WAIT_MS: u64 = 2_000;
+    const FEED_WAIT_MAX_MS: u64 = 700;
     // Jobs that arrive within this time are fetched with one call.
     const BATCH_INTERVAL: Duration = Duration::from_millis(15);
+    let mut wait_ms = 0;
     while driver.connected() {
-        let changes = shared.store.changes(JOBS, after, FEED_WAIT_MS);
-        match shared.feed(FEED_WAIT_MS, changes).await {
+        let requested_ms = boot_ms();
+        let changes = shared.store.changes(JOBS, after, wait_ms);
+        let result = shared.feed(wait_ms, changes).await;
+        // Starts wait for a reply: after a failure it has to come at once, and a slow store is given less time to wait.
+        let late_ms = boot_ms().saturating_sub(requested_ms + wait_ms);
+        wait_ms = result.as_ref().map_or(0, |_| FEED_WAIT_MAX_MS.saturating_sub(late_ms));
+        match result {
             Ok(page) => {
                 after = page.version;
                 if page.items.is_empty() {
+                    driver.do_send(Input::JobsConfirmed(requested_ms));
                     continue;
                 }
                 let mut jobs = Vec::new();
@@ -156,6 +165,9 @@
                 }
                 driver.do_send(Input::Jobs(jobs));
                 driver.do_send(Input::Cancels(cancels));
+                if !page.has_more {
+                    driver.do_send(Input::JobsConfirmed(requested_ms));
+                }
                 sleep(BATCH_INTERVAL).await;
             }
             Err(FeedError::HistoryLost) => {
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -26,6 +26,8 @@
     Jobs(Vec<StoredJob>),
     /// Ids of jobs to cancel.
     Cancels(Vec<CompactString>),
+    /// All jobs and cancellations up to this time have been passed on.
+    JobsConfirmed(u64),
     /// Durable number of pending jobs per queue.
     Pending(Vec<(CompactString, u64)>),
     /// Durable facts about maintenance waves.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -332,11 +332,8 @@
                     self.engine.add_job(job, now_ms, unix_ms());
                 }
             }
-            Input::Cancels(ids) => {
-                for id in ids {
-                    self.engine.cancel(&id, now_ms);
-                }
-            }
+            Input::Cancels(ids) => ids.iter().for_each(|id| self.engine.cancel(id, now_ms)),
+            Input::JobsConfirmed(as_of_ms) => self.engine.confirm_jobs(as_of_ms),
             Input::Pending(counts) => {
                 for (route, count) in counts {
                     self.engine.set_written_pending(&route, count);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -46,6 +46,8 @@
     pub txns: RefCell<Vec<Txn>>,
     /// The store answers no calls.
     pub is_unresponsive: Cell<bool>,
+    /// The channels on which changes of jobs are awaited deliver nothing; only a time-out of the caller shows it.
+    pub is_job_feed_silent: Cell<bool>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -171,8 +173,13 @@
 
     async fn changes(&self, table: &'static str, after: u64, wait_ms: u64) -> Result<RowsPage, FeedError> {
         const POLL_INTERVAL: Duration = Duration::from_millis(5);
+        const TIMEOUT: Duration = Duration::from_secs(2);
         for _ in 0..=(wait_ms / 5) {
             self.check_responsive().await?;
+            if table == "jobs" && self.0.is_job_feed_silent.get() {
+                sleep(TIMEOUT + Duration::from_millis(wait_ms)).await;
+                return Err(StoreError::NoReply.into());
+            }
             let rows = self.select(table, None, after);
             if !rows.is_empty() {
                 return Ok(self.page(rows));
