--- a/crates/domain/src/engine/listed_starts.rs
+++ b/crates/domain/src/engine/listed_starts.rs
@@ -38,7 +38,7 @@
     /// Sends the start commands that wait for nothing any more, and drops those that must not be sent.
     pub(super) fn send_listed_starts(&mut self, now_ms: u64) {
         let requires_listing = self.start_bound.requires_listing(now_ms);
-        let is_list_stale = self.stale_worker_list_ms(now_ms).is_some();
+        let has_stale_feed = self.has_stale_feed(now_ms);
         let mut waiting = Vec::new();
         let mut awaits_rows = false;
         for start in std::mem::take(&mut self.listed_starts) {
@@ -48,7 +48,7 @@
             let awaits_row = requires_listing && !self.is_start_listed(run);
             if run.state != RunState::Starting || !self.may_still_start_on(run.worker, now_ms) {
                 self.drop_start(start.run, now_ms);
-            } else if awaits_row || is_list_stale {
+            } else if awaits_row || has_stale_feed {
                 if awaits_row && now_ms >= start.placed_ms + Self::MAX_START_WAIT_MS {
                     self.start_bound.lift(now_ms);
                 }
