--- a/crates/domain/src/engine/start_bound.rs
+++ b/crates/domain/src/engine/start_bound.rs
@@ -18,7 +18,7 @@
     confirmed: u64,
     /// The store says that all starts are listed.
     are_runs_listed: bool,
-    /// The store may say that all starts are listed; it does if this is not set by a write whose outcome is unknown.
+    /// The store may say so, as it does or the outcome of a write is unknown.
     may_say_listed: bool,
     /// Version of the newest open job that was read.
     requested: u64,
