--- a/crates/domain/src/engine/unresponsive.rs
+++ b/crates/domain/src/engine/unresponsive.rs
@@ -60,9 +60,9 @@
 
 /// Unresponsive workers across a takeover.
 ///
-/// A successor does not know what a worker runs that does not reply. The row of the worker lists its runs, see
-/// [`super::listed_starts`]. If it stays unresponsive, the scheduler adds to the row when its leases end, and neither
-/// renews them nor starts anything there until the row is written anew or its removal is durable.
+/// A successor does not know what a worker runs that does not reply. The row of the worker lists its runs. If it stays
+/// unresponsive, the scheduler adds to the row when its leases end, and neither renews them nor starts anything there until
+/// the row is written anew or its removal is durable.
 impl Engine {
     /// Time from the first failed renewal after which the runs of a worker are written. One that replies sooner gets tasks
     /// at once, without waiting for the removal of a row.
