--- a/crates/domain/tests/engine/random_faults.rs
+++ b/crates/domain/tests/engine/random_faults.rs
@@ -254,3 +254,10 @@
 fn crashes_are_counted_although_a_takeover_follows_most_starts() {
     run_random_crashes(1_073);
 }
+
+/// Guards against a task that crashes workers and is started once too often because faults beside it hide some of the
+/// crashes.
+#[test]
+fn crashes_are_counted_beside_faults_that_hide_them() {
+    run_random_crashes(2_313);
+}
