--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -347,3 +347,38 @@
         Verdict::Broken(facts)
     })
 }
+
+/// BUDGET, beyond the five cases: the scheduling instance is killed twice, each time soon after a task has crashed the worker
+/// that started it.
+pub fn crashes(fleet: &Fleet, is_troubled: bool) -> Result<Verdict, Failure> {
+    const AFTER_MS: u64 = 300;
+    let mut holder = fleet.wait_until_ready()?;
+    let step = r#"{"count":1,"cpu":1000,"mem_mb":128,"estimate_ms":1000}"#;
+    fleet.submit(holder, JOB, Worker::CRASHING_SPEC, step)?;
+    for start in [2, 4].into_iter().filter(|_| is_troubled) {
+        fleet.wait_until("the task starts once more", Duration::from_secs(30), || {
+            fleet.begun(JOB).len() >= start
+        })?;
+        sleep(ms(AFTER_MS));
+        holder = fleet.holder().unwrap_or(holder);
+        fleet.kill_instance(&fleet.instances[holder]);
+        sleep(ms(1_000));
+        fleet.start_instance(&fleet.instances[holder])?;
+    }
+    let other = (holder + 1) % fleet.instances.len();
+    fleet.wait_until("the job is given up", Duration::from_secs(60), || {
+        fleet.state(other, JOB).is_ok_and(|state| state == "failed")
+    })?;
+    let starts = fleet.begun(JOB);
+    let times: Vec<_> = starts.iter().map(|run| run.at_ms).collect();
+    let facts = format!(
+        "{} starts, each of which crashed its worker, at {times:?} ms",
+        starts.len()
+    );
+    // Three more after three workers have crashed.
+    Ok(if starts.len() >= 6 {
+        Verdict::Broken(facts)
+    } else {
+        Verdict::Held(facts)
+    })
+}
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -64,8 +64,12 @@
 
 pub type Failure = Box<dyn std::error::Error>;
 
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// Returns a free address, which stays reserved as long as the listener in `reserved`.
+fn free_address(reserved: &mut Vec<TcpListener>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr();
+    reserved.push(listener);
+    address
 }
 
 impl Fleet {
@@ -106,9 +110,11 @@
         );
         let template = fs::read_to_string("deploy/settings.json5")?;
         let mut instances = Vec::new();
+        let mut reserved = Vec::new();
         for zone in zones {
             let name = format!("edge-{zone}-1");
-            let (front, ready, peer) = (free_address()?, free_address()?, free_address()?);
+            let mut free = || free_address(&mut reserved);
+            let (front, ready, peer) = (free()?, free()?, free()?);
             let mut text = template.clone();
             let mut set = |field: &str, value: &str| text = text.replace(&format!("{{{{{field}}}}}"), value);
             set("node", &name);
@@ -149,6 +155,7 @@
         fleet.write_config();
         let beats = Arc::clone(&fleet);
         thread::spawn(move || beats.write_entries());
+        drop(reserved);
         for instance in &fleet.instances {
             fleet.start_instance(instance)?;
         }
@@ -265,9 +272,13 @@
         holder.ok_or_else(|| "no instance schedules".into())
     }
 
-    /// Place of the instance that schedules, as the first instance tells it.
+    /// Place of the instance that schedules, as the first instance that answers tells it.
     pub fn holder(&self) -> Option<usize> {
-        let (_, body) = call(self.instances[0].ready, ("GET", "/v1/instance"), &[], "").ok()?;
+        let mut answers = self
+            .instances
+            .iter()
+            .filter_map(|instance| call(instance.ready, ("GET", "/v1/instance"), &[], "").ok());
+        let (_, body) = answers.next()?;
         let holder = Json::parse(body.as_bytes())?.text("holder").to_owned();
         self.instances.iter().position(|instance| instance.name == holder)
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -25,6 +25,7 @@
 /// Time after which a case is given up.
 const LIMIT: Duration = Duration::from_secs(110);
 
+/// Zones of the instances.
 const ZONES: [&str; 3] = ["colombo", "gampaha", "kalutara"];
 
 /// Returns the number of workers in each zone.
@@ -48,6 +49,7 @@
         "zone-loss" => cases::zone_loss(&fleet, is_troubled),
         "hang" => cases::hang(&fleet, is_troubled),
         "kind" => cases::kind(&fleet, is_troubled),
+        "crashes" => cases::crashes(&fleet, is_troubled),
         "wave" => cases::wave(&fleet, is_troubled),
         _ => Err(format!("no case {case}").into()),
     };
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -61,6 +61,8 @@
     ends: Vec<End>,
     next_end: u64,
     settled: HashMap<String, u64>,
+    /// When a process that crashed under a task is back.
+    back_at: Option<Instant>,
 }
 
 impl Life {
@@ -76,6 +78,7 @@
             ends: Vec::new(),
             next_end: 1,
             settled: HashMap::new(),
+            back_at: None,
         }
     }
 
@@ -98,6 +101,9 @@
 }
 
 impl Worker {
+    /// Payload of a task that crashes each worker that starts it, before the start is answered.
+    pub const CRASHING_SPEC: &'static str = "crashes";
+    const DOWNTIME: Duration = Duration::from_millis(8_500);
     pub const KIND: &'static str = "a";
     pub const CPU: u64 = 32_000;
     pub const MEMORY_MB: u64 = 65_536;
@@ -129,6 +135,10 @@
             loop {
                 thread::sleep(Self::POLL);
                 watched.advance(&mut watched.life());
+                let is_back = watched.life().back_at.take_if(|at| Instant::now() >= *at).is_some();
+                if is_back {
+                    watched.restart(Self::KIND, |_| ());
+                }
             }
         });
         Ok(worker)
@@ -166,7 +176,10 @@
 
     /// Ends the process at once: what runs on it is lost.
     pub fn crash(&self) {
-        let mut life = self.life();
+        self.crash_runs(&mut self.life());
+    }
+
+    fn crash_runs(&self, life: &mut Life) {
         self.is_down.store(true, Ordering::SeqCst);
         let now_ms = self.record.line(&format!(
             "worker {} crashes with {} runs",
@@ -305,6 +318,19 @@
             kind: life.kind,
             end: None,
         });
+        if spec == Self::CRASHING_SPEC {
+            drop(log);
+            self.crash_runs(life);
+            let end = Some((at_ms, "crashed"));
+            self.log()
+                .iter_mut()
+                .rev()
+                .find(|begun| begun.at_ms == at_ms && begun.task == task)
+                .expect("it was added")
+                .end = end;
+            life.back_at = Some(Instant::now() + Self::DOWNTIME);
+            return Reply::Silence;
+        }
         let work_ms = spec.strip_prefix("work_ms=").and_then(|ms| ms.parse().ok());
         life.runs.push(Run {
             task: task.to_owned(),
