test(review): case 6, a cut and a loss of power inside their limits

Cause: the case cut a worker off for 7.5 s, which is beyond the 5.5 s that the site file has for cuts of workers. Change: the cut lasts 5.5 s; 3 s into it the worker's machine loses power for 4.5 s.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -51,8 +51,13 @@
         .ok_or_else(|| "the worker of the first job is not known".into())
 }
 
-/// TWICE: a worker is cut off while tasks are placed on it, crashes behind the cut and starts again under its id.
+/// TWICE: a worker is cut off while tasks are placed on it, its machine loses power behind the cut, and it starts again under
+/// its id after the cut has ended.
 pub fn cut(fleet: &Fleet, is_troubled: bool) -> Result<Verdict, Failure> {
+    const CUT_MS: u64 = 5_500;
+    const DARK_MS: u64 = 4_500;
+    /// Time from the loss of power to the end of the cut.
+    const OVERLAP_MS: u64 = 2_500;
     fleet.wait_until_ready()?;
     let worker = first_worker(fleet)?;
     let id = &worker.place.id;
@@ -60,15 +65,22 @@
         fleet.record.line(&format!("worker {id} is cut off"));
         worker.link.is_cut.store(true, Ordering::SeqCst);
     }
+    let cut_at_ms = fleet.record.now_ms();
     let step = r#"{"count":440,"cpu":70,"mem_mb":128,"estimate_ms":25000}"#;
     fleet.submit(0, JOB, "work_ms=25000", step)?;
     if is_troubled {
-        sleep(ms(2_000));
+        let crash_at_ms = cut_at_ms + CUT_MS - OVERLAP_MS;
+        sleep(ms(crash_at_ms.saturating_sub(fleet.record.now_ms())));
         worker.crash();
-        sleep(ms(1_500));
+        fleet
+            .record
+            .line(&format!("the machine of worker {id} is without power"));
+        sleep(ms(OVERLAP_MS));
+        fleet
+            .record
+            .line(&format!("the cut of worker {id} ends; its machine stays dark"));
+        sleep(ms(DARK_MS - OVERLAP_MS));
         worker.restart(Worker::KIND, |_| ());
-        sleep(ms(4_000));
-        fleet.record.line(&format!("the cut of worker {id} ends"));
         worker.link.is_cut.store(false, Ordering::SeqCst);
     }
     sleep(ms(8_000));
