fix(domain): starts wait in the scheduler, which checks each one right before it is sent

A worker was cut off while tasks were placed on it and lost power behind the cut. The adapter let eight commands be in flight to a worker; all others waited there without a limit of time, and nothing looked at them again. The scheduler counted from the decision, declared the runs lost when the worker's leases had certainly expired and started the tasks elsewhere; the adapter then sent the old commands to the new process of the worker, which has the same id and whose clock begins anew, so that neither the id nor the deadline rejects them. Change: the scheduler has at most eight start commands in flight to a worker. Further ones stay unsent in the scheduler and pass all checks again when a command is answered: the run is wanted, the worker answers, is not leaving and has not restarted, its capacity holds, the feeds are new enough, the row lists the run; the lease is counted from the sending. When a worker falls silent or restarts, its unsent starts are dropped, so their tasks start elsewhere at once and not after a lease. `start_dropped` says which starts were dropped, the gauge `unsent_starts` how many wait; the starts of a pass are sent together, so that their cost does not grow with the square of their number. The fake workers of the tests answer commands within a pass, as real ones do in the driver.

--- a/crates/domain/src/engine/listed_starts.rs
+++ b/crates/domain/src/engine/listed_starts.rs
@@ -21,22 +21,18 @@
     /// Time after which starts no longer wait for rows; the store normally answers within milliseconds.
     const MAX_START_WAIT_MS: u64 = 250;
 
-    /// Sends a start command once its run is listed, or at once if starts need not be listed.
-    pub(super) fn send_start(&mut self, run: RunKey, command: StartCommand, now_ms: u64) {
+    /// Adds a start; [`Self::send_listed_starts`] sends it once it waits for nothing any more.
+    pub(super) fn add_start(&mut self, run: RunKey, command: StartCommand, now_ms: u64) {
         self.listed_starts.push(ListedStart {
             run,
             command,
             placed_ms: now_ms,
         });
-        if self.start_bound.requires_listing(now_ms) {
-            self.last_runs.awaits_rows = true;
-        } else {
-            self.send_listed_starts(now_ms);
-        }
     }
 
     /// Sends the start commands that wait for nothing any more, and drops those that must not be sent.
     pub(super) fn send_listed_starts(&mut self, now_ms: u64) {
+        self.take_waiting_starts(now_ms);
         let requires_listing = self.start_bound.requires_listing(now_ms);
         let has_stale_feed = self.has_stale_feed(now_ms);
         let mut waiting = Vec::new();
@@ -54,6 +50,8 @@
                 }
                 awaits_rows |= awaits_row;
                 waiting.push(start);
+            } else if !Self::has_start_slot(&self.workers[run.worker]) {
+                self.await_start_slot(run.worker, start);
             } else {
                 self.send_listed_start(start, now_ms);
             }
@@ -73,9 +71,17 @@
     }
 
     /// Removes a run whose start command was not sent.
-    fn drop_start(&mut self, key: RunKey, now_ms: u64) {
+    pub(super) fn drop_start(&mut self, key: RunKey, now_ms: u64) {
         let Some(run) = self.runs.get(key) else { return };
         let (job, has_trial) = (run.job, run.is_suspect);
+        self.log_lines.push(format!(
+            "start_dropped task={} run={} worker={} placed_ms_ago={} state={:?}",
+            run.id.task,
+            run.id.run,
+            self.workers[run.worker].entry.id,
+            now_ms.saturating_sub(run.start_sent_ms),
+            run.state
+        ));
         self.remove_run(key, now_ms);
         if has_trial && self.jobs.contains_key(job) {
             // A successor would count a crash under the trial that may be durable.
@@ -98,6 +104,7 @@
         };
         run.is_unsent = false;
         run.start_sent_ms = now_ms;
+        worker.starts_in_flight += 1;
         worker.lease_expiry_ms = worker.lease_expiry_ms.max(now_ms + limits.lease_expiry_ms());
         self.stats.starts += 1;
         command.lease_until_ms = lease_until_ms;
@@ -109,7 +116,7 @@
     }
 
     /// Returns whether a run that was placed on a worker may still start there.
-    fn may_still_start_on(&self, worker: WorkerKey, now_ms: u64) -> bool {
+    pub(super) fn may_still_start_on(&self, worker: WorkerKey, now_ms: u64) -> bool {
         let worker = &self.workers[worker];
         let is_open = matches!(
             self.barrier(worker, now_ms),
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -36,6 +36,7 @@
 mod unresponsive;
 mod victims;
 mod waiting;
+mod waiting_starts;
 mod waves;
 mod worker;
 mod worker_loss;
@@ -93,6 +94,8 @@
     last_runs: unresponsive::LastRunRows,
     /// Starts whose runs are not listed yet.
     listed_starts: Vec<listed_starts::ListedStart>,
+    /// Starts that wait until fewer commands are in flight to their workers.
+    waiting_starts: waiting_starts::WaitingStarts,
     finished: finished::FinishedJobs,
     is_loaded: bool,
     took_over_ms: u64,
@@ -157,6 +160,7 @@
             start_bound: start_bound::StartBound::new(),
             last_runs: unresponsive::LastRunRows::default(),
             listed_starts: Vec::new(),
+            waiting_starts: waiting_starts::WaitingStarts::default(),
             finished: finished::FinishedJobs::default(),
             is_loaded: false,
             took_over_ms: now_ms,
@@ -199,7 +203,8 @@
     /// Returns counters since the start of the epoch, and gauges.
     pub fn stats(&self) -> EngineStats {
         let mut stats = self.stats;
-        stats.running = self.runs.len().saturating_sub(self.listed_starts.len()) as u64;
+        stats.unsent_starts = self.unsent_starts() as u64;
+        stats.running = (self.runs.len() as u64).saturating_sub(stats.unsent_starts);
         stats.workers = self.workers.len() as u64;
         stats.open_jobs = self.jobs.values().filter(|job| !job.is_final()).count() as u64;
         stats
@@ -252,8 +257,12 @@
             self.check_health(now_ms);
             self.move_off_draining_workers(now_ms);
             if self.has_current_feeds(now_ms) {
+                let unsent = self.listed_starts.len();
                 self.move_slow_work(now_ms);
                 self.place_all(now_ms);
+                if self.listed_starts.len() > unsent {
+                    self.send_listed_starts(now_ms);
+                }
             }
             self.throttle_background_tasks(now_ms);
             self.advance_waves(now_ms);
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -146,7 +146,7 @@
             checkpoint,
             ticket: self.ticket_for(PlacementUnitKey::new(job, occurrence, step), worker_key, now_ms),
         };
-        self.send_start(key, command, now_ms);
+        self.add_start(key, command, now_ms);
     }
 
     pub(super) fn add_run(&mut self, run: Run) -> RunKey {
@@ -218,6 +218,7 @@
         run.state = RunState::Stopping;
         if run.is_unsent {
             // It is removed before its start command would be sent.
+            self.waiting_starts.has_withdrawn = true;
             return;
         }
         if !run.is_void {
@@ -250,6 +251,7 @@
 
     /// Handles the reply to a start command.
     pub fn start_replied(&mut self, worker: WorkerKey, task_run: &TaskRun, outcome: StartOutcome, now_ms: u64) {
+        self.release_start_slot(worker);
         let Some(key) = self.run_keys.get(task_run).copied() else {
             return;
         };
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -29,8 +29,10 @@
     pub overdue_starts: u64,
     /// Unsaved work of runs that ended without completing their task, in core-milliseconds.
     pub wasted_core_ms: u64,
-    /// Current number of runs.
+    /// Current number of runs, without those whose start commands were not sent yet.
     pub running: u64,
+    /// Current number of runs whose start commands were not sent yet.
+    pub unsent_starts: u64,
     /// Current number of workers.
     pub workers: u64,
     /// Current number of jobs that are not final.
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -1,6 +1,9 @@
+use std::collections::VecDeque;
+
 use compact_str::CompactString;
 
 use super::keys::RunKey;
+use super::listed_starts::ListedStart;
 use crate::{Resources, WorkerEntry};
 
 /// Scheduler's view of a worker.
@@ -50,6 +53,10 @@
     pub is_row_outdated: bool,
     /// Number of its runs that no durable row about its last runs contains.
     pub unlisted_runs: u32,
+    /// Number of start commands that it has not answered yet.
+    pub starts_in_flight: usize,
+    /// Starts that wait until fewer commands are in flight, in the order in which they were placed.
+    pub waiting_starts: VecDeque<ListedStart>,
     /// Number of its runs of suspect tasks that are on probation; while there is one, nothing else is placed on it.
     pub isolated_runs: u32,
     /// Its process, or the one before at its address, crashed, and no run has outlived its probation since.
@@ -94,6 +101,8 @@
             runs_of_unknown_need: 0,
             is_row_outdated: false,
             unlisted_runs: 0,
+            starts_in_flight: 0,
+            waiting_starts: VecDeque::new(),
             isolated_runs: 0,
             has_crashed: false,
             failed_jobs: Vec::new(),
--- a/crates/domain/src/engine/worker_loss.rs
+++ b/crates/domain/src/engine/worker_loss.rs
@@ -67,6 +67,7 @@
         worker.clock = None;
         worker.failed_jobs.clear();
         self.unacked.swap_remove(&key);
+        self.withdraw_unsent_starts(key);
     }
 
     /// Drops the runs that ended with the former incarnation of a worker. Runs that the new one lists, and runs whose
@@ -172,6 +173,7 @@
             self.worker_ids.remove(&worker.entry.id);
             self.renewals.remove(key, worker.renew_due_ms);
             self.unacked.swap_remove(&key);
+            self.waiting_starts.workers.swap_remove(&key);
             self.commit.remove_worker(&worker.entry.id);
         }
     }
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -14,5 +14,6 @@
 mod simulation;
 mod takeover;
 mod waiting;
+mod waiting_starts;
 mod worker_crashes;
 mod workload_kinds;
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation of an engine with fake workers, a fake store and a simulated clock; checks invariants at each step.
 
 mod actions;
+mod command_link;
 mod commits;
 mod crashes;
 mod entry;
@@ -10,9 +11,11 @@
 mod maintenance;
 mod records;
 mod running;
+mod stored_rows;
 
 use std::collections::BTreeMap;
 
+use command_link::CommandLink;
 use compact_str::CompactString;
 pub use crashes::{Crashes, Return};
 use domain::{
@@ -25,27 +28,7 @@
 pub use fake_worker::FakeWorker;
 use idle_tasks::IdleTasks;
 pub use maintenance::Maintenance;
-
-/// Rows of a job in the fake store.
-#[derive(Debug, Clone)]
-pub struct StoredRows {
-    pub job: Job,
-    pub progress: Progress,
-    pub inserted_version: u64,
-    pub version: u64,
-    pub is_cancelled: bool,
-}
-
-impl StoredRows {
-    fn to_stored_job(&self) -> StoredJob {
-        StoredJob {
-            job: self.job.clone(),
-            progress: self.progress.clone(),
-            inserted_version: self.inserted_version,
-            progress_version: self.version,
-        }
-    }
-}
+pub use stored_rows::StoredRows;
 
 #[derive(Debug)]
 struct Renewal {
@@ -94,6 +77,8 @@
     pub start_delay_ms: Option<u64>,
     /// Number of next start commands that get no reply and never arrive.
     pub lose_starts: u32,
+    /// Connections on which start commands wait for replies.
+    pub command_link: CommandLink,
     /// Number of next commits whose replies are lost after they took effect.
     pub lose_commit_replies: u32,
     /// Workers that the placement service permits; all if empty.
@@ -203,6 +188,7 @@
             are_commits_refused: false,
             start_delay_ms: None,
             lose_starts: 0,
+            command_link: CommandLink::default(),
             lose_commit_replies: 0,
             permitted_workers: Vec::new(),
             hint_calls: Vec::new(),
@@ -237,6 +223,7 @@
         self.epoch += 1;
         self.version += 1;
         self.renewals.clear();
+        self.command_link.commands.clear();
         self.engine = Engine::new(self.epoch, Limits::default(), self.now_ms);
         self.engine.set_config(Config {
             organisations: vec![Organisation {
@@ -365,6 +352,7 @@
             }
             self.deliver_start(&delayed.id, delayed.epoch, &delayed.command);
         }
+        self.advance_command_link();
         self.reply_to_renewals();
         self.reply_to_hint_call();
         self.advance_maintenance();
@@ -383,6 +371,11 @@
         if !self.is_job_feed_silent {
             self.engine.confirm_jobs(self.now_ms);
         }
+        while self.advance_engine() {}
+    }
+
+    /// Runs the engine once; returns whether starts that wait for replies of workers can go on, as it has replies now.
+    fn advance_engine(&mut self) -> bool {
         self.engine.tick(self.now_ms, self.now_ms, true);
         let now_ms = self.now_ms;
         self.log_lines.extend(
@@ -391,8 +384,11 @@
                 .into_iter()
                 .map(|log_line| format!("{now_ms} {log_line}")),
         );
-        for action in self.engine.take_actions() {
+        let actions = self.engine.take_actions();
+        let has_starts = actions.iter().any(|action| matches!(action, Action::Start { .. }));
+        for action in actions {
             self.apply_action(action);
         }
+        has_starts && self.engine.stats().unsent_starts > 0
     }
 }
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -13,6 +13,9 @@
                 self.starts
                     .push((self.now_ms, command.task_run.task.clone(), id.clone()));
                 self.check_listed(&id, &command.task_run);
+                let Some(command) = self.hold_start(worker, &id, command) else {
+                    return;
+                };
                 let outcome = self.start(&id, &command);
                 self.engine
                     .start_replied(worker, &command.task_run, outcome, self.now_ms);
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -269,6 +269,7 @@
         set("overdue_starts", stats.overdue_starts);
         set("wasted_core_ms", stats.wasted_core_ms);
         set("running", stats.running);
+        set("unsent_starts", stats.unsent_starts);
         set("workers", stats.workers);
         set("open_jobs", stats.open_jobs);
         set("waiting_steps", stats.waiting_steps);
