--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -190,6 +190,11 @@
         Some((worker.entry.address.clone(), worker.entry.id.clone()))
     }
 
+    /// Returns when the process of a worker started, as it last reported, in ms since 1970.
+    pub fn process_started_unix_ms(&self, key: WorkerKey) -> Option<u64> {
+        self.workers.get(key)?.process_started_unix_ms
+    }
+
     /// Returns and clears the pending actions.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -137,6 +137,7 @@
         Some(Target {
             address,
             worker: id,
+            process_started_unix_ms: self.engine.process_started_unix_ms(worker),
             epoch: self.engine.epoch(),
         })
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -37,7 +37,8 @@
 pub use listed::{ListedInstance, ListedState, ListedWorker, Listing};
 pub use objects::Objects;
 pub use platform::{
-    ConflictBody, NoReply, PlatformClient, PlatformClientOptions, PlatformClientStats, Reply, Transport, TxnReply,
+    ConflictBody, IDLE_KEEP_ALIVE, NoReply, PlatformClient, PlatformClientOptions, PlatformClientStats, Reply,
+    Transport, TxnReply, exchange,
 };
 pub use put::Put;
 pub use resolved::Resolved;
--- a/crates/store/src/platform/mod.rs
+++ b/crates/store/src/platform/mod.rs
@@ -11,5 +11,5 @@
 pub use platform_client::PlatformClient;
 pub use platform_client_options::PlatformClientOptions;
 pub use platform_client_stats::PlatformClientStats;
-pub use transport::{NoReply, Reply, Transport};
+pub use transport::{IDLE_KEEP_ALIVE, NoReply, Reply, Transport, exchange};
 pub use txn_reply::{ConflictBody, TxnReply};
--- a/crates/store/src/platform/transport.rs
+++ b/crates/store/src/platform/transport.rs
@@ -44,8 +44,6 @@
 }
 
 impl Transport {
-    const MAX_BODY_BYTES: usize = 256 << 20;
-
     /// Creates a transport without connections.
     pub fn new(connect_timeout: Duration, timeout: Duration) -> Self {
         Self {
@@ -93,23 +91,7 @@
     ) -> Result<Reply, NoReply> {
         let client = self.client.borrow().clone();
         let generation = self.replaced.get();
-        let exchange = async {
-            let mut reply = send(build(&client)).await.map_err(|error| match error {
-                // `Disconnected` also means that the connection closed after the request was sent.
-                SendRequestError::Connect(ConnectError::Disconnected) => NoReply::Lost,
-                SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_) => NoReply::NotSent,
-                _ => NoReply::Lost,
-            })?;
-            let body = reply
-                .body()
-                .limit(Self::MAX_BODY_BYTES)
-                .await
-                .map_err(|_| NoReply::Lost)?;
-            Ok(Reply {
-                status: reply.status(),
-                body,
-            })
-        };
+        let exchange = exchange(send(build(&client)));
         // Dropping the exchange on timeout closes its connection. The connector applies the connect timeout by itself.
         if let Ok(result) = timeout(self.connect_timeout + reply_timeout, exchange).await {
             if result.is_ok() {
@@ -126,9 +108,31 @@
     }
 }
 
+/// Time after which idle connections are closed. Servers commonly close them after 5 s, and a request that races with the
+/// close counts as lost.
+pub const IDLE_KEEP_ALIVE: Duration = Duration::from_secs(4);
+
+/// Reads the complete reply to a request that is being sent.
+///
+/// # Errors
+///
+/// Returns [`NoReply`]; only [`NoReply::Lost`] leaves open whether the request took effect.
+pub async fn exchange(request: SendClientRequest) -> Result<Reply, NoReply> {
+    const MAX_BODY_BYTES: usize = 256 << 20;
+    let mut reply = request.await.map_err(|error| match error {
+        // `Disconnected` also means that the connection closed after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => NoReply::Lost,
+        SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_) => NoReply::NotSent,
+        _ => NoReply::Lost,
+    })?;
+    let body = reply.body().limit(MAX_BODY_BYTES).await.map_err(|_| NoReply::Lost)?;
+    Ok(Reply {
+        status: reply.status(),
+        body,
+    })
+}
+
 fn build_client(connect_timeout: Duration) -> Client {
-    // Servers commonly close idle connections after 5 s, and a request that races with the close counts as lost.
-    const IDLE_KEEP_ALIVE: Duration = Duration::from_secs(4);
     let connector = Connector::new()
         .timeout(connect_timeout)
         .conn_keep_alive(IDLE_KEEP_ALIVE)
