fix(node): no start is repeated after its stop, and stops do not wait for starts

Start commands waited in the adapter and were not withdrawn; stops waited in the same queue behind them and were queued again every 300 ms. Beside that, the driver repeated a start without a reply up to 0.8 s later although its stop had been ordered. A start is not repeated once its stop is ordered, nor when the lease is no longer certain or another instance has it. Stops have limits of their own, eight in flight to a worker and one to a worker that does not answer; the same stop is not sent again while one is in flight, and the one sent last comes after those not sent yet. The adapter sends stops at once. Stops and metrics get files of their own.

--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -32,6 +32,7 @@
 mod starts;
 mod stats;
 mod step_state;
+mod stops;
 mod throttle;
 mod unresponsive;
 mod victims;
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -42,6 +42,8 @@
     /// The last stop was confirmed, so that a start command that arrives late has no effect.
     pub is_void: bool,
     pub stop_sent_ms: Option<u64>,
+    /// A stop command was sent and is not answered yet.
+    pub is_stop_in_flight: bool,
     pub checkpoint: Option<CompactString>,
     /// It resumed from a checkpoint, or started before this epoch.
     pub resumed: bool,
@@ -86,6 +88,7 @@
             is_crash_counted: false,
             is_void: false,
             stop_sent_ms: None,
+            is_stop_in_flight: false,
             checkpoint: None,
             resumed: true,
             is_adopted: true,
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -2,7 +2,7 @@
 use super::queue::PlacementUnitKey;
 use super::run_progress::RunProgress;
 use super::{Engine, Run, RunState, WorkerKey};
-use crate::{Action, Limits, StartCommand, TaskRun, Trial};
+use crate::{Limits, StartCommand, TaskRun, Trial};
 
 /// Reason why a worker did not start a run. The command had no effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +38,7 @@
     Unanswered,
 }
 
-/// Start and stop commands and their replies.
+/// Start commands and their replies.
 impl Engine {
     /// Pause before a step whose start was rejected is placed again.
     const REJECTED_PAUSE_MS: u64 = 50;
@@ -46,9 +46,6 @@
     /// Exclusion of a worker that refuses commands or cannot be reached.
     const REFUSAL_EXCLUSION_MS: u64 = 1_000;
 
-    /// Interval of repeating a stop that was not confirmed.
-    const STOP_REPEAT_MS: u64 = 300;
-
     /// Returns the next run number of a step; numbers of later epochs are higher.
     pub(super) fn next_run(&mut self, job: JobKey, occurrence: u32, step: u32) -> u64 {
         /// Run numbers available to one step in one epoch.
@@ -115,6 +112,7 @@
             is_crash_counted: false,
             is_void: false,
             stop_sent_ms: None,
+            is_stop_in_flight: false,
             resumed: checkpoint.is_some(),
             is_adopted: false,
             is_recalled: false,
@@ -212,39 +210,6 @@
         }
     }
 
-    /// Sends the stop command for a run, or repeats it.
-    pub(super) fn stop_run(&mut self, key: RunKey, now_ms: u64) {
-        let Some(run) = self.runs.get_mut(key) else { return };
-        run.state = RunState::Stopping;
-        if run.is_unsent {
-            // It is removed before its start command would be sent.
-            self.waiting_starts.has_withdrawn = true;
-            return;
-        }
-        if !run.is_void {
-            self.unconfirmed_stops.insert(key);
-        }
-        let is_recent = run
-            .stop_sent_ms
-            .is_some_and(|sent| now_ms < sent + Self::STOP_REPEAT_MS);
-        if run.is_void || is_recent {
-            return;
-        }
-        run.stop_sent_ms = Some(now_ms);
-        let worker = run.worker;
-        let task_run = run.id.clone();
-        self.stats.stops += 1;
-        self.actions.push(Action::Stop { worker, task_run });
-    }
-
-    /// Repeats stops that were not confirmed.
-    pub(super) fn repeat_stops(&mut self, now_ms: u64) {
-        let unconfirmed: Vec<_> = self.unconfirmed_stops.iter().copied().collect();
-        for key in unconfirmed {
-            self.stop_run(key, now_ms);
-        }
-    }
-
     pub(super) fn task_run_of(&self, key: RunKey) -> Option<TaskRun> {
         self.runs.get(key).map(|run| run.id.clone())
     }
@@ -330,19 +295,6 @@
         self.set_renew_due(worker_key, now_ms);
     }
 
-    /// Handles the reply to a stop command.
-    pub fn stop_replied(&mut self, task_run: &TaskRun, is_confirmed: bool, now_ms: u64) {
-        let Some(key) = self.run_keys.get(task_run).copied() else {
-            return;
-        };
-        let Some(run) = self.runs.get_mut(key) else { return };
-        if is_confirmed {
-            run.is_void = true;
-            run.confirmed_ms = Some(now_ms);
-            self.unconfirmed_stops.swap_remove(&key);
-        }
-    }
-
     /// Returns whether a worker rejected the epoch of this scheduler.
     pub const fn is_epoch_rejected(&self) -> bool {
         self.is_epoch_rejected
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -55,6 +55,8 @@
     pub unlisted_runs: u32,
     /// Number of start commands that it has not answered yet.
     pub starts_in_flight: usize,
+    /// Number of stop commands that it has not answered yet.
+    pub stops_in_flight: usize,
     /// Starts that wait until fewer commands are in flight, in the order in which they were placed.
     pub waiting_starts: VecDeque<ListedStart>,
     /// Number of its runs of suspect tasks that are on probation; while there is one, nothing else is placed on it.
@@ -102,6 +104,7 @@
             is_row_outdated: false,
             unlisted_runs: 0,
             starts_in_flight: 0,
+            stops_in_flight: 0,
             waiting_starts: VecDeque::new(),
             isolated_runs: 0,
             has_crashed: false,
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -77,7 +77,7 @@
     pub start_delay_ms: Option<u64>,
     /// Number of next start commands that get no reply and never arrive.
     pub lose_starts: u32,
-    /// Connections on which start commands wait for replies.
+    /// Connections on which commands wait for replies.
     pub command_link: CommandLink,
     /// Number of next commits whose replies are lost after they took effect.
     pub lose_commit_replies: u32,
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -1,3 +1,4 @@
+use super::command_link::Command;
 use super::*;
 
 /// Actions of the engine, applied to the fake workers and the fake store.
@@ -13,20 +14,12 @@
                 self.starts
                     .push((self.now_ms, command.task_run.task.clone(), id.clone()));
                 self.check_listed(&id, &command.task_run);
-                let Some(command) = self.hold_start(worker, &id, command) else {
-                    return;
-                };
-                let outcome = self.start(&id, &command);
-                self.engine
-                    .start_replied(worker, &command.task_run, outcome, self.now_ms);
-            }
-            Action::Stop { worker, task_run } => {
-                let is_confirmed = self
-                    .target(worker)
-                    .and_then(|id| self.workers.get_mut(&id))
-                    .is_some_and(|worker| worker.stop(&task_run, self.epoch, self.now_ms));
-                self.engine.stop_replied(&task_run, is_confirmed, self.now_ms);
+                self.send_command(worker, &id, Command::Start(command));
             }
+            Action::Stop { worker, task_run } => match self.target(worker) {
+                Some(id) => self.send_command(worker, &id, Command::Stop(task_run)),
+                None => self.engine.stop_replied(worker, &task_run, false, self.now_ms),
+            },
             Action::Renew {
                 worker,
                 lease_until_ms,
@@ -110,7 +103,7 @@
         }
     }
 
-    fn start(&mut self, id: &CompactString, command: &domain::StartCommand) -> StartOutcome {
+    pub(super) fn start(&mut self, id: &CompactString, command: &domain::StartCommand) -> StartOutcome {
         if self.lose_starts > 0 {
             self.lose_starts -= 1;
             return StartOutcome::Unanswered;
--- a/crates/domain/tests/engine/simulation/command_link.rs
+++ b/crates/domain/tests/engine/simulation/command_link.rs
@@ -1,19 +1,25 @@
 use super::*;
 
-/// Connections to workers, on which start commands wait for replies.
+/// Connections to workers, on which commands wait for replies.
 #[derive(Debug, Default)]
 pub struct CommandLink {
-    /// Workers that answer no start commands for now, whether they answer renewals or not.
+    /// Workers that answer no commands for now, whether they answer renewals or not.
     pub held_workers: Vec<CompactString>,
-    pub(super) commands: Vec<HeldStart>,
+    pub(super) commands: Vec<HeldCommand>,
 }
 
-/// Start command without a reply.
 #[derive(Debug)]
-pub(super) struct HeldStart {
+pub(super) enum Command {
+    Start(domain::StartCommand),
+    Stop(domain::TaskRun),
+}
+
+/// Command without a reply.
+#[derive(Debug)]
+pub(super) struct HeldCommand {
     worker: WorkerKey,
     id: CompactString,
-    command: domain::StartCommand,
+    command: Command,
     until_ms: u64,
 }
 
@@ -24,18 +30,14 @@
     /// Commands in flight beyond which workers close connections, as the platform declares.
     const CONNECTIONS_MAX: usize = 64;
 
-    /// Keeps a start command that its worker does not answer; returns it if the worker answers.
-    pub(super) fn hold_start(
-        &mut self,
-        worker: WorkerKey,
-        id: &CompactString,
-        command: domain::StartCommand,
-    ) -> Option<domain::StartCommand> {
+    /// Sends a command to a worker; it gets no reply for now if the worker answers no commands.
+    pub(super) fn send_command(&mut self, worker: WorkerKey, id: &CompactString, command: Command) {
         if !self.command_link.held_workers.contains(id) {
-            return Some(command);
+            self.answer(worker, id, &command);
+            return;
         }
         let commands = &mut self.command_link.commands;
-        commands.push(HeldStart {
+        commands.push(HeldCommand {
             worker,
             id: id.clone(),
             command,
@@ -46,27 +48,47 @@
             self.violations
                 .push(format!("{} ms: {in_flight} commands in flight to {id}", self.now_ms));
         }
-        None
+    }
+
+    fn answer(&mut self, worker: WorkerKey, id: &CompactString, command: &Command) {
+        match command {
+            Command::Start(command) => {
+                let outcome = self.start(id, command);
+                self.engine
+                    .start_replied(worker, &command.task_run, outcome, self.now_ms);
+            }
+            Command::Stop(task_run) => {
+                let (epoch, now_ms) = (self.epoch, self.now_ms);
+                let fake = self.workers.get_mut(id);
+                let is_confirmed = fake.is_some_and(|fake| fake.stop(task_run, epoch, now_ms));
+                self.engine.stop_replied(worker, task_run, is_confirmed, now_ms);
+            }
+        }
     }
 
     /// Delivers the commands to workers that answer again, and ends those that have waited too long.
     pub(super) fn advance_command_link(&mut self) {
         let now_ms = self.now_ms;
-        let held_workers = self.command_link.held_workers.clone();
+        let link = &mut self.command_link;
+        let held_workers = link.held_workers.clone();
         let is_held = |id: &CompactString| held_workers.contains(id);
-        let ended: Vec<_> = self
-            .command_link
+        let ended: Vec<_> = link
             .commands
             .extract_if(.., |held| !is_held(&held.id) || now_ms >= held.until_ms)
             .collect();
         for held in ended {
-            let outcome = if is_held(&held.id) {
-                StartOutcome::Unanswered
-            } else {
-                self.deliver_start(&held.id, self.epoch, &held.command)
-            };
-            let run = &held.command.task_run;
-            self.engine.start_replied(held.worker, run, outcome, now_ms);
+            if !is_held(&held.id) {
+                self.answer(held.worker, &held.id, &held.command);
+                continue;
+            }
+            match held.command {
+                Command::Start(command) => {
+                    let run = &command.task_run;
+                    self.engine
+                        .start_replied(held.worker, run, StartOutcome::Unanswered, now_ms);
+                }
+                Command::Stop(run) => self.engine.stop_replied(held.worker, &run, false, now_ms),
+            }
         }
     }
 }
--- a/crates/domain/tests/engine/waiting_starts.rs
+++ b/crates/domain/tests/engine/waiting_starts.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use domain::{JobState, Resources};
+use rstest::rstest;
 
 use crate::simulation::{Simulation, job, step};
 
@@ -72,17 +73,48 @@
 #[test]
 fn starts_that_wait_are_decided_anew_when_their_worker_restarts() {
     let (mut sim, id, worker) = with_starts_that_wait(false);
-    sim.restart(&worker);
-    sim.workers.get_mut(&worker).unwrap().is_unresponsive = false;
     let sent = starts_on(&sim, &id, &worker);
-    sim.run_for(400);
-    let waiting = TASKS as usize - sent;
-    let dropped = sim
-        .log_lines
-        .iter()
-        .filter(|line| line.contains("start_dropped"))
-        .count();
-    assert_eq!(dropped, waiting, "{:?}", sim.log_lines);
+    sim.restart(&worker);
+    sim.run_for(700);
+    let dropped = sim.log_lines.iter().filter(|line| line.contains("start_dropped"));
+    assert_eq!(dropped.count(), TASKS as usize - sent, "{:?}", sim.log_lines);
+    sim.command_link.held_workers.clear();
     sim.run_until(40_000, |sim| sim.state(&id) == JobState::Done);
     sim.assert_no_violations();
 }
+
+/// Guards against tasks that start long after their job was cancelled (UNASKED): their start commands wait behind others
+/// while the worker does not answer, and nothing withdraws them.
+#[rstest]
+#[case::answers_renewals(false)]
+#[case::answers_nothing(true)]
+fn waiting_starts_end_with_the_cancelling_of_their_job(#[case] is_silent: bool) {
+    let (mut sim, id, worker) = with_starts_that_wait(is_silent);
+    let starts = sim.starts.len();
+    sim.cancel(&id);
+    sim.run_for(3_000);
+    sim.workers.get_mut(&worker).unwrap().is_unresponsive = false;
+    sim.command_link.held_workers.clear();
+    sim.run_for(5_000);
+    assert_eq!(sim.starts.len(), starts, "{:?}", sim.starts);
+    assert_eq!(sim.state(&id), JobState::Cancelled);
+    assert!(sim.workers.values().all(|worker| worker.runs.len() <= 1));
+    sim.assert_no_violations();
+}
+
+/// Guards against runs of a cancelled job that go on (UNASKED): their stops wait behind hundreds of repeated ones while
+/// the worker does not answer.
+#[test]
+fn stops_do_not_pile_up_while_a_worker_does_not_answer() {
+    let (mut sim, id, worker) = with_starts_that_wait(false);
+    sim.command_link.held_workers.clear();
+    sim.run_until(2_000, |sim| sim.workers[&worker].runs.len() > TASKS as usize);
+    sim.command_link.held_workers.push(worker.clone());
+    sim.cancel(&id);
+    sim.run_for(4_000);
+    let stops = sim.engine.stats().stops;
+    assert!(stops < 64, "{stops} stop commands to a worker that does not answer");
+    sim.command_link.held_workers.clear();
+    sim.run_until(500, |sim| sim.workers[&worker].runs.len() == 1);
+    sim.assert_no_violations();
+}
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -2,11 +2,12 @@
 use std::time::Duration;
 
 use actix::{AsyncContext, Context};
-use domain::{Action, Commit, MaintenanceReply, Rejection, StartBoundRow, StartCommand, StartOutcome};
+use domain::{Action, Commit, MaintenanceReply, StartBoundRow};
 
+use super::starts::start;
 use super::{Input, SchedulerDriver, SentWrite};
 use crate::clock::boot_ms;
-use crate::ports::{Condition, Put, Store, Target, Txn, Workers};
+use crate::ports::{Condition, Put, Store, Txn, Workers};
 use crate::rows::{
     EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, JOBS, LAST_RUNS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND,
     START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, WAVES, cancel_key, put,
@@ -14,41 +15,11 @@
 };
 
 /// Time-out of a command; workers reply within a few round trips of some milliseconds.
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(200);
+pub(super) const COMMAND_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time-out of a renewal beyond the time for which the worker may delay its reply.
 const RENEW_MARGIN: Duration = Duration::from_millis(300);
 
-/// Maximum tries of a start command. Repeating it is safe: a worker that has the run reports so, and one on which the
-/// run has ended rejects it.
-const MAX_START_TRIES: u32 = 3;
-
-/// Sends a start command until the worker replies or the tries are used up.
-async fn start<W: Workers>(workers: &W, target: &Target, command: &StartCommand) -> StartOutcome {
-    let mut outcome = StartOutcome::Unanswered;
-    for attempt in 0..MAX_START_TRIES {
-        outcome = match workers.start(target, command, COMMAND_TIMEOUT).await {
-            // The worker rejected this try, but an earlier one may still take effect.
-            StartOutcome::Rejected(rejection) if attempt > 0 && !rules_out_earlier_try(rejection) => {
-                StartOutcome::Unanswered
-            }
-            outcome => outcome,
-        };
-        if outcome != StartOutcome::Unanswered {
-            break;
-        }
-    }
-    outcome
-}
-
-/// Returns whether a rejection rules out that an earlier try of the same start takes effect.
-const fn rules_out_earlier_try(rejection: Rejection) -> bool {
-    matches!(
-        rejection,
-        Rejection::Fenced | Rejection::Old | Rejection::OtherIncarnation
-    )
-}
-
 /// Execution of the scheduler's actions.
 impl<S: Store, W: Workers> SchedulerDriver<S, W> {
     pub(super) fn execute(&mut self, action: Action, ctx: &mut Context<Self>) {
@@ -61,12 +32,17 @@
                     task = command.task_run.task.as_str(), run = command.task_run.run, worker = target.worker.as_str(),
                     epoch = target.epoch
                 });
+                let is_wanted = self.starts.add(&command.task_run);
+                let confirmed_ms = Rc::clone(&self.confirmed_ms);
                 actix_rt::spawn(async move {
-                    let outcome = start(&shared.workers, &target, &command).await;
+                    let grace_ms = shared.settings.limits.store_grace_ms;
+                    let may_repeat = || is_wanted.get() && boot_ms() <= confirmed_ms.get() + grace_ms;
+                    let outcome = start(&shared.workers, &target, &command, may_repeat).await;
                     driver.do_send(Input::Started(worker, command.task_run, outcome));
                 });
             }
             Action::Stop { worker, task_run } => {
+                self.starts.withdraw(&task_run);
                 let Some(target) = self.target_of(worker) else { return };
                 spdlog::info!("stop", kv: {
                     task = task_run.task.as_str(), run = task_run.run, worker = target.worker.as_str(),
@@ -74,7 +50,7 @@
                 });
                 actix_rt::spawn(async move {
                     let is_confirmed = shared.workers.stop(&target, &task_run, COMMAND_TIMEOUT).await;
-                    driver.do_send(Input::StopDone(task_run, is_confirmed));
+                    driver.do_send(Input::StopDone(worker, task_run, is_confirmed));
                 });
             }
             Action::Renew {
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -41,7 +41,7 @@
     /// Reply to a start command.
     Started(WorkerKey, TaskRun, StartOutcome),
     /// Run to stop, and whether the worker confirmed.
-    StopDone(TaskRun, bool),
+    StopDone(WorkerKey, TaskRun, bool),
     /// Reply to a renewal of a worker's lease.
     Renewed(WorkerKey, Result<WorkerReport, RenewError>),
     /// Placement hints: workers with their tickets.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -3,6 +3,8 @@
 mod actions;
 mod feeds;
 mod input;
+mod starts;
+mod stats;
 
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashSet};
@@ -14,6 +16,7 @@
 use domain::{Commit, Engine, Explanation, StartBoundRow, WorkerKey};
 pub(crate) use input::Input;
 use input::SentWrite;
+use starts::StartsInFlight;
 use timer::Tick;
 
 use crate::clock::{boot_ms, unix_ms};
@@ -41,6 +44,7 @@
     config_version: u64,
     waves_revision: Option<u64>,
     waves: BTreeSet<u64>,
+    starts: StartsInFlight,
     /// Number of the last heartbeat that was part of a write.
     last_heartbeat: u64,
     last_heartbeat_ms: u64,
@@ -81,6 +85,7 @@
             config_version: 0,
             waves_revision: None,
             waves: BTreeSet::new(),
+            starts: StartsInFlight::default(),
             last_heartbeat: 0,
             last_heartbeat_ms: 0,
             channels_closed_ms: boot_ms(),
@@ -124,7 +129,7 @@
             self.execute(action, ctx);
         }
         if self.engine.is_epoch_rejected() {
-            self.is_stopped = true;
+            self.stop_acting();
             self.lease_actor.do_send(Deposed {
                 epoch: self.engine.epoch(),
                 cause: "fenced_by_worker",
@@ -132,6 +137,12 @@
         }
     }
 
+    /// Ends all commands and writes of this scheduler.
+    fn stop_acting(&mut self) {
+        self.is_stopped = true;
+        self.starts.withdraw_all();
+    }
+
     fn target_of(&self, worker: WorkerKey) -> Option<Target> {
         let (address, id) = self.engine.worker_target(worker)?;
         Some(Target {
@@ -190,7 +201,7 @@
         if epoch_row.is_some_and(|row| row.version == self.epoch_row_version) {
             return false;
         }
-        self.is_stopped = true;
+        self.stop_acting();
         self.lease_actor.do_send(Deposed {
             epoch: self.engine.epoch(),
             cause: "write_rejected",
@@ -251,32 +262,6 @@
             self.shared.workers.retain(&self.engine.worker_addresses());
         }
     }
-
-    fn publish_stats(&self) {
-        let stats = self.engine.stats();
-        let set = |name: &str, value: u64| self.shared.metrics.set_scheduler(name, value);
-        set("starts", stats.starts);
-        set("rejected_starts", stats.rejected_starts);
-        set("unanswered_starts", stats.unanswered_starts);
-        set("stops", stats.stops);
-        set("done", stats.done);
-        set("failed", stats.failed);
-        set("broken", stats.broken);
-        set("lost_workers", stats.lost_workers);
-        set("lost_runs", stats.lost_runs);
-        set("given_up_tasks", stats.given_up_tasks);
-        set("unstorable_jobs", stats.unstorable_jobs);
-        set("preempted", stats.preempted);
-        set("overdue_starts", stats.overdue_starts);
-        set("wasted_core_ms", stats.wasted_core_ms);
-        set("running", stats.running);
-        set("unsent_starts", stats.unsent_starts);
-        set("workers", stats.workers);
-        set("open_jobs", stats.open_jobs);
-        set("waiting_steps", stats.waiting_steps);
-        set("withheld_steps", stats.withheld_steps);
-        set("longest_withheld_ms", stats.longest_withheld_ms);
-    }
 }
 
 impl<S: Store, W: Workers> Actor for SchedulerDriver<S, W> {
@@ -355,8 +340,13 @@
                     self.engine.confirm_worker_list(as_of_ms);
                 }
             }
-            Input::Started(worker, task_run, outcome) => self.engine.start_replied(worker, &task_run, outcome, now_ms),
-            Input::StopDone(task_run, is_confirmed) => self.engine.stop_replied(&task_run, is_confirmed, now_ms),
+            Input::Started(worker, task_run, outcome) => {
+                self.starts.remove(&task_run);
+                self.engine.start_replied(worker, &task_run, outcome, now_ms);
+            }
+            Input::StopDone(worker, task_run, is_confirmed) => {
+                self.engine.stop_replied(worker, &task_run, is_confirmed, now_ms);
+            }
             Input::Renewed(worker, Ok(report)) => self.engine.renewed(worker, &report, now_ms),
             Input::Renewed(worker, Err(RenewError::Fenced)) => self.engine.renew_fenced(worker, now_ms),
             Input::Renewed(worker, Err(RenewError::OtherIncarnation)) => {
@@ -376,7 +366,7 @@
             Input::StartBoundWritten(row, sent, result) => self.start_bound_written(row, sent, &result),
             Input::Committed(commit, sent, result) => self.committed(&commit, sent, result),
             Input::Stop => {
-                self.is_stopped = true;
+                self.stop_acting();
                 ctx.stop();
                 return;
             }
--- /dev/null
+++ b/crates/node/src/driver/stats.rs
@@ -0,0 +1,31 @@
+use super::SchedulerDriver;
+use crate::ports::{Store, Workers};
+
+/// Metrics of the scheduler.
+impl<S: Store, W: Workers> SchedulerDriver<S, W> {
+    pub(super) fn publish_stats(&self) {
+        let stats = self.engine.stats();
+        let set = |name: &str, value: u64| self.shared.metrics.set_scheduler(name, value);
+        set("starts", stats.starts);
+        set("rejected_starts", stats.rejected_starts);
+        set("unanswered_starts", stats.unanswered_starts);
+        set("stops", stats.stops);
+        set("done", stats.done);
+        set("failed", stats.failed);
+        set("broken", stats.broken);
+        set("lost_workers", stats.lost_workers);
+        set("lost_runs", stats.lost_runs);
+        set("given_up_tasks", stats.given_up_tasks);
+        set("unstorable_jobs", stats.unstorable_jobs);
+        set("preempted", stats.preempted);
+        set("overdue_starts", stats.overdue_starts);
+        set("wasted_core_ms", stats.wasted_core_ms);
+        set("running", stats.running);
+        set("unsent_starts", stats.unsent_starts);
+        set("workers", stats.workers);
+        set("open_jobs", stats.open_jobs);
+        set("waiting_steps", stats.waiting_steps);
+        set("withheld_steps", stats.withheld_steps);
+        set("longest_withheld_ms", stats.longest_withheld_ms);
+    }
+}
