fix(domain): throttles do not wait behind other commands

While a worker does not answer, the scheduler decides a new share for each background task every 500 ms and each waited for its turn, so that an old share could be set after a newer one, beside a serving task above its target. Ruled out: nothing; the test shows the pile. Change: at most eight throttles are in flight to a worker. One that finds no place is not sent; a later pass decides it on newer figures, those sent longest ago first, and begins as soon as a reply frees a place.

--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -57,6 +57,10 @@
     pub starts_in_flight: usize,
     /// Number of stop commands that it has not answered yet.
     pub stops_in_flight: usize,
+    /// Number of throttle commands that it has not answered yet.
+    pub throttles_in_flight: usize,
+    /// Throttles were left out, as too many were in flight.
+    pub awaits_throttles: bool,
     /// Starts that wait until fewer commands are in flight, in the order in which they were placed.
     pub waiting_starts: VecDeque<ListedStart>,
     /// Number of its runs of suspect tasks that are on probation; while there is one, nothing else is placed on it.
@@ -105,6 +109,8 @@
             unlisted_runs: 0,
             starts_in_flight: 0,
             stops_in_flight: 0,
+            throttles_in_flight: 0,
+            awaits_throttles: false,
             waiting_starts: VecDeque::new(),
             isolated_runs: 0,
             has_crashed: false,
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -34,9 +34,7 @@
                 percent,
             } => {
                 let Some(id) = self.target(worker) else { return };
-                if let Some(run) = self.workers.get_mut(&id).and_then(|worker| worker.run_mut(&task_run)) {
-                    run.speed_percent = percent;
-                }
+                self.send_command(worker, &id, Command::Throttle(task_run, percent));
             }
             Action::FetchPlacementHints { step, workers } => {
                 self.hint_calls.push((step, workers.len()));
--- a/crates/domain/tests/engine/simulation/command_link.rs
+++ b/crates/domain/tests/engine/simulation/command_link.rs
@@ -12,6 +12,7 @@
 pub(super) enum Command {
     Start(domain::StartCommand),
     Stop(domain::TaskRun),
+    Throttle(domain::TaskRun, u32),
 }
 
 /// Command without a reply.
@@ -63,6 +64,13 @@
                 let is_confirmed = fake.is_some_and(|fake| fake.stop(task_run, epoch, now_ms));
                 self.engine.stop_replied(worker, task_run, is_confirmed, now_ms);
             }
+            Command::Throttle(task_run, percent) => {
+                let fake = self.workers.get_mut(id);
+                if let Some(run) = fake.and_then(|fake| fake.run_mut(task_run)) {
+                    run.speed_percent = *percent;
+                }
+                self.engine.throttle_replied(worker);
+            }
         }
     }
 
@@ -88,6 +96,7 @@
                         .start_replied(held.worker, run, StartOutcome::Unanswered, now_ms);
                 }
                 Command::Stop(run) => self.engine.stop_replied(held.worker, &run, false, now_ms),
+                Command::Throttle(..) => self.engine.throttle_replied(held.worker),
             }
         }
     }
--- a/crates/domain/tests/engine/workload_kinds.rs
+++ b/crates/domain/tests/engine/workload_kinds.rs
@@ -30,6 +30,36 @@
     sim.assert_no_violations();
 }
 
+/// Guards against throttles that pile up while a worker does not answer, so that it is told an old share after a newer one
+/// (HARM).
+#[test]
+fn throttles_do_not_pile_up_while_a_worker_does_not_answer() {
+    let mut sim = Simulation::new(1, 1);
+    let mut serving = step(1, 1, 1_000_000);
+    serving.is_long_running = true;
+    serving.target_ms = 100;
+    sim.submit(job("a", 0, serving));
+    sim.run_for(200);
+    let mut background_step = step(60, 0, 1_000_000);
+    background_step.is_filler = true;
+    background_step.need.memory_mib = 1;
+    sim.submit(job("b", 2, background_step));
+    let worker = sim.workers.values().next().unwrap().id.clone();
+    sim.run_until(300, |sim| sim.workers[&worker].runs.len() > 60);
+    sim.command_link.held_workers.push(worker.clone());
+    sim.run_for(2_000);
+    sim.assert_no_violations();
+    sim.command_link.held_workers.clear();
+    let is_throttled = |sim: &Simulation| {
+        sim.workers[&worker]
+            .runs
+            .iter()
+            .all(|run| !run.is_filler || run.speed_percent < 100)
+    };
+    sim.run_until(1_000, is_throttled);
+    sim.assert_no_violations();
+}
+
 /// Guards against starts on workers that the queue's policy excludes, and against one call of the placement service for
 /// each task.
 #[test]
--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -75,10 +75,9 @@
             } => {
                 let Some(target) = self.target_of(worker) else { return };
                 actix_rt::spawn(async move {
-                    let _ = shared
-                        .workers
-                        .throttle(&target, &task_run, percent, COMMAND_TIMEOUT)
-                        .await;
+                    let throttle = shared.workers.throttle(&target, &task_run, percent, COMMAND_TIMEOUT);
+                    throttle.await;
+                    driver.do_send(Input::ThrottleDone(worker));
                 });
             }
             Action::FetchPlacementHints { step, workers } => {
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -42,6 +42,8 @@
     Started(WorkerKey, TaskRun, StartOutcome),
     /// Run to stop, and whether the worker confirmed.
     StopDone(WorkerKey, TaskRun, bool),
+    /// Worker whose throttle command has a reply or none in time.
+    ThrottleDone(WorkerKey),
     /// Reply to a renewal of a worker's lease.
     Renewed(WorkerKey, Result<WorkerReport, RenewError>),
     /// Placement hints: workers with their tickets.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -347,6 +347,7 @@
             Input::StopDone(worker, task_run, is_confirmed) => {
                 self.engine.stop_replied(worker, &task_run, is_confirmed, now_ms);
             }
+            Input::ThrottleDone(worker) => self.engine.throttle_replied(worker),
             Input::Renewed(worker, Ok(report)) => self.engine.renewed(worker, &report, now_ms),
             Input::Renewed(worker, Err(RenewError::Fenced)) => self.engine.renew_fenced(worker, now_ms),
             Input::Renewed(worker, Err(RenewError::OtherIncarnation)) => {
