fix(domain): no task starts on a restarted worker before its new entry is known

The first report of the new process cleared the mark of a restart, although the entry that was known was still that of the former process; until the feed brought the new one, up to 250 ms later, its labels and its capacity were used. Ruled out: an entry that is not applied (the wrong starts end when it arrives) and starts from before the crash (the run numbers are new); in the simulation nothing starts wrongly unless the report comes before the entry. Change: a worker gets no work while its last report and its entry are of different processes. The other order was handled already. In the simulation a restarted worker registers its new entry 250 ms later, as real ones do with every heartbeat.

--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -12,7 +12,8 @@
 /// Why a worker gets no new tasks at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Barrier {
-    /// It is not listed or not recorded, or has not reported in this epoch or incarnation.
+    /// It is not listed or not recorded, has not reported in this epoch, or its last report and its entry are of different
+    /// incarnations.
     Unreported,
     /// It drains, awaits maintenance, or its data centre is out of service.
     Leaving,
@@ -57,7 +58,8 @@
         let is_leaving = worker.entry.state != EntryState::Ready
             || self.waves.is_cordoned(&worker.entry.id)
             || self.out_of_service.contains(&worker.entry.data_centre);
-        if !worker.is_listed || !worker.is_recorded || !worker.is_fenced || worker.is_restart_pending {
+        let is_reported = worker.is_fenced && !worker.is_restart_pending && !worker.is_entry_outdated();
+        if !worker.is_listed || !worker.is_recorded || !is_reported {
             Some(Barrier::Unreported)
         } else if is_leaving {
             Some(Barrier::Leaving)
--- a/crates/domain/src/engine/worker.rs
+++ b/crates/domain/src/engine/worker.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Returns whether its entry is that of a process before the one that reported last, which may have been of another kind.
+    pub fn is_entry_outdated(&self) -> bool {
+        let reported = self.process_started_unix_ms;
+        matches!((self.entry.process_started_unix_ms, reported), (Some(entered), Some(reported)) if entered < reported)
+    }
+
     /// Returns what it can hold once all its runs have ended that end by themselves.
     pub const fn drained_capacity(&self) -> Resources {
         self.entry.capacity.left_beside(&self.used_by_lasting)
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod listed_starts;
 mod maintenance;
+mod other_kind;
 mod preemption;
 mod progress_rows;
 mod random_faults;
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -23,7 +23,7 @@
     Progress, Rejection, Resources, Route, RunRecord, StartBoundRow, StartOutcome, Step, StoredJob, TaskName,
     WaveProgress, WorkerKey,
 };
-use entry::entry;
+use entry::{Registrations, entry};
 use fake_worker::FakeRun;
 pub use fake_worker::FakeWorker;
 use idle_tasks::IdleTasks;
@@ -77,6 +77,8 @@
     pub start_delay_ms: Option<u64>,
     /// Number of next start commands that get no reply and never arrive.
     pub lose_starts: u32,
+    /// Entries of restarted workers that the engine has not seen yet.
+    registrations: Registrations,
     /// Connections on which commands wait for replies.
     pub command_link: CommandLink,
     /// Number of next commits whose replies are lost after they took effect.
@@ -188,6 +190,7 @@
             are_commits_refused: false,
             start_delay_ms: None,
             lose_starts: 0,
+            registrations: Registrations::default(),
             command_link: CommandLink::default(),
             lose_commit_replies: 0,
             permitted_workers: Vec::new(),
@@ -353,6 +356,7 @@
             self.deliver_start(&delayed.id, delayed.epoch, &delayed.command);
         }
         self.advance_command_link();
+        self.deliver_entries();
         self.reply_to_renewals();
         self.reply_to_hint_call();
         self.advance_maintenance();
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -52,6 +52,8 @@
     pub down_until_ms: Option<u64>,
     /// Capacity in force; it may shrink and grow while the process runs.
     pub capacity: Resources,
+    /// Label of its kind; a process that restarts may be of another.
+    pub kind: CompactString,
     /// When its capacity last shrank.
     pub shrunk_ms: Option<u64>,
     pub process_started_unix_ms: u64,
@@ -78,6 +80,7 @@
             crash_at_ms: None,
             down_until_ms: None,
             capacity: super::entry(&id, &rack, 1).capacity,
+            kind: "a".into(),
             shrunk_ms: None,
             id,
             rack,
@@ -104,6 +107,7 @@
         let mut entry = super::entry(&self.id, &self.rack, self.process_started_unix_ms);
         entry.address = format!("10.0.0.1:{}", self.machine).into();
         entry.capacity = self.capacity;
+        entry.labels[0].clone_from(&self.kind);
         if self.is_draining {
             entry.state = EntryState::Draining { remaining_ms: 2_000 };
         }
