fix(domain): maintenance leaves as many tasks of a step at work as the step requires

Each machine was checked by itself against the tasks that have no run at that moment; commands that were planned or sent for other machines did not count, nor did tasks that start up again. Ruled out: that the second command came after the first task had started again (they were milliseconds apart); the new tests bring that about as well, and it is mended with this. Change: tasks on machines that are planned, ordered or down, tasks that start up and tasks on workers that do not answer count as unavailable; the tasks on one machine count together. Where a machine holds more tasks of a step than that, they move elsewhere one at a time once the wave is late, if there is room; without room they stay. A command without a reply is checked again before it is repeated. In the simulation tasks that last are at work after a startup, and each order is checked.

--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state machine.
 
 mod adopt;
+mod availability;
 mod candidate;
 mod commits;
 mod crash_evidence;
--- a/crates/domain/src/engine/waves.rs
+++ b/crates/domain/src/engine/waves.rs
@@ -42,6 +42,20 @@
             .collect()
     }
 
+    /// Returns the workers whose machines are down or may go down by commands, other than one machine.
+    pub fn workers_going_down(&self, except: &str) -> HashSet<&CompactString> {
+        let machines = self.waves.values().flat_map(|open| &open.machines);
+        let ending = machines.filter(|(name, machine)| {
+            *name != except && !matches!(machine.stage, Stage::Waiting | Stage::Cordoned | Stage::Done)
+        });
+        let workers = ending.flat_map(|(name, machine)| {
+            let is_seen_down = matches!(machine.stage, Stage::Confirmed { .. } | Stage::Down);
+            let listed = self.machines.get(name).filter(|_| !is_seen_down);
+            [Some(&machine.commanded_worker), listed.map(|listed| &listed.worker)]
+        });
+        workers.flatten().collect()
+    }
+
     fn machine_mut(&mut self, wave: u64, machine: &str) -> Option<&mut WaveMachine> {
         self.waves.get_mut(&wave)?.machines.get_mut(machine)
     }
@@ -289,7 +303,11 @@
         let allowance = open.wave.most_down.saturating_sub(open.down_count());
         for (work, name) in order.into_iter().take(allowance) {
             let is_up = (self.waves.machines.get(&name)).is_some_and(|machine| machine.state == MachineState::Up);
-            let may_go_down = is_up && (work == 0 || (is_late && self.may_interrupt(&name)));
+            let may_interrupt = work == 0 || (is_late && self.may_interrupt(&name));
+            if is_up && is_late && !may_interrupt {
+                self.move_off_shared_machine(&name, now_ms);
+            }
+            let may_go_down = is_up && may_interrupt;
             if let Some(machine) = self.waves.machine_mut(number, &name) {
                 machine.stage = if may_go_down && now_ms >= machine.refused_until_ms {
                     Stage::Planned
@@ -316,9 +334,11 @@
             .map(|(name, machine)| (name.clone(), machine.stage == Stage::Planned))
             .collect();
         for (name, is_planned) in due {
-            // Writing the row may have taken long, and other tasks may have become unavailable meanwhile.
-            if is_planned && !self.may_interrupt(&name) {
-                if let Some(machine) = self.waves.machine_mut(number, &name) {
+            // Since it was planned or sent before, other tasks may have become unavailable.
+            if !self.may_interrupt(&name) {
+                if !is_planned {
+                    self.move_off_shared_machine(&name, now_ms);
+                } else if let Some(machine) = self.waves.machine_mut(number, &name) {
                     machine.stage = Stage::Cordoned;
                 }
                 continue;
@@ -327,7 +347,7 @@
         }
     }
 
-    fn runs_on(&self, machine: &str) -> Vec<super::keys::RunKey> {
+    pub(super) fn runs_on(&self, machine: &str) -> Vec<super::keys::RunKey> {
         self.waves
             .machines
             .get(machine)
@@ -341,16 +361,4 @@
         let weight = |key: &super::keys::RunKey| self.runs[*key].need.weight_milli().max(1);
         self.runs_on(machine).iter().map(weight).sum()
     }
-
-    /// Returns whether all tasks on a machine may be interrupted: none belongs to a step that already has as many tasks
-    /// unavailable as it allows.
-    fn may_interrupt(&self, machine: &str) -> bool {
-        self.runs_on(machine).iter().all(|key| {
-            let run = &self.runs[*key];
-            let Some(shape) = self.shape_of(run) else { return true };
-            let Some(state) = self.step_of(run) else { return true };
-            let away = state.active.len() as u32 - state.active_count;
-            shape.max_unavailable == 0 || away < shape.max_unavailable
-        })
-    }
 }
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -1,5 +1,6 @@
 //! Runs the scheduler with fake workers and a fake store, so that faults are injected without a network.
 
+mod availability;
 mod capacity;
 mod faults;
 mod jobs;
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation of an engine with fake workers, a fake store and a simulated clock; checks invariants at each step.
 
 mod actions;
+mod availability;
 mod command_link;
 mod commits;
 mod crashes;
--- a/crates/domain/tests/engine/simulation/command_link.rs
+++ b/crates/domain/tests/engine/simulation/command_link.rs
@@ -60,6 +60,9 @@
             }
             Command::Stop(task_run) => {
                 let (epoch, now_ms) = (self.epoch, self.now_ms);
+                if self.workers.contains_key(id) {
+                    self.check_availability(id, std::slice::from_ref(task_run));
+                }
                 let fake = self.workers.get_mut(id);
                 let is_confirmed = fake.is_some_and(|fake| fake.stop(task_run, epoch, now_ms));
                 self.engine.stop_replied(worker, task_run, is_confirmed, now_ms);
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -5,6 +5,10 @@
 };
 
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the properties are independent of each other"
+)]
 pub struct FakeRun {
     pub task_run: TaskRun,
     pub need: Resources,
@@ -15,6 +19,8 @@
     pub speed_percent: u32,
     pub target_ms: u64,
     pub is_filler: bool,
+    /// Whether it serves until its job is cancelled.
+    pub is_lasting: bool,
     /// Whether it fails shortly after its start on any worker.
     pub fails: bool,
 }
@@ -69,6 +75,9 @@
     const LEASE_MAX_MS: u64 = 6_000;
     const STOP_MS: u64 = 100;
 
+    /// Time after which a task that lasts is at work.
+    const STARTUP_MS: u64 = 300;
+
     pub fn new(id: CompactString, rack: CompactString) -> Self {
         Self {
             machine: id.clone(),
@@ -184,6 +193,7 @@
             speed_percent: 100,
             target_ms: step.target_ms,
             is_filler: step.is_filler,
+            is_lasting: step.is_long_running,
             fails: command.spec == super::FAILING_SPEC,
         });
         Ok(())
@@ -230,7 +240,7 @@
                     task: run.task_run.task.clone(),
                     run: run.task_run.run,
                     checkpoint: Self::checkpoint(run),
-                    percent: (run.done_ms * 100.0 / run.work_ms.max(1) as f64).floor(),
+                    percent: Self::percent(run),
                     recent: self.tail_ms(run),
                 })
                 .collect(),
@@ -238,6 +248,23 @@
         }
     }
 
+    /// Returns the progress of a run; one that lasts is at 100 percent once it has started up.
+    fn percent(run: &FakeRun) -> f64 {
+        let whole_ms = if run.is_lasting {
+            Self::STARTUP_MS
+        } else {
+            run.work_ms.max(1)
+        };
+        (run.done_ms * 100.0 / whole_ms as f64).floor().min(100.0)
+    }
+
+    /// Returns whether a run is here and serves its users.
+    pub fn is_at_work(&self, task_run: &TaskRun) -> bool {
+        let is_serving = |run: &&FakeRun| run.task_run == *task_run && run.stop_at_ms.is_none();
+        let run = self.runs.iter().find(is_serving);
+        run.is_some_and(|run| !run.is_lasting || Self::percent(run) >= 100.0)
+    }
+
     pub fn run_mut(&mut self, task_run: &TaskRun) -> Option<&mut FakeRun> {
         self.runs.iter_mut().find(|run| run.task_run == *task_run)
     }
--- a/crates/domain/tests/engine/simulation/maintenance.rs
+++ b/crates/domain/tests/engine/simulation/maintenance.rs
@@ -130,7 +130,11 @@
             return MaintenanceReply::Confirmed;
         }
         self.most_down = self.most_down.max(down + 1);
-        self.interrupted_runs += worker.runs.len();
+        let id = worker.id.clone();
+        let ended: Vec<_> = worker.runs.iter().map(|run| run.task_run.clone()).collect();
+        self.interrupted_runs += ended.len();
+        self.check_availability(&id, &ended);
+        let worker = self.workers.get_mut(&id).expect("the worker was found before");
         worker.begin_maintenance(self.now_ms);
         worker.maintained_in.push(wave);
         self.engine.unlist_worker(&worker.id.clone(), self.now_ms);
