fix(domain): the crashes under thousands of tasks fit into the row of their job

Each crash of a worker is counted in the progress row for each task that ran there, about 42 bytes a task; the row did not fit into the store even without checkpoints and trials, and a job whose row does not fit is given up. Ruled out: the trials of the runs (the row is measured without them) and tasks that are given up (no run says so). Change: a row that would be too large lists tasks with equal counts together, as bits. Nothing is left out by that, and the size has a bound of some 18 KB. Rows that fit stay as they are. Failed runs, which are kept by number in the same row, are listed as open.

--- a/crates/domain/src/engine/row_size.rs
+++ b/crates/domain/src/engine/row_size.rs
@@ -9,6 +9,9 @@
     pub(super) fn commit_row(&mut self, key: JobKey, now_ms: u64) -> CommitRow {
         let bytes_max = self.limits.value_bytes_max;
         let mut row = self.full_row(key);
+        if row.progress.bytes() > bytes_max {
+            row.progress.group_crashes();
+        }
         let full_bytes = row.progress.bytes();
         let is_reduced = full_bytes > bytes_max;
         if is_reduced && !self.jobs[key].is_row_reduced {
--- a/crates/domain/src/engine/step_state.rs
+++ b/crates/domain/src/engine/step_state.rs
@@ -62,10 +62,8 @@
             }
         }
         state.crashes = progress
-            .crashes
-            .iter()
-            .filter(|(index, _)| (**index as usize) < count)
-            .map(|(index, crashes)| (*index, *crashes))
+            .all_crashes()
+            .filter(|(index, _)| (*index as usize) < count)
             .collect();
         for (index, checkpoint) in &progress.checkpoints {
             if let Some(slot) = state.checkpoints.get_mut(*index as usize) {
@@ -167,6 +165,7 @@
             done,
             failed,
             crashes,
+            crash_groups: Vec::new(),
             trials: self.trials.clone(),
             checkpoints,
         }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod action;
 mod config;
+mod crash_group;
 mod engine;
 mod explanation;
 mod job;
@@ -35,6 +36,7 @@
 
 pub use action::{Action, Commit, CommitRow, StartCommand, TaskRun, WaveProgress};
 pub use config::{Config, Organisation, Route, Service};
+pub use crash_group::CrashGroup;
 pub use engine::{Engine, EngineStats, Rejection, StartOutcome, WorkerKey};
 pub use explanation::{Explanation, RunExplanation, StepExplanation, WaitCause};
 pub use job::Job;
--- a/crates/domain/src/progress.rs
+++ b/crates/domain/src/progress.rs
@@ -4,7 +4,7 @@
 use serde::ser::SerializeStruct;
 use serde::{Deserialize, Serialize, Serializer};
 
-use crate::{TaskBits, TaskCrashes, Trial};
+use crate::{CrashGroup, TaskBits, TaskCrashes, Trial};
 
 /// State of a job as its caller sees it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -42,6 +42,10 @@
     /// Workers that crashed under a task, by task.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<u32, TaskCrashes>,
+    /// Workers that crashed under tasks, beside those that `crashes` lists, in a form whose size has a bound. A release that
+    /// does not know it counts these crashes as none; one that knows it uses it only if the row would be too large.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crash_groups: Vec<CrashGroup>,
     /// Runs on probation, by task.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub trials: BTreeMap<u32, Trial>,
@@ -50,6 +54,28 @@
     pub checkpoints: BTreeMap<u32, CompactString>,
 }
 
+impl StepProgress {
+    /// Returns the tasks under which workers crashed, with their counts.
+    pub fn all_crashes(&self) -> impl Iterator<Item = (u32, TaskCrashes)> + '_ {
+        let listed = self.crashes.iter().map(|(index, crashes)| (*index, *crashes));
+        let grouped = self.crash_groups.iter().flat_map(|group| {
+            let tasks = group.tasks.numbers();
+            tasks.map(|index| (index as u32, group.crashes))
+        });
+        listed.chain(grouped)
+    }
+
+    fn group_crashes(&mut self) {
+        let mut groups: BTreeMap<TaskCrashes, TaskBits> = BTreeMap::new();
+        for (index, crashes) in self.all_crashes() {
+            groups.entry(crashes).or_default().insert(index as usize);
+        }
+        self.crashes.clear();
+        let groups = groups.into_iter();
+        self.crash_groups = groups.map(|(crashes, tasks)| CrashGroup { crashes, tasks }).collect();
+    }
+}
+
 /// Durable progress of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
 pub struct Progress {
@@ -80,6 +106,12 @@
         row.expect("rows have string keys and finite numbers").len()
     }
 
+    /// Groups tasks under which the same number of workers crashed, for a row that would be too large.
+    pub fn group_crashes(&mut self) {
+        let steps = self.steps.values_mut().flat_map(BTreeMap::values_mut);
+        steps.for_each(StepProgress::group_crashes);
+    }
+
     /// Drops the checkpoints, for a row that would be too large: the tasks then restart from the beginning.
     pub fn drop_checkpoints(&mut self) {
         for step in self.steps.values_mut().flat_map(BTreeMap::values_mut) {
--- a/crates/domain/src/task_bits.rs
+++ b/crates/domain/src/task_bits.rs
@@ -21,6 +21,12 @@
         self.0.get(word).is_some_and(|bits| bits & bit != 0)
     }
 
+    /// Returns the task numbers in the set, in ascending order.
+    pub fn numbers(&self) -> impl Iterator<Item = usize> + '_ {
+        let numbers = 0..self.0.len() * u64::BITS as usize;
+        numbers.filter(|number| self.contains(*number))
+    }
+
     /// Returns whether the set holds no task.
     pub const fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/domain/src/task_crashes.rs
+++ b/crates/domain/src/task_crashes.rs
@@ -12,7 +12,7 @@
 }
 
 /// Workers that crashed while a task ran on them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskCrashes {
     /// All of them, also those on which the task may not have run.
     pub total: u32,
--- a/crates/domain/tests/engine/progress_rows.rs
+++ b/crates/domain/tests/engine/progress_rows.rs
@@ -110,6 +110,39 @@
     sim.assert_no_violations();
 }
 
+/// Guards against a job that is shown as failed (LOST) as its row is too large: workers crash under thousands of its tasks
+/// at once, when a data centre loses power. The crashes are remembered over a takeover.
+#[test]
+fn crashes_under_thousands_of_tasks_fit_into_a_row() {
+    let mut sim = Simulation::new(1, 4);
+    let mut shape = small_step(4_000, 600_000);
+    shape.need.cpu_milli = 20;
+    let id = sim.submit(job("a", 1, shape));
+    sim.run_until(5_000, |sim| sim.engine.stats().running == 4_000);
+    sim.run_for(1_500);
+    let crashed = sim.workers_of(&id)[0].clone();
+    let runs = sim.workers[&crashed].runs.len();
+    assert!(runs > 1_500, "{runs}");
+    sim.crash(&crashed);
+    sim.run_until(10_000, |sim| sim.starts.len() == 4_000 + runs);
+    sim.run_for(2_000);
+    for _ in 0..2 {
+        assert_eq!(sim.state(&id), JobState::Running);
+        let progress = &sim.store[&id].progress.steps[&0][&0];
+        assert_eq!(progress.all_crashes().count(), runs);
+        assert!(progress.all_crashes().all(|(_, crashes)| crashes.total == 1));
+        sim.take_over();
+        sim.run_for(2_000);
+    }
+    assert!(
+        sim.largest_row_bytes < Simulation::ROW_BYTES,
+        "{} bytes",
+        sim.largest_row_bytes
+    );
+    assert_eq!(sim.refused_commits, 0);
+    sim.assert_no_violations();
+}
+
 /// Guards against a commit that is larger than a transaction of the store may be.
 #[test]
 fn commit_of_many_large_rows_fits_into_a_transaction() {
