--- a/crates/domain/src/engine/availability.rs
+++ b/crates/domain/src/engine/availability.rs
@@ -11,30 +11,30 @@
     /// Returns whether all tasks on a machine may be interrupted: no step has more tasks unavailable then than it allows.
     /// Tasks count as unavailable if they are not known to be at work, or are on a machine that another command takes down.
     pub(super) fn may_interrupt(&self, machine: &str) -> bool {
-        let ending = self.waves.workers_going_down(machine);
+        let going_down = self.waves.workers_going_down(machine);
         let here = self.runs_on(machine);
         here.iter().all(|key| {
             let run = &self.runs[*key];
             let Some(shape) = self.shape_of(run) else { return true };
-            let is_left = |other: &&RunKey| {
+            let remains = |other: &&RunKey| {
                 let other = &self.runs[**other];
-                other.worker != run.worker && self.is_available(other, &ending)
+                other.worker != run.worker && self.is_available(other, &going_down)
             };
-            shape.max_unavailable == 0 || self.unavailable_beside(run, is_left) <= shape.max_unavailable
+            shape.max_unavailable == 0 || self.unavailable_beside(run, remains) <= shape.max_unavailable
         })
     }
 
     /// Stops one task on a machine that holds more tasks of a step than may be interrupted at once, so that it starts
     /// elsewhere, if there is room and no other task of the step is unavailable beyond its limit.
     pub(super) fn move_off_shared_machine(&mut self, machine: &str, now_ms: u64) {
-        let ending = self.waves.workers_going_down(machine);
+        let going_down = self.waves.workers_going_down(machine);
         let here = self.runs_on(machine);
         let movable = here.into_iter().find(|key| {
             let run = &self.runs[*key];
             let Some(shape) = self.shape_of(run).filter(|shape| shape.max_unavailable > 0) else {
                 return false;
             };
-            let is_available = |other: &&RunKey| self.is_available(&self.runs[**other], &ending);
+            let is_available = |other: &&RunKey| self.is_available(&self.runs[**other], &going_down);
             let is_here = |other: &&RunKey| self.runs[**other].worker == run.worker;
             let unavailable = self.unavailable_beside(run, is_available);
             let count_here = self
@@ -65,14 +65,14 @@
         })
     }
 
-    /// Returns whether a run is known to be at work on a worker that answers and is not among those that end.
-    fn is_available(&self, run: &Run, ending: &HashSet<&CompactString>) -> bool {
+    /// Returns whether a run is known to be at work on a worker that answers and does not go down.
+    fn is_available(&self, run: &Run, going_down: &HashSet<&CompactString>) -> bool {
         let worker = &self.workers[run.worker];
         let has_started_up = !run.is_lasting || run.progress.percent >= 100.0;
         run.is_at_work()
             && has_started_up
             && worker.unresponsive_since_ms.is_none()
-            && !ending.contains(&worker.entry.id)
+            && !going_down.contains(&worker.entry.id)
     }
 
     fn has_room_elsewhere(&mut self, key: RunKey, now_ms: u64) -> bool {
--- a/crates/domain/src/engine/listed_starts.rs
+++ b/crates/domain/src/engine/listed_starts.rs
@@ -50,8 +50,8 @@
                 }
                 awaits_rows |= awaits_row;
                 waiting.push(start);
-            } else if !Self::has_start_slot(&self.workers[run.worker]) {
-                self.await_start_slot(run.worker, start);
+            } else if !Self::accepts_start(&self.workers[run.worker]) {
+                self.await_replies(run.worker, start);
             } else {
                 self.send_listed_start(start, now_ms);
             }
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -216,7 +216,7 @@
 
     /// Handles the reply to a start command.
     pub fn start_replied(&mut self, worker: WorkerKey, task_run: &TaskRun, outcome: StartOutcome, now_ms: u64) {
-        self.release_start_slot(worker);
+        self.start_answered(worker);
         let Some(key) = self.run_keys.get(task_run).copied() else {
             return;
         };
--- a/crates/domain/src/engine/stops.rs
+++ b/crates/domain/src/engine/stops.rs
@@ -13,8 +13,8 @@
     /// Stop commands in flight to a worker that does not answer.
     const MAX_UNRESPONSIVE_STOPS: usize = 1;
 
-    /// Stops a run: sends the command or repeats it, unless one is on its way or too many are to its worker. A run whose
-    /// start was not sent yet is dropped.
+    /// Stops a run: sends the command or repeats it, unless one of the run or too many to its worker are in flight. A run
+    /// whose start was not sent yet is dropped.
     pub(super) fn stop_run(&mut self, key: RunKey, now_ms: u64) {
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = RunState::Stopping;
--- a/crates/domain/src/engine/waiting_starts.rs
+++ b/crates/domain/src/engine/waiting_starts.rs
@@ -22,18 +22,18 @@
     const MAX_STARTS_IN_FLIGHT: usize = 8;
 
     /// Returns whether a further start command may be sent to a worker now.
-    pub(super) const fn has_start_slot(worker: &Worker) -> bool {
+    pub(super) const fn accepts_start(worker: &Worker) -> bool {
         worker.starts_in_flight < Self::MAX_STARTS_IN_FLIGHT
     }
 
     /// Lets a start wait until a start command to its worker is answered.
-    pub(super) fn await_start_slot(&mut self, key: WorkerKey, start: ListedStart) {
+    pub(super) fn await_replies(&mut self, key: WorkerKey, start: ListedStart) {
         self.workers[key].waiting_starts.push_back(start);
         self.waiting_starts.workers.insert(key);
     }
 
     /// Takes note that a start command to a worker is no longer in flight.
-    pub(super) fn release_start_slot(&mut self, key: WorkerKey) {
+    pub(super) fn start_answered(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.starts_in_flight = worker.starts_in_flight.saturating_sub(1);
         }
@@ -51,16 +51,16 @@
             let Some(worker) = self.workers.get_mut(*key) else {
                 return false;
             };
-            let mut free_slots = Self::MAX_STARTS_IN_FLIGHT.saturating_sub(worker.starts_in_flight);
+            let mut sendable = Self::MAX_STARTS_IN_FLIGHT.saturating_sub(worker.starts_in_flight);
             let mut waiting = std::mem::take(&mut worker.waiting_starts);
             while !waiting.is_empty() {
                 let may_start = self.may_still_start_on(*key, now_ms);
-                if may_start && free_slots == 0 {
+                if may_start && sendable == 0 {
                     break;
                 }
                 let Some(start) = waiting.pop_front() else { break };
                 if may_start {
-                    free_slots -= 1;
+                    sendable -= 1;
                     next.push(start);
                 } else {
                     self.drop_start(start.run, now_ms);
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -44,6 +44,7 @@
     config_version: u64,
     waves_revision: Option<u64>,
     waves: BTreeSet<u64>,
+    /// Starts without a reply.
     starts: StartsInFlight,
     /// Number of the last heartbeat that was part of a write.
     last_heartbeat: u64,
--- a/crates/node/tests/request_handler.rs
+++ b/crates/node/tests/request_handler.rs
@@ -1,5 +1,6 @@
 //! Callers' requests against a store that loses writes or replies, refuses writes or does not answer.
 
+#[expect(dead_code, reason = "other tests use the rest")]
 mod support;
 
 use std::time::{Duration, Instant};
--- a/crates/node/tests/silent_job_feed.rs
+++ b/crates/node/tests/silent_job_feed.rs
@@ -10,12 +10,9 @@
 
 use actix_rt::time::sleep;
 use compact_str::CompactString;
-use domain::{
-    EntryState, Machine, MaintenanceReply, Resources, RunningTask, StartCommand, StartOutcome, TaskRun, WorkerEntry,
-    WorkerReport,
-};
+use domain::{Machine, MaintenanceReply, RunningTask, StartCommand, StartOutcome, TaskRun, WorkerReport};
 use node::{Fleet, Node, RenewError, Target, Workers};
-use support::{FakeStore, ID, config, request, settings, submission};
+use support::{FakeStore, ID, config, request, settings, submission, worker};
 
 const OTHER_ID: &str = "5c0e7a21d94b36f9";
 
@@ -96,24 +93,6 @@
     fn retain(&self, _addresses: &HashSet<CompactString>) {}
 }
 
-fn entry() -> WorkerEntry {
-    WorkerEntry {
-        id: "w0".into(),
-        address: "10.0.0.1:80".into(),
-        service: "valuation".into(),
-        data_centre: "dc1".into(),
-        rack: "r1".into(),
-        labels: Vec::new(),
-        capacity: Resources {
-            cpu_milli: 32_000,
-            memory_mib: 65_536,
-            accelerators: 8,
-        },
-        state: EntryState::Ready,
-        process_started_unix_ms: Some(1),
-    }
-}
-
 /// Guards against tasks of cancelled jobs that start because the holder has not read the cancellation.
 #[actix_rt::test]
 async fn cancelled_job_does_not_start_while_the_feed_is_silent() {
@@ -121,9 +100,9 @@
     const START_TIMEOUT: Duration = Duration::from_secs(8);
     let store = FakeStore::default();
     *store.0.config.borrow_mut() = Some(config(&["key"]));
-    *store.0.workers.borrow_mut() = vec![entry()];
-    let worker = EndlessWorker::default();
-    let node = Node::start(settings("entry-1", 1.0), store.clone(), worker.clone());
+    *store.0.workers.borrow_mut() = vec![worker("w0")];
+    let endless = EndlessWorker::default();
+    let node = Node::start(settings("entry-1", 1.0), store.clone(), endless.clone());
     let handler = node.request_handler();
     sleep(Duration::from_millis(100)).await;
     for id in [ID, OTHER_ID] {
@@ -133,15 +112,15 @@
     store.0.is_job_feed_silent.set(true);
     assert_eq!(handler.cancel(&request(OTHER_ID, "key")).await, Ok(()));
     sleep(OLDER_THAN_ALLOWED).await;
-    worker.is_reachable.set(true);
+    endless.is_reachable.set(true);
     sleep(Duration::from_secs(2)).await;
-    assert!(!worker.has_started(OTHER_ID), "{:?}", worker.runs.borrow());
+    assert!(!endless.has_started(OTHER_ID), "{:?}", endless.runs.borrow());
     store.0.is_job_feed_silent.set(false);
     let deadline = Instant::now() + START_TIMEOUT;
-    while !worker.has_started(ID) {
+    while !endless.has_started(ID) {
         assert!(Instant::now() < deadline, "nothing starts after the feed is back");
         sleep(Duration::from_millis(20)).await;
     }
     sleep(Duration::from_millis(500)).await;
-    assert!(!worker.has_started(OTHER_ID), "{:?}", worker.runs.borrow());
+    assert!(!endless.has_started(OTHER_ID), "{:?}", endless.runs.borrow());
 }
--- a/crates/node/tests/start_retries.rs
+++ b/crates/node/tests/start_retries.rs
@@ -10,11 +10,9 @@
 
 use actix_rt::time::sleep;
 use compact_str::CompactString;
-use domain::{
-    EntryState, Machine, MaintenanceReply, Resources, StartCommand, StartOutcome, TaskRun, WorkerEntry, WorkerReport,
-};
+use domain::{Machine, MaintenanceReply, StartCommand, StartOutcome, TaskRun, WorkerReport};
 use node::{Fleet, Node, RenewError, Target, Workers};
-use support::{FakeStore, ID, config, request, settings, submission};
+use support::{FakeStore, ID, config, request, settings, submission, worker};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Command {
@@ -86,42 +84,24 @@
     fn retain(&self, _addresses: &HashSet<CompactString>) {}
 }
 
-fn entry() -> WorkerEntry {
-    WorkerEntry {
-        id: "w0".into(),
-        address: "10.0.0.1:80".into(),
-        service: "valuation".into(),
-        data_centre: "dc1".into(),
-        rack: "r1".into(),
-        labels: Vec::new(),
-        capacity: Resources {
-            cpu_milli: 32_000,
-            memory_mib: 65_536,
-            accelerators: 8,
-        },
-        state: EntryState::Ready,
-        process_started_unix_ms: Some(1),
-    }
-}
-
 /// Guards against a start that is sent again after the stop of its run was ordered, as its job was cancelled (UNASKED): the
 /// worker may carry the repeated command out at once.
 #[actix_rt::test]
 async fn start_is_not_repeated_after_its_stop() {
     let store = FakeStore::default();
     *store.0.config.borrow_mut() = Some(config(&["key"]));
-    *store.0.workers.borrow_mut() = vec![entry()];
-    let worker = MuteWorker::default();
-    let node = Node::start(settings("entry-1", 1.0), store.clone(), worker.clone());
+    *store.0.workers.borrow_mut() = vec![worker("w0")];
+    let mute = MuteWorker::default();
+    let node = Node::start(settings("entry-1", 1.0), store.clone(), mute.clone());
     let handler = node.request_handler();
     sleep(Duration::from_millis(500)).await;
     assert_eq!(handler.submit(&request(ID, "key"), &submission()).await, Ok(()));
-    while worker.commands.borrow().is_empty() {
+    while mute.commands.borrow().is_empty() {
         sleep(Duration::from_millis(5)).await;
     }
     assert_eq!(handler.cancel(&request(ID, "key")).await, Ok(()));
     sleep(COMMAND_TIMEOUT * 5).await;
-    let commands = worker.commands.borrow();
+    let commands = mute.commands.borrow();
     let first_stop = commands.iter().position(|command| *command == Command::Stop);
     let first_stop = first_stop.expect("the cancelling stops the run");
     assert!(!commands[first_stop..].contains(&Command::Start), "{commands:?}");
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use actix_rt::time::sleep;
 use compact_str::CompactString;
 use domain::{
-    Config, Limits, Machine, MaintenanceReply, Organisation, Route, StartCommand, StartOutcome, Step, TaskRun, Wave,
-    WorkerEntry, WorkerReport,
+    Config, EntryState, Limits, Machine, MaintenanceReply, Organisation, Resources, Route, StartCommand, StartOutcome,
+    Step, TaskRun, Wave, WorkerEntry, WorkerReport,
 };
 use node::{
     FeedError, Fleet, JobRequest, Node, NodeSettings, OperatorChange, OperatorPage, OwnRow, Page, Place, RenewError,
@@ -320,6 +320,25 @@
     }
 }
 
+/// Returns the entry of a worker with eight accelerators.
+pub fn worker(id: &str) -> WorkerEntry {
+    WorkerEntry {
+        id: id.into(),
+        address: format!("10.0.0.1:{id}").into(),
+        service: "valuation".into(),
+        data_centre: "dc1".into(),
+        rack: "r1".into(),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu_milli: 32_000,
+            memory_mib: 65_536,
+            accelerators: 8,
+        },
+        state: EntryState::Ready,
+        process_started_unix_ms: Some(1),
+    }
+}
+
 /// Returns the settings of an instance with a share of a core.
 pub fn settings(instance: &str, cpu_share: f64) -> NodeSettings {
     NodeSettings {
--- a/crates/node/tests/used_workers.rs
+++ b/crates/node/tests/used_workers.rs
@@ -6,27 +6,8 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
-use domain::{EntryState, Resources, WorkerEntry};
 use node::{Place, Put, Store, Txn, TxnError};
-use support::{FakeStore, config, start};
-
-fn worker(id: &str) -> WorkerEntry {
-    WorkerEntry {
-        id: id.into(),
-        address: format!("10.0.0.1:{id}").into(),
-        service: "valuation".into(),
-        data_centre: "dc1".into(),
-        rack: "r1".into(),
-        labels: Vec::new(),
-        capacity: Resources {
-            cpu_milli: 32_000,
-            memory_mib: 65_536,
-            accelerators: 8,
-        },
-        state: EntryState::Ready,
-        process_started_unix_ms: Some(1),
-    }
-}
+use support::{FakeStore, config, start, worker};
 
 fn changes_workers(txn: &Txn) -> bool {
     let is_worker = |table: &str| table == "workers";
