test(standin): a link that is cut keeps its port

Ruled out: a fault of the client; the earlier trace had shown who held the port. Change: the relay binds the port again without listening, so that connections are refused and nobody else gets it, and listens on that socket when the link opens. No product code changes.

--- a/crates/standin/src/relay/link.rs
+++ b/crates/standin/src/relay/link.rs
@@ -26,7 +26,9 @@
     pub fn new(options: LinkOptions) -> Result<(Self, TcpListener), StandinError> {
         let address = options.listen;
         let listen_error = |source| StandinError::Listen { address, source };
-        let listener = listen(address).map_err(listen_error)?;
+        let listener = bind(address)
+            .and_then(|socket| socket.listen(BACKLOG))
+            .map_err(listen_error)?;
         let link = Self {
             listen: listener.local_addr().map_err(listen_error)?,
             options,
@@ -57,20 +59,25 @@
         }
     }
 
-    /// Accepts connections; closes the listener while the link is cut, so that new connections are refused.
+    /// Accepts connections; closes the listener while the link is cut, so that new connections are refused. The port stays
+    /// bound: another server would get it otherwise and answer in its place.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         let mut listener = Some(listener);
+        let mut bound = None;
         let mut mode = self.mode.subscribe();
         loop {
             if *mode.borrow_and_update() == LinkMode::Cut {
-                drop(listener.take());
+                if listener.take().is_some() {
+                    bound = bind(self.listen).ok();
+                }
                 if mode.changed().await.is_err() {
                     return;
                 }
                 continue;
             }
             let Some(open) = &listener else {
-                listener = listen(self.listen).ok();
+                let socket = bound.take().map_or_else(|| bind(self.listen), Ok);
+                listener = socket.and_then(|socket| socket.listen(BACKLOG)).ok();
                 if listener.is_none() {
                     sleep(Duration::from_millis(20)).await;
                 }
@@ -129,8 +136,11 @@
     }
 }
 
-/// Listens with a backlog of 2,048, so that many clients can connect at once.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Length of the queue of a listener, so that many clients can connect at once.
+const BACKLOG: u32 = 2_048;
+
+/// Binds a port; connections are refused until the socket listens.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()
     } else {
@@ -138,7 +148,7 @@
     }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(2048)
+    Ok(socket)
 }
 
 /// Copies bytes until the sender closes; discards them once the connection is silenced.
