test(fleet): ports of a deployment stay reserved until its processes listen on them

Free ports were found, released and given to processes that bind them later; other programs got some of them meanwhile. The logs of the deployment were gone, so the error now names a process that has exited, with the end of its log. Change: the ports are bound by sockets that do not listen, for as long as the deployment exists; servers can listen on them and nobody else gets them. No product code changes.

--- a/crates/fleet/src/fleet_error.rs
+++ b/crates/fleet/src/fleet_error.rs
@@ -30,6 +30,14 @@
         /// Waiting time in milliseconds.
         waited_ms: u128,
     },
+    /// A process exited while the deployment started.
+    #[error("{name} has exited: {log}")]
+    Exited {
+        /// Name of the process.
+        name: String,
+        /// End of its log.
+        log: String,
+    },
     /// A request to a process failed.
     #[error("{url} answered {status}")]
     Http {
--- a/crates/fleet/src/fleet_process.rs
+++ b/crates/fleet/src/fleet_process.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// Returns the name of the process in its deployment.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,7 +12,7 @@
 mod instance;
 mod layout;
 mod observe;
-mod ports;
+mod reserved_ports;
 mod settings_file;
 mod start;
 
@@ -21,4 +21,5 @@
 pub use fleet_process::FleetProcess;
 pub use instance::Instance;
 pub use layout::Layout;
+pub use reserved_ports::ReservedPorts;
 pub use start::Fleet;
--- a/crates/fleet/src/start.rs
+++ b/crates/fleet/src/start.rs
@@ -6,9 +6,8 @@
 use conf::Sheet;
 use tempfile::TempDir;
 
-use crate::ports::free_addresses;
 use crate::settings_file::{Peer, render_settings};
-use crate::{FleetError, FleetProcess, Instance, Layout};
+use crate::{FleetError, FleetProcess, Instance, Layout, ReservedPorts};
 
 /// Running deployment.
 pub struct Fleet {
@@ -20,8 +19,10 @@
     pub(crate) worker_addresses: Vec<SocketAddr>,
     pub(crate) client: awc::Client,
     /// Declared after `instances`, so that the stand-ins are killed after them.
-    pub(crate) _standins: Vec<FleetProcess>,
+    pub(crate) standins: Vec<FleetProcess>,
     pub(crate) folder: TempDir,
+    /// Ports of all processes, also of those that are not running.
+    _ports: ReservedPorts,
 }
 
 impl fmt::Debug for Fleet {
@@ -54,7 +55,11 @@
         let names = layout.data_centre_names();
         let entries = layout.data_centres * layout.entries_per_data_centre;
         let links = layout.data_centres + entries * (layout.data_centres - 1);
-        let mut addresses = free_addresses(2 + layout.data_centres + 2 * entries + links)?.into_iter();
+        let ports = ReservedPorts::new(2 + layout.data_centres + 2 * entries + links);
+        let ports = ports.map_err(|source| FleetError::io("free ports", source))?;
+        let addresses = ports.addresses();
+        let addresses = addresses.map_err(|source| FleetError::io("free ports", source))?;
+        let mut addresses = addresses.into_iter();
         let mut next_address = || addresses.next().expect("enough addresses were reserved");
 
         let platform_address = next_address();
@@ -131,16 +136,38 @@
             relay_address,
             worker_addresses,
             client,
-            _standins: standins,
+            standins,
             folder,
+            _ports: ports,
         };
         for index in 0..fleet.instances.len() {
             fleet.start_instance(index)?;
         }
-        fleet.apply_first_sheet().await?;
+        if let Err(error) = fleet.apply_first_sheet().await {
+            return Err(fleet.exited_process().unwrap_or(error));
+        }
         Ok(fleet)
     }
 
+    /// Returns the process that has exited, with the end of its log; it explains why a deployment does not start.
+    fn exited_process(&mut self) -> Option<FleetError> {
+        const LOG_LINES: usize = 5;
+        let instances = self
+            .instances
+            .iter_mut()
+            .filter_map(|instance| instance.process.as_mut());
+        let mut processes = self.standins.iter_mut().chain(instances);
+        let exited = processes.find_map(|process| process.has_exited().then_some(process));
+        exited.map(|process| {
+            let log = process.log();
+            let lines: Vec<&str> = log.lines().collect();
+            FleetError::Exited {
+                name: process.name().to_owned(),
+                log: lines[lines.len().saturating_sub(LOG_LINES)..].join("\n"),
+            }
+        })
+    }
+
     /// Starts the process of an instance that is not running.
     ///
     /// # Errors
