--- a/crates/node/tests/silent_job_feed.rs
+++ b/crates/node/tests/silent_job_feed.rs
@@ -101,8 +101,8 @@
     let store = FakeStore::default();
     *store.0.config.borrow_mut() = Some(config(&["key"]));
     *store.0.workers.borrow_mut() = vec![worker("w0")];
-    let endless = EndlessWorker::default();
-    let node = Node::start(settings("entry-1", 1.0), store.clone(), endless.clone());
+    let worker = EndlessWorker::default();
+    let node = Node::start(settings("entry-1", 1.0), store.clone(), worker.clone());
     let handler = node.request_handler();
     sleep(Duration::from_millis(100)).await;
     for id in [ID, OTHER_ID] {
@@ -112,15 +112,15 @@
     store.0.is_job_feed_silent.set(true);
     assert_eq!(handler.cancel(&request(OTHER_ID, "key")).await, Ok(()));
     sleep(OLDER_THAN_ALLOWED).await;
-    endless.is_reachable.set(true);
+    worker.is_reachable.set(true);
     sleep(Duration::from_secs(2)).await;
-    assert!(!endless.has_started(OTHER_ID), "{:?}", endless.runs.borrow());
+    assert!(!worker.has_started(OTHER_ID), "{:?}", worker.runs.borrow());
     store.0.is_job_feed_silent.set(false);
     let deadline = Instant::now() + START_TIMEOUT;
-    while !endless.has_started(ID) {
+    while !worker.has_started(ID) {
         assert!(Instant::now() < deadline, "nothing starts after the feed is back");
         sleep(Duration::from_millis(20)).await;
     }
     sleep(Duration::from_millis(500)).await;
-    assert!(!endless.has_started(OTHER_ID), "{:?}", endless.runs.borrow());
+    assert!(!worker.has_started(OTHER_ID), "{:?}", worker.runs.borrow());
 }
