fix(domain): only tasks that require a label wait for the new entry of a restarted worker

Cause: barred all work from a restarted worker until its new entry was known. Restarted workers stood idle for up to a heartbeat. Change: the bar holds for tasks that require a label.

--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -12,8 +12,7 @@
 /// Why a worker gets no new tasks at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Barrier {
-    /// It is not listed or not recorded, has not reported in this epoch, or its last report and its entry are of different
-    /// incarnations.
+    /// It is not listed or not recorded, or has not reported in this epoch or incarnation.
     Unreported,
     /// It drains, awaits maintenance, or its data centre is out of service.
     Leaving,
@@ -58,8 +57,7 @@
         let is_leaving = worker.entry.state != EntryState::Ready
             || self.waves.is_cordoned(&worker.entry.id)
             || self.out_of_service.contains(&worker.entry.data_centre);
-        let is_reported = worker.is_fenced && !worker.is_restart_pending && !worker.is_entry_outdated();
-        if !worker.is_listed || !worker.is_recorded || !is_reported {
+        if !worker.is_listed || !worker.is_recorded || !worker.is_fenced || worker.is_restart_pending {
             Some(Barrier::Unreported)
         } else if is_leaving {
             Some(Barrier::Leaving)
@@ -328,7 +326,7 @@
         let has_label = |label: &CompactString| {
             self.workers
                 .get(candidate.worker)
-                .is_some_and(|worker| worker.entry.labels.contains(label))
+                .is_some_and(|worker| !worker.is_entry_outdated() && worker.entry.labels.contains(label))
         };
         candidate.service == spec.service
             && shape.required_label.as_ref().is_none_or(has_label)
