feat(domain): placement by the speed of workers

Change: the engine observes the rates of runs, fits the speeds twice a second, and orders workers by the chance that a unit meets its objective there, then leaves workers that urgent work needs to it. Gangs take a rack whose slowest member is fast enough; preemption first considers fast workers. Run times are learnt as on a worker of mean speed. While the spread of the speeds is under 0.1, placement is as before.

--- a/crates/domain/src/engine/forecast.rs
+++ b/crates/domain/src/engine/forecast.rs
@@ -87,7 +87,8 @@
         if declared_ms == 0 || run.resumed || self.remote_factor_of(run) > 1.0 {
             return;
         }
-        let real_ms = now_ms.saturating_sub(run.start_sent_ms);
+        let elapsed_ms = now_ms.saturating_sub(run.start_sent_ms);
+        let real_ms = (elapsed_ms as f64 * self.speed_of_run(run)) as u64;
         self.forecasts
             .entry((spec.route.clone(), step))
             .or_default()
--- a/crates/domain/src/engine/gangs.rs
+++ b/crates/domain/src/engine/gangs.rs
@@ -7,6 +7,7 @@
 use super::health::is_last_resort;
 use super::place::tasks_that_fit;
 use super::queue::PlacementUnit;
+use super::worker_speeds::SpeedRank;
 use crate::{Job, Step};
 
 /// Number of tasks that a plan assigns to a candidate, given by its index.
@@ -28,6 +29,11 @@
         now_ms: u64,
     ) -> Option<Vec<Share>> {
         let requires_ticket = self.requires_ticket(unit);
+        let speed_need = self.speed_need(unit, spec, now_ms);
+        let ranks: Vec<SpeedRank> = candidates
+            .iter()
+            .map(|candidate| self.speed_rank(candidate.worker, speed_need))
+            .collect();
         let usable: Vec<_> = (0..candidates.len())
             .filter(|index| self.can_hold_task(&candidates[*index], unit, spec, shape))
             .filter(|index| !unit.has_suspects || self.is_open_to_suspects(&candidates[*index], unit))
@@ -44,25 +50,25 @@
         if others.len() < usable.len() {
             let is_rack_bound = shape.is_same_rack || shape.data_rack.is_some();
             let plan = if is_rack_bound {
-                best_rack(shape, &others, candidates)
+                best_rack(shape, &others, candidates, &ranks)
             } else {
-                pack(shape, &others, candidates)
+                pack(shape, &others, candidates, &ranks)
             };
             if plan.is_some() {
                 return plan;
             }
         }
         if !shape.is_same_rack && shape.data_rack.is_none() {
-            return pack(shape, &usable, candidates);
+            return pack(shape, &usable, candidates, &ranks);
         }
-        if let Some(plan) = best_rack(shape, &usable, candidates) {
+        if let Some(plan) = best_rack(shape, &usable, candidates, &ranks) {
             return Some(plan);
         }
         let fits_some_rack = self.fits_some_rack(spec, shape);
         if fits_some_rack && !self.may_be_remote(unit, spec, shape, now_ms) {
             return None;
         }
-        pack(shape, &usable, candidates)
+        pack(shape, &usable, candidates, &ranks)
     }
 
     /// Returns whether some rack can hold the gang once the work there that ends by itself has ended.
@@ -149,18 +155,23 @@
     }
 }
 
-/// Places the gang on the fullest of the given candidates that can hold it.
-fn pack(shape: &Step, usable: &[usize], candidates: &[Candidate]) -> Option<Vec<Share>> {
+/// Places the gang on the fullest of the given candidates that can hold it, those that suit it by their speed first.
+fn pack(shape: &Step, usable: &[usize], candidates: &[Candidate], ranks: &[SpeedRank]) -> Option<Vec<Share>> {
     let mut order: Vec<_> = usable
         .iter()
         .map(|candidate| (*candidate, tasks_that_fit(shape, &candidates[*candidate].free)))
         .filter(|(_, tasks)| *tasks > 0)
         .collect();
     // Workers near the data first, then the fullest, so that empty workers stay free for wide gangs.
-    order.sort_by_key(|(candidate, _)| {
-        let candidate = &candidates[*candidate];
+    order.sort_by_key(|(index, _)| {
+        let candidate = &candidates[*index];
         let is_remote = shape.data_rack.as_ref().is_some_and(|rack| *rack != candidate.rack);
-        (is_remote, candidate.free.accelerators, candidate.free.memory_mib)
+        (
+            is_remote,
+            ranks[*index],
+            candidate.free.accelerators,
+            candidate.free.memory_mib,
+        )
     });
     let mut left = u64::from(shape.count);
     let mut plan = Vec::new();
@@ -177,13 +188,17 @@
     (left == 0).then_some(plan)
 }
 
-/// Places the gang in one rack: that of its data if it has one, else the fullest that can hold it.
-fn best_rack(shape: &Step, usable: &[usize], candidates: &[Candidate]) -> Option<Vec<Share>> {
-    let mut racks: HashMap<&CompactString, Vec<usize>> = HashMap::new();
+/// Places the gang in one rack: that of its data if it has one, else one whose members are fast enough for it, and of
+/// these the fullest that can hold it.
+fn best_rack(shape: &Step, usable: &[usize], candidates: &[Candidate], ranks: &[SpeedRank]) -> Option<Vec<Share>> {
+    let mut members_of: HashMap<&CompactString, Vec<usize>> = HashMap::new();
     for candidate in usable {
-        racks.entry(&candidates[*candidate].rack).or_default().push(*candidate);
+        members_of
+            .entry(&candidates[*candidate].rack)
+            .or_default()
+            .push(*candidate);
     }
-    racks
+    members_of
         .into_iter()
         .filter(|(rack, _)| shape.data_rack.as_ref().is_none_or(|data| data == *rack))
         .filter_map(|(rack, members)| {
@@ -191,8 +206,11 @@
                 .iter()
                 .map(|candidate| candidates[*candidate].free.accelerators)
                 .sum();
-            Some((free, rack, pack(shape, &members, candidates)?))
+            let plan = pack(shape, &members, candidates, ranks)?;
+            // A gang advances with its slowest member.
+            let miss = plan.iter().map(|share| ranks[share.candidate].miss).max().unwrap_or(0);
+            Some((miss, free, rack, plan))
         })
-        .min_by_key(|(free, rack, _)| (*free, (*rack).clone()))
-        .map(|(_, _, plan)| plan)
+        .min_by_key(|(miss, free, rack, _)| (*miss, *free, (*rack).clone()))
+        .map(|(_, _, _, plan)| plan)
 }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -42,6 +42,7 @@
 mod waves;
 mod worker;
 mod worker_loss;
+mod worker_speeds;
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -115,6 +116,7 @@
     /// Index of the unit at which the next pass continues in a long queue.
     next_unit: usize,
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
+    speeds: worker_speeds::WorkerSpeeds,
     stats: EngineStats,
     log_lines: Vec<String>,
 }
@@ -176,6 +178,7 @@
             next_scan_ms: now_ms,
             next_unit: 0,
             forecasts: HashMap::new(),
+            speeds: worker_speeds::WorkerSpeeds::default(),
             stats: EngineStats::default(),
             log_lines: Vec::new(),
         }
@@ -262,6 +265,7 @@
             self.next_schedule_ms = now_ms + Self::MIN_SCHEDULE_INTERVAL_MS;
             self.note_idle_steps(now_ms);
             self.check_health(now_ms);
+            self.fit_speeds(now_ms);
             self.move_off_draining_workers(now_ms);
             if self.has_current_feeds(now_ms) {
                 let unsent = self.listed_starts.len();
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -275,6 +275,7 @@
     ) -> Vec<usize> {
         let shape = &spec.steps[unit.step as usize];
         let need = shape.charged();
+        let speed_need = self.speed_need(unit, spec, now_ms);
         let rank = |left: u64| if are_suspects { u64::MAX - left } else { left };
         let requires_ticket = self.requires_ticket(unit);
         let may_be_remote = self.may_be_remote(unit, spec, shape, now_ms);
@@ -304,6 +305,7 @@
                     candidate.is_withheld_from(unit),
                     is_last_resort(unit, shape, candidate, &failed_on),
                     is_remote,
+                    self.speed_rank(candidate.worker, speed_need),
                     rank(left.accelerators),
                     rank(left.memory_mib),
                     rank(left.cpu_milli),
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -66,7 +66,13 @@
             .copied()
             .filter(|candidate| !is_last_resort(unit, shape, candidate, &failed_on))
             .collect();
-        let mut preemption = self.cheapest_victims(unit, shape, needed, &healthy, now_ms);
+        let speed_need = self.speed_need(unit, &spec, now_ms);
+        let is_fast_enough = |candidate: &&Candidate| self.speed_rank(candidate.worker, speed_need).miss == 0;
+        let fast: Vec<_> = healthy.iter().copied().filter(is_fast_enough).collect();
+        let mut preemption = self.cheapest_victims(unit, shape, needed, &fast, now_ms);
+        if preemption.is_none() && fast.len() < healthy.len() {
+            preemption = self.cheapest_victims(unit, shape, needed, &healthy, now_ms);
+        }
         if preemption.is_none() && healthy.len() < usable.len() {
             preemption = self.cheapest_victims(unit, shape, needed, &usable, now_ms);
         }
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -17,6 +17,8 @@
     pub lateness: u8,
     /// Latest start time that still meets the objective.
     pub latest_start_ms: u64,
+    /// Latest start time for which completing it still has value.
+    pub late_start_ms: u64,
     pub due_ms: u64,
     /// One of its tasks may have crashed workers.
     pub has_suspects: bool,
@@ -183,6 +185,8 @@
                         } else {
                             deadline_ms.saturating_sub(critical_path_ms)
                         },
+                        late_start_ms: (occurrence.due_ms + objective_ms * Self::LATE_FACTOR)
+                            .saturating_sub(critical_path_ms),
                         due_ms: occurrence.due_ms,
                         has_suspects: state.has_suspects(),
                         is_lasting,
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -182,6 +182,7 @@
             self.keep_checkpoint(key);
         }
         self.observe_survival(key, now_ms);
+        self.observe_rate(key, now_ms);
         self.mark_job_running(key, now_ms);
         Some(key)
     }
@@ -289,6 +290,7 @@
                 }
                 if let Some(run) = &run {
                     self.learn(&spec, name.step, run, now_ms);
+                    self.observe_run_time(shape, run, now_ms);
                 }
                 if let Some(other) = other
                     && Some(other) != run_key
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -58,6 +58,8 @@
     /// Tail latency in ms of a task that serves users; processor use of any other, over the last half second.
     pub recent: f64,
     pub progress: RunProgress,
+    /// Its rate was taken into the speed of its worker.
+    pub is_rate_observed: bool,
     pub work_percent: u32,
     pub throttle_sent_ms: u64,
     /// Its task runs until its job is cancelled.
@@ -97,6 +99,7 @@
             is_unsent: false,
             recent: 0.0,
             progress: RunProgress::default(),
+            is_rate_observed: false,
             work_percent: 100,
             throttle_sent_ms: 0,
             is_lasting: false,
--- a/crates/domain/src/engine/run_progress.rs
+++ b/crates/domain/src/engine/run_progress.rs
@@ -2,6 +2,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct RunProgress {
     pub percent: f64,
+    /// Time and percentage of the first report.
+    first: Option<(u64, f64)>,
     /// Start of the current window and the percentage at that time.
     window: Option<(u64, f64)>,
     /// Percent per millisecond over the last complete window.
@@ -20,6 +22,7 @@
     /// Records a reported percentage.
     pub fn observe(&mut self, percent: f64, now_ms: u64) {
         self.percent = percent;
+        self.first.get_or_insert((now_ms, percent));
         let Some((since_ms, from)) = self.window else {
             self.window = Some((now_ms, percent));
             return;
@@ -34,6 +37,12 @@
         self.window = Some((now_ms, percent));
     }
 
+    /// Returns the progress since the first report and the time since then, if there was a later report.
+    pub fn since_first(&self, now_ms: u64) -> Option<(f64, u64)> {
+        let (first_ms, first) = self.first?;
+        Some((self.percent - first, now_ms.saturating_sub(first_ms)))
+    }
+
     /// Returns the rate as a share of `normal`; `None` if it is not known yet or `normal` is too low to compare with.
     pub fn share_of(&self, normal: f64) -> Option<f64> {
         let rate = self.rate?;
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -121,6 +121,7 @@
             checkpoint: checkpoint.clone(),
             recent: 0.0,
             progress: RunProgress::default(),
+            is_rate_observed: false,
             work_percent: 100,
             throttle_sent_ms: 0,
             is_lasting: shape.is_long_running,
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -43,4 +43,12 @@
     pub withheld_steps: u64,
     /// Longest time for which room was withheld from such a step.
     pub longest_withheld_ms: u64,
+    /// Workers with a reliable estimate of their speed.
+    pub known_speeds: u64,
+    /// Lowest of these speeds, in percent of the mean.
+    pub lowest_speed_percent: u64,
+    /// Median of these speeds, in percent of the mean.
+    pub median_speed_percent: u64,
+    /// Highest of these speeds, in percent of the mean.
+    pub highest_speed_percent: u64,
 }
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -154,6 +154,7 @@
             priority: self.jobs[job].spec.priority,
             lateness: 0,
             latest_start_ms: now_ms,
+            late_start_ms: now_ms,
             due_ms: now_ms,
             has_suspects: state.has_suspects(),
             is_lasting: self.jobs[job].spec.steps[step as usize].is_long_running,
--- a/crates/domain/src/engine/worker_loss.rs
+++ b/crates/domain/src/engine/worker_loss.rs
@@ -68,6 +68,7 @@
         worker.failed_jobs.clear();
         self.unacked.swap_remove(&key);
         self.withdraw_unsent_starts(key);
+        self.forget_speed(key);
     }
 
     /// Drops the runs that ended with the former incarnation of a worker. Runs that the new one lists, and runs whose
@@ -169,6 +170,7 @@
     }
 
     fn forget_worker(&mut self, key: WorkerKey) {
+        self.forget_speed(key);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_ids.remove(&worker.entry.id);
             self.renewals.remove(key, worker.renew_due_ms);
--- /dev/null
+++ b/crates/domain/src/engine/worker_speeds.rs
@@ -0,0 +1,243 @@
+use std::collections::HashMap;
+
+use speed::{Speed, SpeedModel};
+
+use super::keys::{RunKey, WorkerKey};
+use super::queue::{PlacementUnit, PlacementUnitKey};
+use super::{Engine, Run};
+use crate::{Job, Step};
+
+/// What is known of the speeds of workers.
+#[derive(Debug, Clone, Default)]
+pub(super) struct WorkerSpeeds {
+    model: SpeedModel<WorkerKey, PlacementUnitKey>,
+    next_fit_ms: u64,
+    /// The workers differ so much that placement takes account of it.
+    is_uneven: bool,
+    /// Factors as last logged.
+    logged: HashMap<WorkerKey, f64>,
+}
+
+/// How well a worker suits a unit by its speed; the lower, the better. All are equal while speeds do not differ.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct SpeedRank {
+    /// Class of the chance that the unit misses its objective there.
+    pub miss: u8,
+    /// Class of the chance that urgent work would meet its objective there: other work leaves such workers free.
+    pub urgent: u8,
+}
+
+/// Speed that a unit needs to meet its objective, and that urgent work needs.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SpeedNeed {
+    own: f64,
+    urgent: f64,
+}
+
+/// Speed of workers.
+impl Engine {
+    /// Interval between fits of the speeds to the observed rates.
+    const SPEED_FIT_INTERVAL_MS: u64 = 500;
+
+    /// Spread of the speeds, as a logarithm, below which placement ignores them.
+    const MIN_SPREAD: f64 = 0.1;
+
+    /// Time over which the progress of a run shows its rate, as percentages are integers.
+    const RATE_SPAN_MS: u64 = 1_200;
+
+    /// Least progress in percent that shows a rate.
+    const RATE_PERCENT: f64 = 5.0;
+
+    /// Standard deviation of the logarithms of the run times of tasks of a step on equal workers.
+    const TASK_DEVIATION: f64 = 0.3;
+
+    /// Standard deviation of the logarithm of the speed that a unit needs: its run time is a forecast.
+    const NEED_DEVIATION: f64 = 0.15;
+
+    /// Time from the decision to start a task until its worker begins it, and from its end until that is known.
+    const START_AND_REPORT_MS: u64 = 150;
+
+    /// Relative change of a worker's speed that is logged.
+    const LOGGED_CHANGE: f64 = 0.2;
+
+    /// Returns the speed of a worker relative to the mean of all.
+    pub(super) fn speed_of(&self, worker: WorkerKey) -> Speed {
+        self.speeds.model.estimate(worker)
+    }
+
+    /// Returns the speed at which a run advances: that of its worker, or of the slowest worker of its gang.
+    pub(super) fn speed_of_run(&self, run: &Run) -> f64 {
+        if !self.speeds.is_uneven {
+            return 1.0;
+        }
+        let own = self.speed_of(run.worker).factor();
+        let is_gang = self.job_of(run).spec.steps[run.step as usize].is_gang;
+        let Some(state) = self.step_of(run).filter(|_| is_gang) else {
+            return own;
+        };
+        let members = state.active.iter().flatten().filter_map(|key| self.runs.get(*key));
+        members.fold(own, |slowest, member| {
+            slowest.min(self.speed_of(member.worker).factor())
+        })
+    }
+
+    /// Takes note of the rate of a run once its progress shows it.
+    pub(super) fn observe_rate(&mut self, key: RunKey, now_ms: u64) {
+        let Some(run) = self.runs.get(key) else { return };
+        if run.is_rate_observed || run.is_unwanted || run.work_percent < 100 {
+            return;
+        }
+        let Some((percent, elapsed_ms)) = run.progress.since_first(now_ms) else {
+            return;
+        };
+        if elapsed_ms < Self::RATE_SPAN_MS || percent < Self::RATE_PERCENT {
+            return;
+        }
+        let shape = &self.job_of(run).spec.steps[run.step as usize];
+        if !shows_speed(shape) {
+            return;
+        }
+        // Members of a gang are equal in size, so that only the resolution of the percentages blurs their rates.
+        let resolution = percent.recip();
+        let deviation = if shape.is_gang {
+            resolution
+        } else {
+            resolution.hypot(Self::TASK_DEVIATION)
+        };
+        let rate = percent / elapsed_ms as f64 * self.remote_factor_of(run);
+        let (unit, worker) = (PlacementUnitKey::new(run.job, run.occurrence, run.step), run.worker);
+        self.runs[key].is_rate_observed = true;
+        self.speeds.model.observe(unit, worker, rate, deviation);
+    }
+
+    /// Takes note of the run time of a completed run that ended before its progress showed a rate.
+    pub(super) fn observe_run_time(&mut self, shape: &Step, run: &Run, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(run.start_sent_ms);
+        let is_comparable = !run.is_rate_observed && !run.resumed && run.work_percent == 100 && !shape.is_gang;
+        if !is_comparable || elapsed_ms == 0 || !shows_speed(shape) {
+            return;
+        }
+        let rate = 100.0 / elapsed_ms as f64 * self.remote_factor_of(run);
+        let unit = PlacementUnitKey::new(run.job, run.occurrence, run.step);
+        self.speeds.model.observe(unit, run.worker, rate, Self::TASK_DEVIATION);
+    }
+
+    /// Updates the speeds from the rates observed since the last time.
+    pub(super) fn fit_speeds(&mut self, now_ms: u64) {
+        if now_ms < self.speeds.next_fit_ms {
+            return;
+        }
+        self.speeds.next_fit_ms = now_ms + Self::SPEED_FIT_INTERVAL_MS;
+        if !self.speeds.model.fit() {
+            return;
+        }
+        let spread = self.speeds.model.spread();
+        let is_uneven = spread.is_some_and(|spread| spread >= Self::MIN_SPREAD);
+        if is_uneven != self.speeds.is_uneven {
+            self.speeds.is_uneven = is_uneven;
+            self.log_lines.push(format!(
+                "worker_speeds is_uneven={is_uneven} spread={:.2}",
+                spread.unwrap_or(0.0)
+            ));
+        }
+        self.log_speeds();
+    }
+
+    fn log_speeds(&mut self) {
+        let mut factors: Vec<f64> = Vec::new();
+        for (key, speed) in self.speeds.model.estimates().filter(|(_, speed)| speed.is_reliable()) {
+            let Some(worker) = self.workers.get(key) else { continue };
+            let factor = speed.factor();
+            factors.push(factor);
+            let logged = self.speeds.logged.entry(key).or_insert(0.0);
+            if (factor - *logged).abs() > *logged * Self::LOGGED_CHANGE {
+                *logged = factor;
+                self.log_lines.push(format!(
+                    "worker_speed worker={} factor={factor:.2} deviation={:.2}",
+                    worker.entry.id, speed.deviation
+                ));
+            }
+        }
+        factors.sort_unstable_by(f64::total_cmp);
+        let percent = |factor: Option<&f64>| factor.map_or(0, |factor| (factor * 100.0) as u64);
+        self.stats.known_speeds = factors.len() as u64;
+        self.stats.lowest_speed_percent = percent(factors.first());
+        self.stats.median_speed_percent = percent(factors.get(factors.len() / 2));
+        self.stats.highest_speed_percent = percent(factors.last());
+    }
+
+    /// Forgets the speed of a worker whose process has ended.
+    pub(super) fn forget_speed(&mut self, worker: WorkerKey) {
+        self.speeds.model.forget(worker);
+        self.speeds.logged.remove(&worker);
+    }
+
+    /// Returns the speed that a unit needs to meet its objective, or its late limit if it cannot meet the objective.
+    pub(super) fn speed_need(&self, unit: &PlacementUnit, spec: &Job, now_ms: u64) -> SpeedNeed {
+        if !self.speeds.is_uneven {
+            return SpeedNeed::default();
+        }
+        let expected_ms = self.expected_ms(spec, unit.step);
+        let latest_start_ms = if unit.lateness == 0 {
+            unit.latest_start_ms
+        } else {
+            unit.late_start_ms
+        };
+        let left_ms = (latest_start_ms + expected_ms).saturating_sub(now_ms + Self::START_AND_REPORT_MS);
+        // What runs until it is cancelled has no end to meet, and what is beyond its late limit has no value left.
+        let own = if unit.is_lasting || unit.lateness > 1 {
+            0.0
+        } else {
+            expected_ms as f64 / left_ms.max(1) as f64
+        };
+        SpeedNeed {
+            own,
+            urgent: self.urgent_speed(),
+        }
+    }
+
+    /// Returns the speed that work of priority 0 needs to meet its objective if it starts at once.
+    fn urgent_speed(&self) -> f64 {
+        let routes = self.config.routes.iter();
+        let urgent = routes.filter(|route| route.priority == 0 && route.objective_factor > 0.0);
+        urgent.map(|route| route.objective_factor.recip()).fold(0.0, f64::max)
+    }
+
+    /// Returns how well a worker suits a unit by its speed.
+    pub(super) fn speed_rank(&self, worker: WorkerKey, need: SpeedNeed) -> SpeedRank {
+        if !self.speeds.is_uneven {
+            return SpeedRank::default();
+        }
+        let speed = self.speed_of(worker);
+        let chance = |factor: f64| {
+            if factor > 0.0 {
+                speed.chance_of(factor, Self::NEED_DEVIATION)
+            } else {
+                1.0
+            }
+        };
+        SpeedRank {
+            miss: miss_class(chance(need.own)),
+            urgent: if need.urgent > 0.0 {
+                u8::MAX - miss_class(chance(need.urgent))
+            } else {
+                0
+            },
+        }
+    }
+}
+
+/// Returns whether the rates of a step's tasks show the speed of their workers. Those of lasting tasks and of tasks in the
+/// background depend on the load beside them.
+const fn shows_speed(shape: &Step) -> bool {
+    !shape.is_long_running && !shape.is_filler && shape.count > 1
+}
+
+/// Returns the class of a chance: 0 if the objective is nearly certain, 1 if it is open, 2 if it will be missed.
+fn miss_class(chance: f64) -> u8 {
+    /// Chance from which the objective counts as met.
+    const SAFE: f64 = 0.9;
+    /// Chance below which the objective counts as missed.
+    const OPEN: f64 = 0.5;
+    u8::from(chance < SAFE) + u8::from(chance < OPEN)
+}
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -15,6 +15,7 @@
 mod silent_workers;
 mod simulation;
 mod takeover;
+mod uneven_speeds;
 mod waiting;
 mod waiting_starts;
 mod worker_crashes;
