fix(domain): gangs of long tasks are not taken for slow workers

Cause: a gang was compared with the forecast, so one whose tasks take seven times as long as usual was stopped and started elsewhere, and all its workers counted as suspects. A member that had done its part and waited for the others appeared slow as well. Change: the rates of members are compared with each other, as members are equal in size; members at 100 percent are not looked at; only the worker of a slow member is suspect. A gang that stalls as a whole is still compared with the forecast.

--- a/crates/domain/src/engine/slow.rs
+++ b/crates/domain/src/engine/slow.rs
@@ -42,11 +42,12 @@
         let mut slow = Vec::new();
         let mut healthy = HashSet::new();
         for (key, run) in &self.runs {
-            if run.state != RunState::Running || run.is_unwanted {
+            // A member of a gang that has done its part waits for the others.
+            if run.state != RunState::Running || run.is_unwanted || run.progress.percent >= 100.0 {
                 continue;
             }
             let similar = rates.get(&(run.job, run.occurrence, run.step)).copied().unwrap_or(0.0);
-            let similar = similar / self.remote_factor_of(run);
+            let similar = similar / self.remote_factor_of(run) * self.speed_of_run(run);
             let own = run.progress.share_of(run.progress.best_rate);
             let other = run.progress.share_of(similar);
             if own.is_some_and(|share| share < Self::SELF_SLOW_SHARE)
@@ -61,38 +62,15 @@
             self.workers[*worker].suspect_until_ms = 0;
         }
         for (key, worker, normal) in slow {
-            let is_gang = self.runs.get(key).is_some_and(|run| {
-                let shape = &self.job_of(run).spec.steps[run.step as usize];
-                shape.is_gang && shape.count > 1
-            });
-            if !is_gang && healthy.contains(&worker) {
+            if healthy.contains(&worker) {
+                // The task is long, not the worker slow.
                 continue;
             }
-            // Reports arrive at different times, so not every member of a slow gang appears slow in this pass.
-            for worker in self.workers_of_unit(key) {
-                if !healthy.contains(&worker) {
-                    self.workers[worker].suspect_until_ms = now_ms + Self::SUSPECT_MS;
-                }
-            }
+            self.workers[worker].suspect_until_ms = now_ms + Self::SUSPECT_MS;
             self.handle_slow(key, normal, now_ms);
         }
     }
 
-    /// Returns the worker of a run, or those of all members of its gang.
-    fn workers_of_unit(&self, key: RunKey) -> Vec<WorkerKey> {
-        let Some(run) = self.runs.get(key) else {
-            return Vec::new();
-        };
-        let is_gang = self.job_of(run).spec.steps[run.step as usize].is_gang;
-        match self.step_of(run).filter(|_| is_gang) {
-            Some(state) => {
-                let members = state.active.iter().flatten().filter_map(|key| self.runs.get(*key));
-                members.map(|member| member.worker).collect()
-            }
-            None => vec![run.worker],
-        }
-    }
-
     /// Moves runs that cannot finish in time off draining workers. A run that saves checkpoints saves one when it is
     /// stopped; any other would be lost anyway, and restarts sooner this way.
     pub(super) fn move_off_draining_workers(&mut self, now_ms: u64) {
@@ -129,32 +107,48 @@
             return run.progress.remaining_ms(rate) as u64;
         }
         let spec = &self.job_of(run).spec;
-        (self.expected_ms(spec, run.step) + run.start_sent_ms).saturating_sub(now_ms)
+        let expected_ms = (self.expected_ms(spec, run.step) as f64 / self.speed_of_run(run)) as u64;
+        (expected_ms + run.start_sent_ms).saturating_sub(now_ms)
     }
 
-    /// Returns the normal rate of each running step: the higher of its corrected estimate and the median of its tasks.
+    /// Returns the normal rate of each running step on a worker of mean speed: the higher of its corrected estimate and the
+    /// median of its tasks. Members of a gang are equal in size, so the median of a gang on several workers is its rate
+    /// even if the gang takes many times as long as others.
     fn normal_rates(&self) -> HashMap<(JobKey, u32, u32), f64> {
         /// Minimum number of running tasks of a step for which the median of their rates is meaningful.
         const MIN_SIBLINGS: usize = 3;
+        /// Share of the estimated rate below which a whole gang is stalled and not only long.
+        const STALLED_SHARE: f64 = 0.05;
         let mut rates: HashMap<_, Vec<f64>> = HashMap::new();
+        let mut hosts: HashMap<_, HashSet<WorkerKey>> = HashMap::new();
         for run in self
             .runs
             .values()
-            .filter(|run| run.state == RunState::Running && !run.is_unwanted)
+            .filter(|run| run.state == RunState::Running && !run.is_unwanted && run.progress.percent < 100.0)
         {
             let step = rates.entry((run.job, run.occurrence, run.step)).or_default();
-            let factor = self.remote_factor_of(run);
+            let factor = self.remote_factor_of(run) / self.speed_of_run(run);
             step.extend(run.progress.rate.map(|rate| rate * factor));
+            hosts
+                .entry((run.job, run.occurrence, run.step))
+                .or_default()
+                .insert(run.worker);
         }
         rates
             .into_iter()
             .map(|((job, occurrence, step), mut rates)| {
                 let spec = &self.jobs[job].spec;
-                let estimated = self.estimated_rate(spec, step).unwrap_or(0.0);
                 rates.sort_by(f64::total_cmp);
-                let has_siblings = rates.len() >= MIN_SIBLINGS && !spec.steps[step as usize].is_gang;
-                let median = if has_siblings { rates[rates.len() / 2] } else { 0.0 };
-                ((job, occurrence, step), estimated.max(median))
+                let median = rates.get(rates.len() / 2).copied();
+                let is_gang = spec.steps[step as usize].is_gang;
+                let is_spread = hosts[&(job, occurrence, step)].len() > 1;
+                let estimated = self.estimated_rate(spec, step).unwrap_or(0.0);
+                let normal = match median {
+                    Some(median) if is_gang && is_spread && median > estimated * STALLED_SHARE => median,
+                    Some(median) if !is_gang && rates.len() >= MIN_SIBLINGS => median.max(estimated),
+                    _ => estimated,
+                };
+                ((job, occurrence, step), normal)
             })
             .collect()
     }
@@ -193,10 +187,8 @@
         };
         let delay_ms = (run.progress.remaining_ms(rate) - run.progress.remaining_ms(normal)).min(Self::MAX_SLOWDOWN_MS);
         let worker = run.worker;
-        // All members of a gang progress at the rate of the slowest, so a slow member does not show that its worker is
-        // slow.
         let is_excluded = now_ms < self.workers[worker].excluded_until_ms;
-        if (!shape.is_gang || shape.count == 1) && (is_excluded || self.may_exclude(&spec.service, now_ms)) {
+        if is_excluded || self.may_exclude(&spec.service, now_ms) {
             let worker = &mut self.workers[worker];
             if now_ms + Self::SLOW_EXCLUSION_MS > worker.excluded_until_ms + Self::SLOW_CHECK_MS {
                 self.log_lines.push(format!(
@@ -220,25 +212,13 @@
             spec.id,
             rate / normal
         ));
-        self.prefer_other_workers(job, occurrence, step, key);
-        self.abort_run(key, now_ms);
-    }
-
-    /// Makes a step prefer workers other than those of a run, or of all members of its gang.
-    fn prefer_other_workers(&mut self, job: JobKey, occurrence: u32, step: u32, key: RunKey) {
-        let ids: Vec<_> = self
-            .workers_of_unit(key)
-            .into_iter()
-            .filter_map(|worker| self.workers.get(worker))
-            .map(|worker| worker.entry.id.clone())
-            .collect();
+        let id = self.workers[worker].entry.id.clone();
         if let Some(state) = self.step_mut(job, occurrence, step) {
             state.has_moved = true;
-            for id in ids {
-                if !state.failed_on.contains(&id) {
-                    state.failed_on.push(id);
-                }
+            if !state.failed_on.contains(&id) {
+                state.failed_on.push(id);
             }
         }
+        self.abort_run(key, now_ms);
     }
 }
