--- a/crates/domain/src/config.rs
+++ b/crates/domain/src/config.rs
@@ -1,5 +1,7 @@
 use compact_str::CompactString;
 
+use crate::Resources;
+
 /// Job queue and the requests that are routed to it.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Route {
@@ -45,6 +47,10 @@
     pub keys: Vec<CompactString>,
     /// Accelerators that are guaranteed to its jobs of priority 0 at all times.
     pub guaranteed_accelerators: u64,
+    /// Maximum that it may have running over all workers; an amount of 0 means no limit.
+    pub maximum: Resources,
+    /// Weight of its share when all capacity is taken; 0 means 1.
+    pub weight: u64,
 }
 
 /// Configuration that operators set.
--- a/crates/domain/src/resources.rs
+++ b/crates/domain/src/resources.rs
@@ -81,3 +81,13 @@
         self.cpu_milli + self.accelerators * Self::CORES_PER_ACCELERATOR * 1_000
     }
 }
+
+impl From<Resources> for shares::Amounts {
+    fn from(resources: Resources) -> Self {
+        Self {
+            cpu_milli: resources.cpu_milli,
+            memory_mib: resources.memory_mib,
+            accelerators: resources.accelerators,
+        }
+    }
+}
