feat(domain): maximum of what an organisation may have running

Cause: nothing read the maximum of an organisation; one ran 480 accelerators where it may run 432. Change: usage per organisation is kept in add_run and remove_run, with the full declared resources of each run, which carries its organisation of its own. Runs that rows of last runs name count until their worker has reported them, their end, or had the time to stop them, also if their job has ended; rows go on naming them for a further successor. While earlier runs or the job of a run are unknown, nothing starts for an organisation with a maximum. The maximum is checked at placement and before each start command is sent. Steps that it holds back are set aside before any worker is looked at; nothing is preempted or reserved for them, except that guaranteed work stops work of lower priority of its own organisation. A job that can never run is refused with 400, unless it was accepted before. explain, metrics and the log show the waits and the share of each organisation. Tests: the simulation counts what is on the fake workers after each start, and compares usage with the sum over all runs in each step.

--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -1,5 +1,5 @@
 use clap::ArgMatches;
-use domain::{Explanation, RunRecord, StepExplanation, WaitCause};
+use domain::{Explanation, OrganisationShare, RunRecord, StepExplanation, WaitCause};
 use node::{InstanceReport, JobReport};
 
 use crate::{Client, CommandError, ExitStatus, Format, output};
@@ -120,10 +120,31 @@
         "priority {}, age {} ms, objective {} ms",
         schedule.priority, schedule.age_ms, schedule.objective_ms
     )];
+    lines.extend(schedule.organisation.iter().map(organisation_line));
     lines.extend(schedule.steps.iter().flat_map(step_lines));
     lines
 }
 
+fn organisation_line(share: &OrganisationShare) -> String {
+    let amount = |used: u64, limit: u64, unit: &str| {
+        if limit == 0 {
+            format!("{used} {unit}")
+        } else {
+            format!("{used} of {limit} {unit}")
+        }
+    };
+    let (used, limit) = (&share.usage, &share.maximum);
+    format!(
+        "organisation {}: {}, {}, {} in use; weight {}, dominant share {} permille",
+        share.name,
+        amount(used.accelerators, limit.accelerators, "accelerators"),
+        amount(used.cpu_milli, limit.cpu_milli, "cpu_milli"),
+        amount(used.memory_mib, limit.memory_mib, "memory_mib"),
+        share.weight,
+        share.dominant_share_permille
+    )
+}
+
 fn step_lines(step: &StepExplanation) -> Vec<String> {
     let mut lines = vec![format!(
         "step {}.{}: {} of {} tasks done, {} at work",
@@ -166,6 +187,17 @@
         WaitCause::FormerRun => "the members of its former run to end".into(),
         WaitCause::Pause { left_ms } => format!("a pause of {left_ms} ms after a rejected start"),
         WaitCause::NoWorker => "a worker that may run it".into(),
+        WaitCause::OrganisationMaximum { resource, held_ms, .. } if resource == "unknown" => {
+            format!("the runs of its organisation to be known, which has a maximum, for {held_ms} ms")
+        }
+        WaitCause::OrganisationMaximum {
+            resource,
+            in_use,
+            limit,
+            held_ms,
+        } => {
+            format!("the maximum of its organisation: {in_use} of {limit} {resource} in use, for {held_ms} ms")
+        }
         WaitCause::Room { needed, fit, workers } => {
             format!("room: {needed} tasks have to fit, {fit} do, on {workers} workers")
         }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,6 +1,9 @@
 //! Output of `galenaspool explain`.
 
-use domain::{EndKind, Explanation, JobState, RunExplanation, RunRecord, StepExplanation, WaitCause, WorkerTally};
+use domain::{
+    EndKind, Explanation, JobState, OrganisationShare, Resources, RunExplanation, RunRecord, StepExplanation,
+    WaitCause, WorkerTally,
+};
 use node::JobReport;
 
 fn report(schedule: Option<Explanation>) -> JobReport {
@@ -39,6 +42,7 @@
         priority: 0,
         age_ms: 4_200,
         objective_ms: 3_900,
+        organisation: None,
         steps: vec![StepExplanation {
             occurrence: 0,
             step: 0,
@@ -69,6 +73,45 @@
     insta::assert_snapshot!(cli::job_text(&report(Some(schedule))));
 }
 
+/// Guards against a report that hides that a step waits for the maximum of its organisation, and how much is in use.
+#[test]
+fn wait_for_the_maximum_names_what_binds() {
+    let resources = |cpu_milli, memory_mib, accelerators| Resources {
+        cpu_milli,
+        memory_mib,
+        accelerators,
+    };
+    let schedule = Explanation {
+        state: JobState::Queued,
+        priority: 1,
+        age_ms: 4_200,
+        objective_ms: 3_900,
+        organisation: Some(OrganisationShare {
+            name: "clyde-koi".into(),
+            usage: resources(64_000, 8_192, 430),
+            maximum: resources(0, 0, 432),
+            weight: 2,
+            dominant_share_permille: 77,
+        }),
+        steps: vec![StepExplanation {
+            occurrence: 0,
+            step: 0,
+            tasks: 4,
+            done: 0,
+            runs: vec![],
+            waits_for: Some(WaitCause::OrganisationMaximum {
+                resource: "accelerators".into(),
+                in_use: 430,
+                limit: 432,
+                held_ms: 2_300,
+            }),
+            idle_ms: None,
+            workers: None,
+        }],
+    };
+    insta::assert_snapshot!(cli::job_text(&report(Some(schedule))));
+}
+
 /// Guards against a report of an instance without the lease that looks complete.
 #[test]
 fn report_of_another_instance_names_the_lease_holder() {
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -25,6 +25,7 @@
             priority: spec.priority,
             age_ms: now_ms.saturating_sub(job.accepted_ms),
             objective_ms: Self::objective_ms(&spec, &self.critical_paths_ms(&spec)),
+            organisation: self.organisation_share(&spec.organisation),
             steps: open
                 .into_iter()
                 .map(|(occurrence, step)| self.explain_step(key, occurrence, step, now_ms))
@@ -112,6 +113,9 @@
             return WaitCause::StaleJobs { age_ms };
         }
         let unit = self.unit_of(key, occurrence, step, now_ms);
+        if let Some(cause) = self.maximum_wait(&unit, now_ms) {
+            return cause;
+        }
         let candidates = self.candidates(now_ms);
         let usable: Vec<_> = candidates
             .iter()
--- a/crates/domain/src/engine/listed_starts.rs
+++ b/crates/domain/src/engine/listed_starts.rs
@@ -33,6 +33,7 @@
     /// Sends the start commands that wait for nothing any more, and drops those that must not be sent.
     pub(super) fn send_listed_starts(&mut self, now_ms: u64) {
         self.take_waiting_starts(now_ms);
+        self.note_complete_usage(now_ms);
         let requires_listing = self.start_bound.requires_listing(now_ms);
         let has_stale_feed = self.has_stale_feed(now_ms);
         let mut waiting = Vec::new();
@@ -42,7 +43,9 @@
                 continue;
             };
             let awaits_row = requires_listing && !self.is_start_listed(run);
-            if run.state != RunState::Starting || !self.may_still_start_on(run.worker, now_ms) {
+            // The maximum may have been lowered since it was placed.
+            let is_withdrawn = run.state != RunState::Starting || self.exceeds_maximum(run);
+            if is_withdrawn || !self.may_still_start_on(run.worker, now_ms) {
                 self.drop_start(start.run, now_ms);
             } else if awaits_row || has_stale_feed {
                 if awaits_row && now_ms >= start.placed_ms + Self::MAX_START_WAIT_MS {
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -9,9 +9,11 @@
 mod explain;
 mod finished;
 mod forecast;
+mod former_runs;
 mod freshness;
 mod gangs;
 mod health;
+mod held_units;
 mod hints;
 mod job_entry;
 mod job_state;
@@ -19,8 +21,10 @@
 mod listed_starts;
 mod load;
 mod open_wave;
+mod organisation_usage;
 mod place;
 mod preempt;
+mod preempt_own;
 mod queue;
 mod records;
 mod renew;
@@ -116,6 +120,7 @@
     /// Index of the unit at which the next pass continues in a long queue.
     next_unit: usize,
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
+    usages: organisation_usage::OrganisationUsages,
     speeds: worker_speeds::WorkerSpeeds,
     stats: EngineStats,
     log_lines: Vec<String>,
@@ -178,6 +183,7 @@
             next_scan_ms: now_ms,
             next_unit: 0,
             forecasts: HashMap::new(),
+            usages: organisation_usage::OrganisationUsages::default(),
             speeds: worker_speeds::WorkerSpeeds::default(),
             stats: EngineStats::default(),
             log_lines: Vec::new(),
@@ -229,6 +235,7 @@
     /// Applies a configuration unless it is older than the current one.
     pub fn set_config(&mut self, config: Config) {
         if config.version >= self.config.version {
+            self.usages.set_config(&config);
             self.config = config;
             self.is_schedule_due = true;
         }
@@ -291,6 +298,7 @@
         self.queue_worker_rows();
         self.recall_silent(now_ms);
         self.check_last_runs(now_ms);
+        self.expire_former_runs(now_ms);
         self.forget_lost_processes(now_ms);
         if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
             self.ended_jobs.clear();
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -43,7 +43,7 @@
     const MAX_RESERVED_RACKS: usize = 2;
 
     /// Maximum number of units for which preemption is attempted in one pass; each attempt scans all runs.
-    const MAX_PREEMPTIONS: usize = 4;
+    pub(super) const MAX_PREEMPTIONS: usize = 4;
 
     /// Units at the head of the queue that every pass evaluates.
     const FIRST_UNITS: usize = 100;
@@ -106,7 +106,8 @@
     /// Places the units that fit, in queue order.
     pub(super) fn place_all(&mut self, now_ms: u64) {
         self.reserved_racks.clear();
-        let units = self.ready_units(now_ms);
+        let mut units = self.ready_units(now_ms);
+        let ready = self.set_aside_held_units(&mut units, now_ms);
         if units.is_empty() {
             return;
         }
@@ -122,8 +123,8 @@
                 self.reservations.retain(|reservation| reservation.unit != unit.key());
                 continue;
             }
-            if unit.has_suspects {
-                // Other work does not give way to a task that may crash its worker once more.
+            // Other work gives no way to what a maximum holds back, nor to a task that may crash its worker once more.
+            if self.is_held_by_maximum(&unit) || unit.has_suspects {
                 continue;
             }
             if unit.priority == 0 && preemptions < Self::MAX_PREEMPTIONS && !self.is_taking_over(now_ms) {
@@ -133,6 +134,7 @@
                 reserved_racks += 1;
             }
         }
+        self.note_held_units(&ready, now_ms);
         if let Some(call) = next_call {
             self.send_hint_call(call, now_ms);
         }
@@ -195,8 +197,10 @@
     fn place_unit(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate], now_ms: u64) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
+        let room = usize::try_from(self.room_under_maximum(&spec, shape)).unwrap_or(usize::MAX);
         if shape.is_gang {
-            let Some(plan) = self.plan_gang(unit, &spec, shape, candidates, now_ms) else {
+            let plan = (room > 0).then(|| self.plan_gang(unit, &spec, shape, candidates, now_ms));
+            let Some(plan) = plan.flatten() else {
                 return false;
             };
             self.start_gang(unit, shape, &plan, candidates, now_ms);
@@ -214,9 +218,12 @@
             others.truncate(1);
             suspects.truncate(1 - others.len());
         }
+        let are_all_admitted = unit.is_overdue || others.len() + suspects.len() <= room;
+        others.truncate(room);
+        suspects.truncate(room - others.len());
         let are_others_placed = self.place_tasks(unit, &spec, &others, false, candidates, now_ms);
         let are_suspects_placed = self.place_tasks(unit, &spec, &suspects, true, candidates, now_ms);
-        are_others_placed && are_suspects_placed
+        are_others_placed && are_suspects_placed && are_all_admitted
     }
 
     /// Starts the given tasks of a step that is no gang, as far as they fit; returns whether none is left waiting.
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -12,7 +12,7 @@
 /// Preemption for work of priority 0.
 impl Engine {
     /// Shortest interval between preemptions for one step; stops take this long to be reported.
-    const PREEMPT_PAUSE_MS: u64 = 400;
+    pub(super) const PREEMPT_PAUSE_MS: u64 = 400;
 
     /// Delay before preemption is attempted again for a step for which it was too costly.
     const PREEMPT_RECHECK_MS: u64 = 100;
@@ -48,10 +48,11 @@
     pub(super) fn preempt_for(&mut self, unit: &PlacementUnit, candidates: &[Candidate], now_ms: u64) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
+        let room = self.room_under_maximum(&spec, shape);
         let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) else {
             return false;
         };
-        let needed = u64::from(state.idle_count());
+        let needed = u64::from(state.idle_count()).min(room);
         if now_ms < state.preemption_attempt_ms + Self::PREEMPT_PAUSE_MS {
             return false;
         }
@@ -194,7 +195,7 @@
         (hosts, victims)
     }
 
-    fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
+    pub(super) fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
         let spec = &self.job_of(run).spec;
         spec.priority > priority && !spec.steps[run.step as usize].is_non_preemptible()
     }
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -127,6 +127,7 @@
         worker.last_reply_ms = now_ms;
         worker.clock = Some((report.clock_ms, now_ms));
         let known = worker.processed_end;
+        self.settle_former_runs(key, report, now_ms);
         for end in report.ends.iter().filter(|end| end.number > known) {
             self.workers[key].processed_end = end.number;
             self.run_ended(key, end, now_ms);
@@ -138,6 +139,7 @@
             }
         }
         if is_restarted {
+            self.forget_former_runs(key);
             self.drop_unlisted(key, &listed, sent_ms, now_ms);
             self.workers[key].was_former_draining = false;
         } else if report.ends.len() < WorkerReport::MAX_ENDS {
--- a/crates/domain/src/engine/run.rs
+++ b/crates/domain/src/engine/run.rs
@@ -1,6 +1,7 @@
 use compact_str::CompactString;
 
 use super::keys::{JobKey, WorkerKey};
+use super::organisation_usage::Claim;
 use super::run_progress::RunProgress;
 use crate::{Resources, TaskRun};
 
@@ -27,6 +28,8 @@
     pub index: u32,
     pub worker: WorkerKey,
     pub need: Resources,
+    /// What it counts for; set when it is added.
+    pub claim: Claim,
     pub state: RunState,
     pub start_sent_ms: u64,
     /// When the worker last confirmed the start or stop; a report requested later must list the run.
@@ -81,6 +84,7 @@
             index: 0,
             worker,
             need: Resources::default(),
+            claim: Claim::Unknown,
             state: RunState::Running,
             start_sent_ms: now_ms,
             confirmed_ms: Some(now_ms),
--- a/crates/domain/src/engine/starts.rs
+++ b/crates/domain/src/engine/starts.rs
@@ -1,4 +1,5 @@
 use super::keys::{JobKey, RunKey};
+use super::organisation_usage::Claim;
 use super::queue::PlacementUnitKey;
 use super::run_progress::RunProgress;
 use super::{Engine, Run, RunState, WorkerKey};
@@ -103,6 +104,7 @@
             index,
             worker: worker_key,
             need: shape.charged(),
+            claim: Claim::Unknown,
             state: RunState::Starting,
             start_sent_ms: now_ms,
             confirmed_ms: None,
@@ -148,8 +150,11 @@
         self.add_start(key, command, now_ms);
     }
 
-    pub(super) fn add_run(&mut self, run: Run) -> RunKey {
+    pub(super) fn add_run(&mut self, mut run: Run) -> RunKey {
         let worker_key = run.worker;
+        run.claim = self.claim_of(&run);
+        self.usages.add(run.claim);
+        self.forget_former_run(worker_key, &run.id);
         let (need, is_need_unknown, is_isolated) = (run.need, run.is_need_unknown, run.is_isolated);
         let is_listed = run.is_listed;
         let task_run = run.id.clone();
@@ -169,6 +174,7 @@
     /// Removes a run that certainly does not occupy its worker any more.
     pub(super) fn remove_run(&mut self, key: RunKey, now_ms: u64) {
         let Some(run) = self.runs.remove(key) else { return };
+        self.usages.remove(run.claim);
         let state = self.step_of(&run);
         let is_open = state.is_some_and(|state| state.done.get(run.index as usize) == Some(&false));
         if let Some(worker) = self.workers.get_mut(run.worker) {
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -43,6 +43,8 @@
     pub withheld_steps: u64,
     /// Longest time for which room was withheld from such a step.
     pub longest_withheld_ms: u64,
+    /// Steps with tasks that wait for the maximum of their organisation.
+    pub maximum_waits: u64,
     /// Workers with a reliable estimate of their speed.
     pub known_speeds: u64,
     /// Lowest of these speeds, in percent of the mean.
--- a/crates/domain/src/engine/unresponsive.rs
+++ b/crates/domain/src/engine/unresponsive.rs
@@ -106,6 +106,7 @@
     pub(super) fn recall_unresponsive(&mut self, now_ms: u64) {
         self.last_runs.recall_ms = Some(now_ms + Self::RECALL_AFTER_MS);
         let former = std::mem::take(&mut self.last_runs.former);
+        self.add_former_runs(&former);
         let (unresponsive, others) = former.into_iter().partition(|(_, last)| last.lease_left_ms.is_some());
         self.last_runs.former = others;
         self.recall_last_runs(unresponsive, now_ms);
@@ -240,7 +241,11 @@
         let worker = self.worker_ids.get(id).map(|key| &self.workers[*key]);
         worker.is_none_or(|worker| {
             let replies = worker.is_fenced && worker.unresponsive_since_ms.is_none();
-            !worker.is_recorded || (replies && worker.runs.is_empty() && self.last_runs.may_limit_leases(id))
+            !worker.is_recorded
+                || (replies
+                    && worker.runs.is_empty()
+                    && self.former_runs_of(worker).next().is_none()
+                    && self.last_runs.may_limit_leases(id))
         })
     }
 
@@ -261,10 +266,14 @@
             return now_ms >= noticed_ms + Self::UNRESPONSIVE_MS;
         };
         let Some(durable) = &row.runs else { return true };
-        let mut runs = worker.runs.iter().map(|key| &self.runs[*key].id);
+        let mut runs = worker
+            .runs
+            .iter()
+            .map(|key| &self.runs[*key].id)
+            .chain(self.former_runs_of(worker));
         let is_old = now_ms >= row.written_ms + Self::REFRESH_MS && now_ms < worker.lease_expiry_ms;
         (is_old && !worker.runs.is_empty())
-            || durable.len() != worker.runs.len()
+            || durable.len() != worker.runs.len() + self.former_runs_of(worker).count()
             || !runs.all(|run| durable.contains(run))
     }
 
@@ -322,7 +331,8 @@
     }
 
     fn last_runs_row(&self, worker: &Worker, now_ms: u64) -> (CompactString, LastRuns) {
-        let runs = worker.runs.iter().map(|key| self.runs[*key].id.clone());
+        let runs = worker.runs.iter().map(|key| &self.runs[*key].id);
+        let runs = runs.chain(self.former_runs_of(worker)).cloned();
         let lease_left_ms = worker.lease_expiry_ms.saturating_sub(now_ms);
         let last = LastRuns {
             epoch: self.epoch,
--- a/crates/domain/src/engine/worker_loss.rs
+++ b/crates/domain/src/engine/worker_loss.rs
@@ -171,6 +171,7 @@
 
     fn forget_worker(&mut self, key: WorkerKey) {
         self.forget_speed(key);
+        self.forget_former_runs(key);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_ids.remove(&worker.entry.id);
             self.renewals.remove(key, worker.renew_due_ms);
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobState, WorkerTally};
+use crate::{JobState, OrganisationShare, WorkerTally};
 
 /// State of a job as a scheduler sees it, and why its tasks wait.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +14,9 @@
     pub age_ms: u64,
     /// Completion objective since acceptance, from the forecast of its run times.
     pub objective_ms: u64,
+    /// Share of its organisation; `None` if an older release answered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationShare>,
     /// Steps that are not done.
     pub steps: Vec<StepExplanation>,
 }
@@ -99,6 +102,18 @@
     /// No worker may run it: none has the service and label, or all that do are draining, unresponsive, excluded or
     /// out of service.
     NoWorker,
+    /// The organisation would have more running than its maximum.
+    OrganisationMaximum {
+        /// Resource of which it would have too much, with its unit; `unknown` while a takeover, or a run whose job is not
+        /// known, leaves open what it has running.
+        resource: CompactString,
+        /// Amount in use.
+        in_use: u64,
+        /// Maximum.
+        limit: u64,
+        /// Time for which the step has waited for it.
+        held_ms: u64,
+    },
     /// Too little free capacity.
     Room {
         /// Number of tasks that have to start together; 1 unless the step is a gang.
@@ -128,6 +143,7 @@
             Self::FormerRun => "former_run",
             Self::Pause { .. } => "pause",
             Self::NoWorker => "no_worker",
+            Self::OrganisationMaximum { .. } => "organisation_maximum",
             Self::Room { .. } => "room",
             Self::Rack => "rack",
             Self::Turn => "turn",
--- a/crates/domain/src/resources.rs
+++ b/crates/domain/src/resources.rs
@@ -82,6 +82,16 @@
     }
 }
 
+impl From<shares::Amounts> for Resources {
+    fn from(amounts: shares::Amounts) -> Self {
+        Self {
+            cpu_milli: amounts.cpu_milli,
+            memory_mib: amounts.memory_mib,
+            accelerators: amounts.accelerators,
+        }
+    }
+}
+
 impl From<Resources> for shares::Amounts {
     fn from(resources: Resources) -> Self {
         Self {
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod listed_starts;
 mod maintenance;
+mod maximum;
 mod other_kind;
 mod preemption;
 mod progress_rows;
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -10,6 +10,7 @@
 mod idle_tasks;
 mod invariants;
 mod maintenance;
+mod maxima;
 mod records;
 mod running;
 mod stored_rows;
@@ -70,6 +71,9 @@
     pub is_job_feed_silent: bool,
     /// Time by which the former scheduler has stopped acting, if a new one knows it.
     pub former_acts_until_ms: Option<u64>,
+    /// Organisations in the configuration; [`Simulation::configure`] changes them.
+    pub organisations: Vec<Organisation>,
+    config_version: u64,
     /// Whether the store refuses writes.
     pub is_store_down: bool,
     /// The store refuses commits, but takes the start bound.
@@ -187,6 +191,12 @@
             is_list_unreadable: false,
             is_job_feed_silent: false,
             former_acts_until_ms: None,
+            organisations: vec![Organisation {
+                name: "clyde-koi".into(),
+                guaranteed_accelerators: 64,
+                ..Organisation::default()
+            }],
+            config_version: 1,
             is_store_down: false,
             are_commits_refused: false,
             start_delay_ms: None,
@@ -229,19 +239,7 @@
         self.renewals.clear();
         self.command_link.commands.clear();
         self.engine = Engine::new(self.epoch, Limits::default(), self.now_ms);
-        self.engine.set_config(Config {
-            organisations: vec![Organisation {
-                name: "clyde-koi".into(),
-                guaranteed_accelerators: 64,
-                ..Organisation::default()
-            }],
-            routes: vec![Route {
-                name: "route-advised".into(),
-                hint_validity_ms: Some(3_000),
-                ..Route::default()
-            }],
-            ..Config::default()
-        });
+        self.engine.set_config(self.config());
         if let Some(until_ms) = self.former_acts_until_ms {
             self.engine.set_former_acts_until(until_ms);
         }
--- a/crates/domain/tests/engine/simulation/actions.rs
+++ b/crates/domain/tests/engine/simulation/actions.rs
@@ -155,6 +155,9 @@
                 self.now_ms, command.task_run.task
             ));
         }
+        if outcome.is_ok() {
+            self.check_maximum(&command.task_run.task);
+        }
         match outcome {
             Ok(()) => self.started(id, &command.task_run.task),
             Err(rejection) => StartOutcome::Rejected(rejection),
--- a/crates/domain/tests/engine/simulation/fake_worker.rs
+++ b/crates/domain/tests/engine/simulation/fake_worker.rs
@@ -11,7 +11,10 @@
 )]
 pub struct FakeRun {
     pub task_run: TaskRun,
+    /// What it takes from the capacity of its worker.
     pub need: Resources,
+    /// Declared resources of its task.
+    pub declared: Resources,
     pub work_ms: u64,
     pub done_ms: f64,
     pub saves_checkpoints: bool,
@@ -182,6 +185,7 @@
         self.runs.push(FakeRun {
             task_run: command.task_run.clone(),
             need: step.charged(),
+            declared: step.need,
             work_ms: self.real_work_ms.unwrap_or(step.estimate_ms),
             done_ms: command
                 .checkpoint
--- a/crates/domain/tests/engine/simulation/invariants.rs
+++ b/crates/domain/tests/engine/simulation/invariants.rs
@@ -2,7 +2,8 @@
 
 /// What must hold after every step.
 impl Simulation {
-    /// Checks that no worker is over its capacity, that no task runs twice and that all workers with runs are recorded.
+    /// Checks that no worker is over its capacity, that no task runs twice, that all workers with runs are recorded, and that
+    /// the usage of organisations equals the sum over their runs.
     pub(super) fn check_invariants(&mut self) {
         let mut tasks: BTreeMap<CompactString, u32> = BTreeMap::new();
         for worker in self.workers.values() {
@@ -18,6 +19,10 @@
                 *tasks.entry(run.task_run.task.clone()).or_default() += 1;
             }
         }
+        if !self.engine.is_usage_consistent() {
+            self.violations
+                .push(format!("{} ms: usage differs from the sum over all runs", self.now_ms));
+        }
         for (task, count) in tasks.into_iter().filter(|(_, count)| *count > 1) {
             self.violations
                 .push(format!("{} ms: {task} runs {count} times", self.now_ms));
--- a/crates/node/src/driver/stats.rs
+++ b/crates/node/src/driver/stats.rs
@@ -27,5 +27,9 @@
         set("waiting_steps", stats.waiting_steps);
         set("withheld_steps", stats.withheld_steps);
         set("longest_withheld_ms", stats.longest_withheld_ms);
+        set("maximum_waits", stats.maximum_waits);
+        for share in self.engine.organisation_shares() {
+            self.shared.metrics.set_organisation(&share);
+        }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,3 +1,4 @@
+use domain::OrganisationShare;
 use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
 
 /// Prometheus metrics of an instance.
@@ -16,6 +17,8 @@
     pub lease_changes: IntCounterVec,
     /// Counters and gauges of the scheduler by name.
     pub scheduler: IntGaugeVec,
+    /// Usage, maximum and share of each organisation by name.
+    pub organisations: IntGaugeVec,
 }
 
 impl Metrics {
@@ -35,6 +38,10 @@
             "galenaspool_scheduler",
             "Counters and gauges of the scheduler in this epoch",
         );
+        let organisations = Opts::new(
+            "galenaspool_organisation",
+            "Usage, maximum, weight and share of each organisation as the scheduler of this epoch counts them",
+        );
         let metrics = Self {
             registry: Registry::new(),
             calls: counter(
@@ -55,6 +62,7 @@
                 &["kind"],
             ),
             scheduler: IntGaugeVec::new(scheduler, &["name"]).expect("names are valid"),
+            organisations: IntGaugeVec::new(organisations, &["organisation", "name"]).expect("names are valid"),
         };
         let register = |collector: Box<dyn prometheus::core::Collector>| {
             metrics.registry.register(collector).expect("names are unique");
@@ -65,6 +73,7 @@
         register(Box::new(metrics.refusals.clone()));
         register(Box::new(metrics.lease_changes.clone()));
         register(Box::new(metrics.scheduler.clone()));
+        register(Box::new(metrics.organisations.clone()));
         metrics
     }
 
@@ -73,6 +82,22 @@
         self.scheduler.with_label_values(&[name]).set(value as i64);
     }
 
+    /// Sets the gauges of an organisation.
+    pub fn set_organisation(&self, share: &OrganisationShare) {
+        let set = |name: &str, value: u64| {
+            let labels = [share.name.as_str(), name];
+            self.organisations.with_label_values(&labels).set(value as i64);
+        };
+        set("used_cpu_milli", share.usage.cpu_milli);
+        set("used_memory_mib", share.usage.memory_mib);
+        set("used_accelerators", share.usage.accelerators);
+        set("max_cpu_milli", share.maximum.cpu_milli);
+        set("max_memory_mib", share.maximum.memory_mib);
+        set("max_accelerators", share.maximum.accelerators);
+        set("weight", share.weight);
+        set("dominant_share_permille", share.dominant_share_permille);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/crates/node/src/request_handler/mod.rs
+++ b/crates/node/src/request_handler/mod.rs
@@ -14,7 +14,7 @@
 pub use job_request::JobRequest;
 pub use refused::Refused;
 pub use submission::Submission;
-use submission::check;
+use submission::{check, exceeds_maximum};
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::ports::{Condition, OwnRow, Place, Store, StoreError, Txn, TxnError};
@@ -120,6 +120,9 @@
                 Err(refusal) => return Err(refusal),
             };
             check(submission, &admitted.id)?;
+            if exceeds_maximum(submission, &admitted) {
+                return self.refuse_too_large(request, is_in_doubt).await;
+            }
             if self.shared.is_store_unresponsive() || boot_ms() >= began_ms + Self::budget_ms(request, &admitted.route)
             {
                 return Err(if is_in_doubt {
@@ -161,6 +164,17 @@
         }
     }
 
+    /// Refuses a job that can never run. A repeated submission of one that was accepted before the maximum was lowered is
+    /// still confirmed, and one that may have been accepted is not refused.
+    async fn refuse_too_large(&self, request: &JobRequest, is_in_doubt: bool) -> SubmitReply {
+        match self.find(request).await {
+            Ok(_) => Ok(()),
+            Err(_) if is_in_doubt => Err(Refused::InDoubt),
+            Err(Refused::UnknownJob) => Err(Refused::OverMaximum),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
     /// Returns after how many seconds a refused caller should come back.
     ///
     /// Callers try a limited number of times. An outage that has lasted for some time will probably last as long again,
--- a/crates/node/src/request_handler/refused.rs
+++ b/crates/node/src/request_handler/refused.rs
@@ -18,6 +18,9 @@
     /// The request is malformed.
     #[error("{0}")]
     Invalid(&'static str),
+    /// A gang or task of the job alone exceeds the maximum of its organisation, so that it could never run.
+    #[error("a gang or task of the job exceeds the maximum of its organisation")]
+    OverMaximum,
     /// The id belongs to a job of another queue or organisation.
     #[error("the id is in use for another job")]
     IdInUse,
@@ -41,6 +44,7 @@
             Self::UnknownRoute => "unknown_route",
             Self::UnknownKey => "unknown_key",
             Self::Invalid(_) => "invalid",
+            Self::OverMaximum => "over_maximum",
             Self::IdInUse => "id_in_use",
             Self::UnknownJob => "unknown_job",
             Self::StoreUnavailable => "store_unavailable",
--- a/crates/node/src/request_handler/submission.rs
+++ b/crates/node/src/request_handler/submission.rs
@@ -1,6 +1,8 @@
 use domain::Step;
+use shares::{Amounts, Entry};
 
 use super::Refused;
+use super::admission::AdmittedRequest;
 
 /// Job as submitted by a caller.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -74,3 +76,20 @@
     }
     Ok(())
 }
+
+/// Returns whether a gang or a single task alone exceeds the maximum of its organisation.
+pub(super) fn exceeds_maximum(submission: &Submission, admitted: &AdmittedRequest) -> bool {
+    let organisations = &admitted.config.organisations;
+    let own = organisations.iter().find(|known| known.name == admitted.organisation);
+    let Some(maximum) = own.map(|organisation| organisation.maximum) else {
+        return false;
+    };
+    let entry = Entry {
+        maximum: maximum.into(),
+        ..Entry::default()
+    };
+    submission.steps.iter().any(|step| {
+        let together = if step.is_gang { u64::from(step.count) } else { 1 };
+        entry.excess_alone(&Amounts::from(step.need).times(together)).is_some()
+    })
+}
--- a/crates/node/tests/request_handler.rs
+++ b/crates/node/tests/request_handler.rs
@@ -34,6 +34,58 @@
     assert_eq!(handler.state(&request(ID, "key")).await, Ok(JobState::Queued));
 }
 
+/// Guards against a job that is accepted although it can never run, and against the refusal of one that can, or that was
+/// accepted before the maximum was lowered.
+#[rstest]
+#[case::one_task_is_too_large(1, 9, false, Err(Refused::OverMaximum))]
+#[case::gang_is_too_wide(5, 2, true, Err(Refused::OverMaximum))]
+#[case::gang_fits(4, 2, true, Ok(()))]
+#[case::tasks_run_one_after_the_other(50, 8, false, Ok(()))]
+#[actix_rt::test]
+async fn job_that_can_never_run_is_refused(
+    #[case] count: u32,
+    #[case] accelerators: u64,
+    #[case] is_gang: bool,
+    #[case] expected: Result<(), Refused>,
+) {
+    let store = store();
+    store.0.config.borrow_mut().as_mut().unwrap().organisations[0]
+        .maximum
+        .accelerators = 8;
+    let (_node, handler) = start(&store).await;
+    let mut large = submission();
+    large.steps[0].count = count;
+    large.steps[0].need.accelerators = accelerators;
+    large.steps[0].is_gang = is_gang;
+    let reply = handler.submit(&request(ID, "key"), &large).await;
+    assert_eq!(reply, expected);
+    assert_eq!(store.keys("jobs").len(), usize::from(expected.is_ok()));
+}
+
+/// Guards against the refusal of a repeated submission whose job was accepted before the maximum was lowered.
+#[actix_rt::test]
+async fn accepted_job_is_confirmed_after_the_maximum_was_lowered() {
+    let store = store();
+    let (_node, handler) = start(&store).await;
+    let mut large = submission();
+    large.steps[0].need.accelerators = 9;
+    assert_eq!(handler.submit(&request(ID, "key"), &large).await, Ok(()));
+    {
+        let mut config = store.0.config.borrow_mut();
+        let config = config.as_mut().unwrap();
+        config.version += 1;
+        config.organisations[0].maximum.accelerators = 8;
+    }
+    let other = "00000000000000ff";
+    for _ in 0..100 {
+        if handler.submit(&request(other, "key"), &large).await == Err(Refused::OverMaximum) {
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(handler.submit(&request(ID, "key"), &large).await, Ok(()));
+}
+
 /// Guards against a reply that nothing was stored although a write without a reply may have taken effect.
 #[actix_rt::test]
 async fn write_in_doubt_is_not_reported_as_refused() {
