feat(node): metrics of the speeds of workers

Cause: the scheduler counts the workers with a known speed and the lowest, median and highest of them, and no page shows it. Change: the four fields of EngineStats are metrics of the scheduler.

--- a/crates/node/src/driver/stats.rs
+++ b/crates/node/src/driver/stats.rs
@@ -27,5 +27,9 @@
         set("waiting_steps", stats.waiting_steps);
         set("withheld_steps", stats.withheld_steps);
         set("longest_withheld_ms", stats.longest_withheld_ms);
+        set("known_speeds", stats.known_speeds);
+        set("lowest_speed_percent", stats.lowest_speed_percent);
+        set("median_speed_percent", stats.median_speed_percent);
+        set("highest_speed_percent", stats.highest_speed_percent);
     }
 }
