feat(domain): speeds of workers are durable

Cause: a successor learns the speeds of all workers anew, and urgent gangs miss their objective until then. A worker's row follows from its id. A row is due when an estimate in it has changed by more than its deviation, has become much more certain, or is of another process; it joins another commit, at most every 2 s, and is written alone after 10 s. A failed write is not repeated at once, so that refused rows hold up nothing. A successor imports a speed when the worker is listed with the same start of its process, and drops it if the first report names another. explain shows the speed of each run's worker, and whether speeds are known and used.

--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -1,5 +1,5 @@
 use clap::ArgMatches;
-use domain::{Explanation, RunRecord, StepExplanation, WaitCause};
+use domain::{Explanation, RunExplanation, RunRecord, SpeedState, StepExplanation, WaitCause};
 use node::{InstanceReport, JobReport};
 
 use crate::{Client, CommandError, ExitStatus, Format, output};
@@ -120,6 +120,11 @@
         "priority {}, age {} ms, objective {} ms",
         schedule.priority, schedule.age_ms, schedule.objective_ms
     )];
+    lines.extend(
+        schedule
+            .speeds
+            .map(|state| format!("speeds of the workers: {}", speeds_text(state))),
+    );
     lines.extend(schedule.steps.iter().flat_map(step_lines));
     lines
 }
@@ -145,13 +150,32 @@
     lines.extend(step.workers.map(|tally| format!("  workers by rule: {tally}")));
     lines.extend(step.runs.iter().map(|run| {
         format!(
-            "  task {} run {} {} on {} for {} ms, worker heard {} ms ago",
-            run.index, run.run, run.state, run.worker, run.since_ms, run.heard_ms_ago
+            "  task {} run {} {} on {} for {} ms, worker heard {} ms ago, {}",
+            run.index,
+            run.run,
+            run.state,
+            run.worker,
+            run.since_ms,
+            run.heard_ms_ago,
+            speed_text(run)
         )
     }));
     lines
 }
 
+fn speed_text(run: &RunExplanation) -> String {
+    run.speed_percent
+        .map_or_else(|| "speed not known".into(), |percent| format!("speed {percent} %"))
+}
+
+const fn speeds_text(state: SpeedState) -> &'static str {
+    match state {
+        SpeedState::Unknown => "not known yet, placement ignores them",
+        SpeedState::Even => "nearly equal, placement ignores them",
+        SpeedState::Uneven => "different, placement takes account of them",
+    }
+}
+
 fn cause_text(cause: &WaitCause) -> String {
     match cause {
         WaitCause::StartBound => "the store to confirm the bound of starts".into(),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,7 +1,10 @@
 //! Output of `galenaspool explain`.
 
-use domain::{EndKind, Explanation, JobState, RunExplanation, RunRecord, StepExplanation, WaitCause, WorkerTally};
+use domain::{
+    EndKind, Explanation, JobState, RunExplanation, RunRecord, SpeedState, StepExplanation, WaitCause, WorkerTally,
+};
 use node::JobReport;
+use rstest::rstest;
 
 fn report(schedule: Option<Explanation>) -> JobReport {
     JobReport {
@@ -31,7 +34,7 @@
     }
 }
 
-/// Guards against a report that lacks the cause of the wait or the worker.
+/// Guards against a report that lacks the cause of the wait, the worker, or its speed where it is known.
 #[test]
 fn report_of_the_lease_holder() {
     let schedule = Explanation {
@@ -39,19 +42,32 @@
         priority: 0,
         age_ms: 4_200,
         objective_ms: 3_900,
+        speeds: Some(SpeedState::Uneven),
         steps: vec![StepExplanation {
             occurrence: 0,
             step: 0,
             tasks: 3,
             done: 1,
-            runs: vec![RunExplanation {
-                index: 2,
-                run: 3,
-                worker: "w9".into(),
-                state: "running".into(),
-                since_ms: 1_500,
-                heard_ms_ago: 210,
-            }],
+            runs: vec![
+                RunExplanation {
+                    index: 1,
+                    run: 4,
+                    worker: "w8".into(),
+                    state: "starting".into(),
+                    since_ms: 20,
+                    heard_ms_ago: 190,
+                    speed_percent: None,
+                },
+                RunExplanation {
+                    index: 2,
+                    run: 3,
+                    worker: "w9".into(),
+                    state: "running".into(),
+                    since_ms: 1_500,
+                    heard_ms_ago: 210,
+                    speed_percent: Some(62),
+                },
+            ],
             waits_for: Some(WaitCause::Room {
                 needed: 1,
                 fit: 0,
@@ -69,6 +85,31 @@
     insta::assert_snapshot!(cli::job_text(&report(Some(schedule))));
 }
 
+/// Guards against a report that leaves open whether placement knows the speeds, as after a takeover without stored ones,
+/// and against a line about speeds from an older build that knows none.
+#[rstest]
+#[case::unknown(
+    Some(SpeedState::Unknown),
+    Some("speeds of the workers: not known yet, placement ignores them")
+)]
+#[case::even(
+    Some(SpeedState::Even),
+    Some("speeds of the workers: nearly equal, placement ignores them")
+)]
+#[case::older_build(None, None)]
+fn report_states_whether_speeds_are_known(#[case] speeds: Option<SpeedState>, #[case] line: Option<&str>) {
+    let schedule = Explanation {
+        state: JobState::Queued,
+        priority: 0,
+        age_ms: 10,
+        objective_ms: 3_900,
+        speeds,
+        steps: vec![],
+    };
+    let text = cli::job_text(&report(Some(schedule)));
+    assert_eq!(text.lines().find(|line| line.starts_with("speeds")), line);
+}
+
 /// Guards against a report of an instance without the lease that looks complete.
 #[test]
 fn report_of_another_instance_names_the_lease_holder() {
--- a/crates/domain/src/action.rs
+++ b/crates/domain/src/action.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{LastRuns, Progress, RunRecord, StartBoundRow, WaveRow, WorkerKey};
+use crate::{LastRuns, Progress, RunRecord, SpeedRow, StartBoundRow, WaveRow, WorkerKey};
 
 /// Run of a task, as workers identify it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -76,6 +76,8 @@
     pub waves: Vec<(u64, WaveProgress)>,
     /// Facts about maintenance waves from which a successor continues.
     pub wave_rows: Vec<WaveRow>,
+    /// Speeds of workers; only rows with material changes.
+    pub speed_rows: Vec<SpeedRow>,
 }
 
 /// Progress of a maintenance wave as operators see it.
@@ -120,11 +122,13 @@
         };
         let workers = self.add_workers.len() + self.remove_workers.len();
         let last_runs = self.last_runs.len() + self.remove_last_runs.len();
-        let others = workers + last_runs + self.pending.len() + self.waves.len() + self.wave_rows.len();
+        let facts = self.pending.len() + self.waves.len() + self.wave_rows.len() + self.speed_rows.len();
         Self::BASE_ENTRIES
             + self.rows.len() * Self::ROW_ENTRIES
             + self.remove_jobs.len() * Self::REMOVAL_ENTRIES
-            + others
+            + workers
+            + last_runs
+            + facts
             + revision
     }
 }
--- a/crates/domain/src/engine/commits.rs
+++ b/crates/domain/src/engine/commits.rs
@@ -92,7 +92,8 @@
             || self.last_runs.is_due
             || self.last_runs.awaits_rows
             || !self.waves.unpublished().is_empty()
-            || !self.waves.unwritten_rows(1).is_empty();
+            || !self.waves.unwritten_rows(1).is_empty()
+            || self.are_speed_rows_overdue(now_ms);
         let has_unacked = !self.unacked.is_empty();
         let is_pending_due = now_ms >= self.commit.pending_due_ms && {
             self.commit.pending_due_ms = now_ms + Self::PENDING_INTERVAL_MS;
@@ -215,6 +216,7 @@
             job.is_urgent = false;
             job.dirty_since_ms = None;
         }
+        self.add_speed_rows_to(&mut commit, now_ms);
         if self.dirty.is_empty() {
             // This write contains all changes that the run ends caused.
             write.acked_ends = self
@@ -261,6 +263,7 @@
         self.finished.removed(&commit.remove_jobs);
         self.waves_published(&commit.waves);
         self.wave_rows_written(&commit.wave_rows);
+        self.speed_rows_written(&commit.speed_rows, now_ms);
         for (route, count) in &commit.pending {
             self.commit.written_pending.insert(route.clone(), *count);
         }
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -25,6 +25,7 @@
             priority: spec.priority,
             age_ms: now_ms.saturating_sub(job.accepted_ms),
             objective_ms: Self::objective_ms(&spec, &self.critical_paths_ms(&spec)),
+            speeds: Some(self.speeds.state()),
             steps: open
                 .into_iter()
                 .map(|(occurrence, step)| self.explain_step(key, occurrence, step, now_ms))
@@ -54,6 +55,7 @@
                 .into(),
                 since_ms: now_ms.saturating_sub(run.start_sent_ms),
                 heard_ms_ago: now_ms.saturating_sub(worker.last_reply_ms),
+                speed_percent: self.speeds.percent(run.worker),
             })
             .collect();
         StepExplanation {
--- a/crates/domain/src/engine/load.rs
+++ b/crates/domain/src/engine/load.rs
@@ -163,6 +163,7 @@
                 worker.is_restart_pending = true;
                 self.set_renew_due(key, now_ms);
             }
+            self.import_speed(key);
             return;
         }
         let mut worker = Worker::new(entry, true, now_ms);
@@ -173,6 +174,7 @@
         let started_unix_ms = worker.entry.process_started_unix_ms;
         let key = self.insert_worker(worker);
         self.resolve_lost_process(key, started_unix_ms, now_ms);
+        self.import_speed(key);
     }
 
     /// Marks a worker as no longer in the platform's list.
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod run;
 mod run_progress;
 mod slow;
+mod speed_rows;
 mod start_bound;
 mod starts;
 mod stats;
--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -127,6 +127,7 @@
         worker.last_reply_ms = now_ms;
         worker.clock = Some((report.clock_ms, now_ms));
         let known = worker.processed_end;
+        self.import_speed(key);
         for end in report.ends.iter().filter(|end| end.number > known) {
             self.workers[key].processed_end = end.number;
             self.run_ended(key, end, now_ms);
--- a/crates/domain/src/engine/worker_speeds.rs
+++ b/crates/domain/src/engine/worker_speeds.rs
@@ -4,8 +4,9 @@
 
 use super::keys::{RunKey, WorkerKey};
 use super::queue::{PlacementUnit, PlacementUnitKey};
+use super::speed_rows::SpeedRows;
 use super::{Engine, Run};
-use crate::{Job, Step};
+use crate::{Job, SpeedState, Step};
 
 /// What is known of the speeds of workers.
 #[derive(Debug, Clone, Default)]
@@ -16,6 +17,35 @@
     is_uneven: bool,
     /// Factors as last logged.
     logged: HashMap<WorkerKey, f64>,
+    pub rows: SpeedRows,
+}
+
+impl WorkerSpeeds {
+    /// Returns the workers with reliable estimates.
+    pub fn reliable(&self) -> impl Iterator<Item = (WorkerKey, Speed)> + '_ {
+        self.model.estimates().filter(|(_, speed)| speed.is_reliable())
+    }
+
+    /// Returns what is known of the workers together.
+    pub fn state(&self) -> SpeedState {
+        match self.model.spread() {
+            None => SpeedState::Unknown,
+            Some(_) if self.is_uneven => SpeedState::Uneven,
+            Some(_) => SpeedState::Even,
+        }
+    }
+
+    /// Returns the speed of a worker in percent of the mean if it is reliable.
+    pub fn percent(&self, worker: WorkerKey) -> Option<u64> {
+        let speed = self.model.estimate(worker);
+        speed.is_reliable().then(|| (speed.factor() * 100.0).round() as u64)
+    }
+
+    /// Takes over a speed that a former scheduler estimated; the next placement pass uses it.
+    pub fn import(&mut self, worker: WorkerKey, speed: Speed) {
+        self.model.import(worker, speed);
+        self.next_fit_ms = 0;
+    }
 }
 
 /// How well a worker suits a unit by its speed; the lower, the better. All are equal while speeds do not differ.
@@ -141,6 +171,7 @@
             ));
         }
         self.log_speeds();
+        self.note_speed_changes(now_ms);
     }
 
     fn log_speeds(&mut self) {
@@ -170,6 +201,7 @@
     pub(super) fn forget_speed(&mut self, worker: WorkerKey) {
         self.speeds.model.forget(worker);
         self.speeds.logged.remove(&worker);
+        self.speeds.rows.forget(worker);
     }
 
     /// Returns the speed that a unit needs to meet its objective, or its late limit if it cannot meet the objective.
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobState, WorkerTally};
+use crate::{JobState, SpeedState, WorkerTally};
 
 /// State of a job as a scheduler sees it, and why its tasks wait.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +14,9 @@
     pub age_ms: u64,
     /// Completion objective since acceptance, from the forecast of its run times.
     pub objective_ms: u64,
+    /// What is known of the speeds of the workers; `None` from a build that does not estimate them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speeds: Option<SpeedState>,
     /// Steps that are not done.
     pub steps: Vec<StepExplanation>,
 }
@@ -57,6 +60,9 @@
     pub since_ms: u64,
     /// Time since the worker's last reply.
     pub heard_ms_ago: u64,
+    /// Speed of the worker in percent of the mean; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed_percent: Option<u64>,
 }
 
 /// Why tasks wait.
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -14,6 +14,7 @@
 mod silent_job_feed;
 mod silent_workers;
 mod simulation;
+mod speed_rows;
 mod takeover;
 mod uneven_speeds;
 mod waiting;
--- a/crates/domain/tests/engine/simulation.rs
+++ b/crates/domain/tests/engine/simulation.rs
@@ -12,6 +12,7 @@
 mod maintenance;
 mod records;
 mod running;
+mod speeds;
 mod stored_rows;
 
 use std::collections::BTreeMap;
@@ -29,6 +30,7 @@
 pub use fake_worker::FakeWorker;
 use idle_tasks::IdleTasks;
 pub use maintenance::Maintenance;
+pub use speeds::StoredSpeeds;
 pub use stored_rows::StoredRows;
 
 #[derive(Debug)]
@@ -102,6 +104,8 @@
     pub refused_commits: u32,
     /// Machine management interface.
     pub maintenance: Maintenance,
+    /// Durable speeds of workers.
+    pub speeds: StoredSpeeds,
     /// Tasks that crash the workers that start them.
     pub crashes: Crashes,
     /// Whether reports show the state of the workers before the last commands arrived.
@@ -204,6 +208,7 @@
             largest_row_bytes: 0,
             refused_commits: 0,
             maintenance: Maintenance::default(),
+            speeds: StoredSpeeds::default(),
             crashes: Crashes::default(),
             has_stale_reports: false,
             stale_workers: BTreeMap::new(),
@@ -251,6 +256,7 @@
         self.engine.add_last_runs(self.last_runs.clone().into_iter().collect());
         self.engine.set_former_start_bound(self.start_bound);
         self.recall_waves();
+        self.recall_speeds();
         if !self.is_list_late {
             self.refresh_entries();
         }
--- a/crates/domain/tests/engine/simulation/commits.rs
+++ b/crates/domain/tests/engine/simulation/commits.rs
@@ -5,7 +5,8 @@
     let bytes_of = |json: serde_json::Result<Vec<u8>>| json.expect("rows have string keys").len().div_ceil(3) * 4;
     let progress = commit.rows.iter().map(|row| serde_json::to_vec(&row.progress));
     let records = (commit.rows.iter()).filter_map(|row| Some(serde_json::to_vec(&row.records.as_ref()?.1)));
-    progress.chain(records).map(bytes_of).collect()
+    let speeds = commit.speed_rows.iter().map(|row| Ok(row.encode()));
+    progress.chain(records).chain(speeds).map(bytes_of).collect()
 }
 
 /// Commits of the engine to the fake store.
@@ -34,6 +35,11 @@
             self.engine.commit_failed(&[], self.now_ms);
             return;
         }
+        if self.speeds.are_refused && !commit.speed_rows.is_empty() {
+            self.speeds.refusals += 1;
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
         let stale: Vec<_> = commit
             .rows
             .iter()
@@ -84,6 +90,12 @@
         for id in &commit.remove_last_runs {
             self.last_runs.remove(id);
         }
+        self.write_speeds(commit);
+        if self.speeds.lose_replies > 0 && !commit.speed_rows.is_empty() {
+            self.speeds.lose_replies -= 1;
+            self.engine.commit_failed(&[], self.now_ms);
+            return;
+        }
         if self.lose_commit_replies > 0 {
             self.lose_commit_replies -= 1;
             self.engine.commit_failed(&[], self.now_ms);
--- a/crates/domain/tests/engine/uneven_speeds.rs
+++ b/crates/domain/tests/engine/uneven_speeds.rs
@@ -7,15 +7,11 @@
 use crate::simulation::{Simulation, job, step};
 
 /// Speeds of the workers of each rack, in order.
-const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+pub const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
 
-/// Starts two racks of nine workers and runs wide steps on them until the speeds of all workers are known.
-fn simulation(speeds: [f64; 3]) -> Simulation {
-    let mut sim = Simulation::new(2, 9);
-    for (number, worker) in sim.workers.values_mut().enumerate() {
-        worker.speed = speeds[number % speeds.len()];
-    }
-    sim.engine.set_config(domain::Config {
+/// Returns a configuration with a route for urgent work.
+pub fn config() -> domain::Config {
+    domain::Config {
         version: 2,
         routes: vec![Route {
             name: "route-0".into(),
@@ -25,7 +21,16 @@
             ..Route::default()
         }],
         ..domain::Config::default()
-    });
+    }
+}
+
+/// Starts two racks of nine workers and runs wide steps on them until the speeds of all workers are known.
+pub fn simulation(speeds: [f64; 3]) -> Simulation {
+    let mut sim = Simulation::new(2, 9);
+    for (number, worker) in sim.workers.values_mut().enumerate() {
+        worker.speed = speeds[number % speeds.len()];
+    }
+    sim.engine.set_config(config());
     for id in ["aa", "ab"] {
         let wide = sim.submit(job(id, 1, step(72, 2, 2_000)));
         sim.run_until(12_000, |sim| sim.state(&wide) == JobState::Done);
@@ -34,12 +39,12 @@
 }
 
 /// Returns the speeds of the workers on which a job runs.
-fn speeds_of(sim: &Simulation, job: &CompactString) -> Vec<f64> {
+pub fn speeds_of(sim: &Simulation, job: &CompactString) -> Vec<f64> {
     let workers = sim.workers_of(job).into_iter();
     workers.map(|worker| sim.workers[&worker].speed).collect()
 }
 
-fn urgent_gang(id: &str, count: u32) -> domain::Job {
+pub fn urgent_gang(id: &str, count: u32) -> domain::Job {
     let mut gang = step(count, 8, 2_000);
     gang.is_gang = true;
     gang.is_same_rack = true;
