feat(node): rows with the speeds of workers

Cause: the scheduler exports and imports speeds, and the lease holder neither writes nor reads them. Change: the table worker_speeds in the part of the lease holder is read with its other tables at a takeover and written in the transaction of a commit, on condition of the epoch. A row of another format version, or one that cannot be read, is logged and ignored.

--- a/crates/node/src/driver/actions.rs
+++ b/crates/node/src/driver/actions.rs
@@ -10,8 +10,8 @@
 use crate::ports::{Condition, Put, Store, Txn, Workers};
 use crate::rows::{
     EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, JOBS, LAST_RUNS, LEASE, PENDING, PROGRESS, RUNS, RecordsRow, START_BOUND,
-    START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, WAVES, cancel_key, put,
-    records_key, wave_key,
+    START_BOUND_KEY, USED_WORKERS, USED_WORKERS_REVISION, USED_WORKERS_REVISION_KEY, WAVES, WORKER_SPEEDS, cancel_key,
+    put, put_speeds, records_key, wave_key,
 };
 
 /// Time-out of a command; workers reply within a few round trips of some milliseconds.
@@ -202,6 +202,9 @@
             txn.puts
                 .push(put(parts.of_lease_holder(WAVES), wave_key(row), &row.fact));
         }
+        let speeds = commit.speed_rows.iter();
+        txn.puts
+            .extend(speeds.map(|row| put_speeds(parts.of_lease_holder(WORKER_SPEEDS), row)));
         let sent = self.add_heartbeat(&mut txn);
         (txn, sent)
     }
--- a/crates/node/src/driver/feeds.rs
+++ b/crates/node/src/driver/feeds.rs
@@ -11,8 +11,8 @@
 use crate::clock::boot_ms;
 use crate::ports::{FeedError, OwnRow, Place, Store, Workers};
 use crate::rows::{
-    JOBS, JobsKey, LAST_RUNS, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, WAVES, decode,
-    wave_row,
+    JOBS, JobsKey, LAST_RUNS, PENDING, PROGRESS, START_BOUND, USED_WORKERS, USED_WORKERS_REVISION, WAVES,
+    WORKER_SPEEDS, decode, speed_row, wave_row,
 };
 use crate::shared::SharedRef;
 
@@ -47,6 +47,7 @@
         START_BOUND,
         PENDING,
         WAVES,
+        WORKER_SPEEDS,
     ];
     let places = tables.map(|table| shared.parts.of_lease_holder(table));
     let Some((rows, _)) = read_until_success(&shared, &driver, &places).await else {
@@ -75,6 +76,7 @@
         .collect();
     driver.do_send(Input::Pending(pending));
     driver.do_send(Input::WaveRows(rows_of(WAVES).filter_map(wave_row).collect()));
+    driver.do_send(Input::SpeedRows(rows_of(WORKER_SPEEDS).filter_map(speed_row).collect()));
     actix_rt::spawn(follow_workers(Rc::clone(&shared), driver.clone()));
     let Some(after) = load_jobs(&shared, &driver).await else {
         return;
--- a/crates/node/src/driver/input.rs
+++ b/crates/node/src/driver/input.rs
@@ -1,8 +1,8 @@
 use actix::Message;
 use compact_str::CompactString;
 use domain::{
-    Commit, LastRuns, Machine, MaintenanceReply, StartBoundRow, StartOutcome, StoredJob, TaskRun, WaveRow, WorkerKey,
-    WorkerReport,
+    Commit, LastRuns, Machine, MaintenanceReply, SpeedRow, StartBoundRow, StartOutcome, StoredJob, TaskRun, WaveRow,
+    WorkerKey, WorkerReport,
 };
 
 use crate::ports::{RenewError, TxnError, WorkerChange};
@@ -32,6 +32,8 @@
     Pending(Vec<(CompactString, u64)>),
     /// Durable facts about maintenance waves.
     WaveRows(Vec<WaveRow>),
+    /// Durable speeds of workers.
+    SpeedRows(Vec<SpeedRow>),
     /// All stored rows have been read.
     Loaded,
     /// Complete list of workers, and when it was requested.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -328,6 +328,7 @@
                 }
             }
             Input::WaveRows(rows) => self.engine.add_wave_rows(rows, now_ms, unix_ms()),
+            Input::SpeedRows(rows) => self.engine.add_speed_rows(rows),
             Input::Loaded => self.engine.set_loaded(now_ms),
             Input::WorkerList(list, as_of_ms) => {
                 self.worker_list(list, now_ms);
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,5 +1,5 @@
 use compact_str::{CompactString, format_compact};
-use domain::{RunRecord, WaveRow};
+use domain::{RunRecord, SpeedRow, WaveRow};
 use serde::{Deserialize, Serialize};
 
 use crate::ports::{OwnRow, Place, Put};
@@ -24,6 +24,8 @@
 pub(crate) const START_BOUND: &str = "start_bound";
 /// Facts about maintenance waves `{wave}` and their machines `{wave}/{machine}`, written by the lease holder.
 pub(crate) const WAVES: &str = "waves";
+/// Estimated speeds of workers, many in one row; the format is that of [`SpeedRow`].
+pub(crate) const WORKER_SPEEDS: &str = "worker_speeds";
 /// Scheduling lease: its epoch and heartbeat.
 pub(crate) const LEASE: &str = "lease";
 
@@ -191,6 +193,28 @@
     })
 }
 
+/// Builds the write of a row with the speeds of workers.
+pub(crate) fn put_speeds(place: Place, row: &SpeedRow) -> Put {
+    Put {
+        place,
+        key: format_compact!("{}", row.number),
+        value: row.encode(),
+    }
+}
+
+/// Decodes a row with the speeds of workers. One of another format version, or one that cannot be read, is logged and
+/// ignored.
+pub(crate) fn speed_row(row: &OwnRow) -> Option<SpeedRow> {
+    let number = row.key.parse().ok()?;
+    match SpeedRow::decode(number, row.value.as_ref()?) {
+        Ok(row) => Some(row),
+        Err(error) => {
+            spdlog::warn!("worker_speeds_unreadable", kv: { key = row.key.as_str(), cause = error.to_string() });
+            None
+        }
+    }
+}
+
 /// Builds the write of a row with a JSON value.
 pub(crate) fn put<T: Serialize>(place: Place, key: impl Into<CompactString>, value: &T) -> Put {
     Put {
