--- a/crates/domain/src/engine/renew.rs
+++ b/crates/domain/src/engine/renew.rs
@@ -128,6 +128,7 @@
         worker.clock = Some((report.clock_ms, now_ms));
         let known = worker.processed_end;
         self.settle_former_runs(key, report, now_ms);
+        self.import_speed(key);
         for end in report.ends.iter().filter(|end| end.number > known) {
             self.workers[key].processed_end = end.number;
             self.run_ended(key, end, now_ms);
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobState, OrganisationShare, WorkerTally};
+use crate::{JobState, OrganisationShare, SpeedState, WorkerTally};
 
 /// State of a job as a scheduler sees it, and why its tasks wait.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,9 @@
     /// Share of its organisation; `None` if an older release answered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub organisation: Option<OrganisationShare>,
+    /// What is known of the speeds of the workers; `None` from a build that does not estimate them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speeds: Option<SpeedState>,
     /// Steps that are not done.
     pub steps: Vec<StepExplanation>,
 }
@@ -60,6 +63,9 @@
     pub since_ms: u64,
     /// Time since the worker's last reply.
     pub heard_ms_ago: u64,
+    /// Speed of the worker in percent of the mean; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed_percent: Option<u64>,
 }
 
 /// Why tasks wait.
--- a/crates/node/src/driver/stats.rs
+++ b/crates/node/src/driver/stats.rs
@@ -31,5 +31,9 @@
         for share in self.engine.organisation_shares() {
             self.shared.metrics.set_organisation(&share);
         }
+        set("known_speeds", stats.known_speeds);
+        set("lowest_speed_percent", stats.lowest_speed_percent);
+        set("median_speed_percent", stats.median_speed_percent);
+        set("highest_speed_percent", stats.highest_speed_percent);
     }
 }
