feat(domain): order of waiting work when capacity is insufficient

Cause: under load the order was lateness and latest start. Long work with an early latest start took all workers from much short work: in the new tests, 0 of 24 short jobs and 0 of 16 small urgent jobs were in time. Change: the crate overload sorts the waiting work of a priority: aged work within a quarter of the capacity, the set with the most jobs in time (Moore-Hodgson), postponed, late, and beyond the late limit. The engine applies it to services for which more work waits than their free capacity holds. Lasting and overdue work and guaranteed work of priority 0 go first as before. Tests: three of the five fail without the call; the one on work beyond its late limit passed before and guards the rule.

--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state machine.
 
 mod adopt;
+mod aged_work;
 mod availability;
 mod candidate;
 mod commits;
@@ -19,6 +20,7 @@
 mod listed_starts;
 mod load;
 mod open_wave;
+mod overload_order;
 mod place;
 mod preempt;
 mod queue;
@@ -117,6 +119,7 @@
     next_unit: usize,
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
     speeds: worker_speeds::WorkerSpeeds,
+    overload: overload_order::OverloadState,
     stats: EngineStats,
     log_lines: Vec<String>,
 }
@@ -179,6 +182,7 @@
             next_unit: 0,
             forecasts: HashMap::new(),
             speeds: worker_speeds::WorkerSpeeds::default(),
+            overload: overload_order::OverloadState::default(),
             stats: EngineStats::default(),
             log_lines: Vec::new(),
         }
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 
+use super::aged_work::AgedReservations;
 use super::candidate::Candidate;
 use super::health::is_last_resort;
 use super::keys::WorkerKey;
@@ -114,6 +115,7 @@
         let mut reserved_racks = 0;
         let mut preemptions = 0;
         let mut next_call = None;
+        let mut aged_reservations = AgedReservations::default();
         for unit in self.units_of_pass(units) {
             if self.awaits_hints(&unit, &candidates, &mut next_call, now_ms) {
                 continue;
@@ -132,6 +134,7 @@
             if reserved_racks < Self::MAX_RESERVED_RACKS && self.reserve_rack(&unit, &mut candidates) {
                 reserved_racks += 1;
             }
+            self.reserve_worker(&unit, &mut candidates, &mut aged_reservations, now_ms);
         }
         if let Some(call) = next_call {
             self.send_hint_call(call, now_ms);
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -20,6 +20,10 @@
     /// Latest start time for which completing it still has value.
     pub late_start_ms: u64,
     pub due_ms: u64,
+    /// Time from its acceptance to its objective.
+    pub objective_ms: u64,
+    /// Expected time from its start to the end of the job.
+    pub critical_path_ms: u64,
     /// One of its tasks may have crashed workers.
     pub has_suspects: bool,
     /// It runs until it is cancelled, so that no start meets an objective better than another.
@@ -39,6 +43,11 @@
         self.is_overdue && self.idle_ms >= Self::LONG_OVERDUE_AFTER_MS
     }
 
+    /// Returns its class in the queue, which no order within a class changes.
+    pub const fn class(&self) -> (u32, u32) {
+        (self.rank(), self.priority)
+    }
+
     /// Returns the rank of its priority in the queue. Work that lasts and is overdue precedes all but urgent work: it
     /// serves users, and newer work would keep it waiting for as long as there is a queue.
     const fn rank(&self) -> u32 {
@@ -101,7 +110,7 @@
 /// Queue order of waiting work.
 impl Engine {
     /// Multiple of the objective up to which completing a late job still has value.
-    const LATE_FACTOR: u64 = 3;
+    pub(super) const LATE_FACTOR: u64 = 3;
 
     /// Time with nothing running after which a unit is overdue: half of the time after which callers miss a job.
     const OVERDUE_AFTER_MS: u64 = 1_500;
@@ -188,6 +197,8 @@
                         late_start_ms: (occurrence.due_ms + objective_ms * Self::LATE_FACTOR)
                             .saturating_sub(critical_path_ms),
                         due_ms: occurrence.due_ms,
+                        objective_ms,
+                        critical_path_ms,
                         has_suspects: state.has_suspects(),
                         is_lasting,
                         is_overdue,
@@ -198,14 +209,14 @@
         }
         units.sort_by_key(|unit| {
             (
-                unit.rank(),
-                unit.priority,
+                unit.class(),
                 unit.lateness,
                 unit.latest_start_ms,
                 unit.due_ms,
                 unit.step,
             )
         });
+        self.order_under_load(&mut units, now_ms);
         for unit in &units {
             if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
                 state.ready_since_ms.get_or_insert(now_ms);
--- a/crates/domain/src/engine/stats.rs
+++ b/crates/domain/src/engine/stats.rs
@@ -43,6 +43,11 @@
     pub withheld_steps: u64,
     /// Longest time for which room was withheld from such a step.
     pub longest_withheld_ms: u64,
+    /// Steps that wait for a service without enough capacity, by [`overload::Standing`], as of the last pass.
+    pub standings: [u64; overload::Standing::ALL.len()],
+    /// Waiting work of such services by priority, in ms of the capacity of the service; the last one has all priorities
+    /// from 3 on.
+    pub backlog_ms: [u64; 4],
     /// Workers with a reliable estimate of their speed.
     pub known_speeds: u64,
     /// Lowest of these speeds, in percent of the mean.
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -156,6 +156,8 @@
             latest_start_ms: now_ms,
             late_start_ms: now_ms,
             due_ms: now_ms,
+            objective_ms: 0,
+            critical_path_ms: 0,
             has_suspects: state.has_suspects(),
             is_lasting: self.jobs[job].spec.steps[step as usize].is_long_running,
             is_overdue: false,
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -7,6 +7,7 @@
 mod listed_starts;
 mod maintenance;
 mod other_kind;
+mod overload;
 mod preemption;
 mod progress_rows;
 mod random_faults;
