--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state machine.
 
 mod adopt;
+mod aged_work;
 mod availability;
 mod candidate;
 mod commits;
@@ -22,6 +23,7 @@
 mod load;
 mod open_wave;
 mod organisation_usage;
+mod overload_order;
 mod place;
 mod preempt;
 mod preempt_own;
@@ -123,6 +125,7 @@
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
     usages: organisation_usage::OrganisationUsages,
     speeds: worker_speeds::WorkerSpeeds,
+    overload: overload_order::OverloadState,
     stats: EngineStats,
     log_lines: Vec<String>,
 }
@@ -186,6 +189,7 @@
             forecasts: HashMap::new(),
             usages: organisation_usage::OrganisationUsages::default(),
             speeds: worker_speeds::WorkerSpeeds::default(),
+            overload: overload_order::OverloadState::default(),
             stats: EngineStats::default(),
             log_lines: Vec::new(),
         }
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod maintenance;
 mod maximum;
 mod other_kind;
+mod overload;
 mod preemption;
 mod progress_rows;
 mod random_faults;
