--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -20,6 +20,7 @@
 mod change;
 mod column;
 mod domain_settings;
+mod intake_settings;
 mod peer_address;
 mod settings;
 mod settings_error;
@@ -31,6 +32,7 @@
 pub use change::{Change, ChangeKind};
 pub use column::Column;
 pub use domain_settings::DomainSettings;
+pub use intake_settings::IntakeSettings;
 pub use peer_address::PeerAddress;
 pub use settings::Settings;
 pub use settings_error::SettingsError;
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
-use crate::{DomainSettings, PeerAddress, SettingsError};
+use crate::{DomainSettings, IntakeSettings, PeerAddress, SettingsError};
 
 /// Settings of an entry instance. Every key but the first five has a default.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -100,6 +100,9 @@
     /// Number of newest timeline events kept in memory. Default 20,000 events.
     #[serde(default = "defaults::timeline_capacity_events")]
     pub timeline_capacity_events: u64,
+    /// Limits on what callers may make the process hold.
+    #[serde(default)]
+    pub intake: IntakeSettings,
     /// Makes the process an instance of a scheduling domain on the users' platform.
     pub domain: Option<DomainSettings>,
 }
@@ -116,13 +119,18 @@
         for range in RANGES {
             range.check(&document)?;
         }
+        if let Some(Value::Object(intake)) = document.get("intake") {
+            for range in INTAKE_RANGES {
+                range.check(intake)?;
+            }
+        }
         let settings: Self =
             serde_json::from_value(Value::Object(document)).map_err(|error| parse_error(error.to_string()))?;
         settings.validate()?;
         Ok(settings)
     }
 
-    /// Checks the URL and the peers.
+    /// Checks the URL, the peers and the limit on connections.
     fn validate(&self) -> Result<(), SettingsError> {
         if !self.platform_url.starts_with("http://") {
             return Err(SettingsError::InvalidUrl {
@@ -138,6 +146,18 @@
                 });
             }
         }
+        // A limit on connections above the descriptors would let callers take those of the process's own calls.
+        let IntakeSettings {
+            max_fds, reserved_fds, ..
+        } = self.intake;
+        let max_connections = max_fds.saturating_sub(reserved_fds);
+        if self.intake.max_connections() == 0 || self.intake.max_connections() > max_connections {
+            return Err(SettingsError::ConnectionsAboveDescriptors {
+                max_connections: self.intake.max_connections(),
+                max_fds,
+                reserved_fds,
+            });
+        }
         Ok(())
     }
 }
@@ -201,6 +221,23 @@
     Range::new("timeline_capacity_events", 0, 10_000_000, "events"),
 ];
 
+/// Ranges of the keys under `intake`.
+const INTAKE_RANGES: &[Range] = &[
+    Range::new("memory_mb", 32, 1_048_576, "MiB"),
+    Range::new("max_fds", 64, 10_485_760, "descriptors"),
+    Range::new("reserved_fds", 16, 1_048_576, "descriptors"),
+    Range::new("budget_bytes", 0, 1 << 40, "bytes"),
+    Range::new("max_connections", 0, 1_000_000, "connections"),
+    Range::new("header_bytes", 1_024, 65_536, "bytes"),
+    Range::new("header_timeout_ms", 100, 600_000, "ms"),
+    Range::new("body_timeout_ms", 100, 600_000, "ms"),
+    Range::new("body_min_bytes_per_s", 1, 1_048_576, "bytes/s"),
+    Range::new("idle_timeout_ms", 100, 600_000, "ms"),
+    Range::new("write_timeout_ms", 100, 600_000, "ms"),
+    Range::new("linger_timeout_ms", 10, 60_000, "ms"),
+    Range::new("linger_bytes", 0, 67_108_864, "bytes"),
+];
+
 mod defaults {
     pub(super) const fn heartbeat_interval_ms() -> u64 {
         1_000
--- a/crates/conf/src/settings_error.rs
+++ b/crates/conf/src/settings_error.rs
@@ -37,4 +37,14 @@
         /// Instance.
         instance: model::InstanceId,
     },
+    /// The limit on connections leaves no descriptors to the process's own calls, or is 0.
+    #[error("intake allows {max_connections} connections with max_fds {max_fds} and reserved_fds {reserved_fds}")]
+    ConnectionsAboveDescriptors {
+        /// Limit on connections.
+        max_connections: u64,
+        /// Descriptors of the machine.
+        max_fds: u64,
+        /// Descriptors kept for the process's own calls.
+        reserved_fds: u64,
+    },
 }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -33,6 +33,13 @@
     "timeline_capacity_events: 10000001",
     "timeline_capacity_events is 10000001; allowed"
 )]
+#[case::intake_range("intake: {header_bytes: 1}", "header_bytes is 1; allowed")]
+#[case::unknown_intake_key("intake: {colour: 1}", "colour")]
+#[case::no_descriptors_left(
+    "intake: {max_fds: 1000, reserved_fds: 1000}",
+    "intake allows 0 connections with max_fds 1000 and reserved_fds 1000"
+)]
+#[case::reserve_given_to_callers("intake: {max_connections: 3000}", "intake allows 3000 connections")]
 #[case::wrong_type("store_writes_per_s: \"many\"", "store_writes_per_s is \"many\"; allowed")]
 #[case::negative("store_writes_per_s: -1", "store_writes_per_s is -1; allowed")]
 #[case::bad_peer(
@@ -64,3 +71,11 @@
         })
     ));
 }
+
+/// Guards against a machine that gets the limits of a smaller or larger one.
+#[test]
+fn intake_limits_follow_from_the_machine() {
+    let settings = Settings::parse(&text("intake: {memory_mb: 512, max_fds: 10250}")).unwrap();
+    let limits = (settings.intake.budget_bytes(), settings.intake.max_connections());
+    assert_eq!(limits, (128 << 20, 9_226));
+}
