feat(domain): weighted dominant resource fairness between organisations

Cause: when more work waits for a service than fits, capacity went by priority and deadline alone, so that the burst of one organisation kept the others waiting. Change: with a weight in the configuration and more waiting work than free capacity, ready_units puts the units into the order of progressive filling, task by task; the rest of a wide step follows once all shares are served. Urgent work within its guarantee goes first; work beyond it preempts no run of an organisation with a smaller weighted share. Inside an organisation the order stays, and so does everything while all waiting work fits.

--- a/crates/domain/src/engine/held_units.rs
+++ b/crates/domain/src/engine/held_units.rs
@@ -82,6 +82,9 @@
         }
         let mut held = IndexMap::new();
         for key in ready {
+            if held.contains_key(key) {
+                continue;
+            }
             let (occurrence, step) = key.step();
             let Some(job) = self.jobs.get(key.job()) else { continue };
             let Some(opened) = job.occurrences.get(&occurrence) else {
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod crash_evidence;
 mod crashes;
 mod explain;
+mod fair_order;
 mod finished;
 mod forecast;
 mod former_runs;
--- a/crates/domain/src/engine/organisation_usage.rs
+++ b/crates/domain/src/engine/organisation_usage.rs
@@ -28,6 +28,7 @@
     /// Runs that rows of former schedulers name and that no report has confirmed or ended yet.
     pub former: HashMap<WorkerKey, FormerRuns>,
     has_maximum: bool,
+    has_weight: bool,
     /// All runs of former epochs are known.
     is_complete: bool,
     /// Steps that wait for the maximum of their organisation, and since when.
@@ -52,6 +53,7 @@
                 usage,
             };
         }
+        self.has_weight = self.entries.values().any(|entry| entry.weight > 0);
         self.has_maximum = self.entries.values().any(Entry::is_limited);
     }
 
@@ -89,6 +91,20 @@
         self.entries.get(name).filter(|entry| entry.is_limited())
     }
 
+    /// Returns whether any organisation has a weight; without one, there are no shares.
+    pub const fn has_weight(&self) -> bool {
+        self.has_weight
+    }
+
+    /// Returns the entries by their index.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    pub fn index_of(&self, name: &str) -> Option<usize> {
+        self.entries.get_index_of(name)
+    }
+
     pub const fn has_maximum(&self) -> bool {
         self.has_maximum
     }
--- a/crates/domain/src/engine/place.rs
+++ b/crates/domain/src/engine/place.rs
@@ -124,7 +124,7 @@
                 continue;
             }
             // Other work gives no way to what a maximum holds back, nor to a task that may crash its worker once more.
-            if self.is_held_by_maximum(&unit) || unit.has_suspects {
+            if unit.most_tasks < u32::MAX || self.is_held_by_maximum(&unit) || unit.has_suspects {
                 continue;
             }
             if unit.priority == 0 && preemptions < Self::MAX_PREEMPTIONS && !self.is_taking_over(now_ms) {
@@ -197,7 +197,7 @@
     fn place_unit(&mut self, unit: &PlacementUnit, candidates: &mut [Candidate], now_ms: u64) -> bool {
         let spec = std::rc::Rc::clone(&self.jobs[unit.job].spec);
         let shape = &spec.steps[unit.step as usize];
-        let room = usize::try_from(self.room_under_maximum(&spec, shape)).unwrap_or(usize::MAX);
+        let room = self.room_under_maximum(&spec, shape).min(u64::from(unit.most_tasks)) as usize;
         if shape.is_gang {
             let plan = (room > 0).then(|| self.plan_gang(unit, &spec, shape, candidates, now_ms));
             let Some(plan) = plan.flatten() else {
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -141,7 +141,7 @@
         candidates: &[&Candidate],
         now_ms: u64,
     ) -> Option<Preemption> {
-        let (hosts, victims) = self.hosts_and_victims(candidates, unit.priority, now_ms);
+        let (hosts, victims) = self.hosts_and_victims(candidates, unit, now_ms);
         if !shape.is_gang || !shape.is_same_rack {
             return choose_victims(shape, needed, &hosts, &victims, None);
         }
@@ -155,7 +155,17 @@
     }
 
     /// Returns the hosts and the runs that may be stopped there; the members of a gang form one victim.
-    fn hosts_and_victims(&self, candidates: &[&Candidate], priority: u32, now_ms: u64) -> (Vec<Host>, Vec<Victim>) {
+    ///
+    /// Work beyond the guarantee takes nothing from organisations with a smaller share.
+    fn hosts_and_victims(
+        &self,
+        candidates: &[&Candidate],
+        unit: &PlacementUnit,
+        now_ms: u64,
+    ) -> (Vec<Host>, Vec<Victim>) {
+        let priority = unit.priority;
+        let organisation = self.jobs[unit.job].spec.organisation.as_str();
+        let beyond_guarantee = (!self.is_within_guarantee(organisation)).then_some(organisation);
         let mut hosts = Vec::with_capacity(candidates.len());
         let mut victims = Vec::new();
         let mut gangs: BTreeMap<(JobKey, u32, u32), usize> = BTreeMap::new();
@@ -167,7 +177,8 @@
                     used = used.minus(&run.need);
                     continue;
                 }
-                if run.is_unwanted || !self.is_victim(run, priority) {
+                let is_protected = beyond_guarantee.is_some_and(|taker| !self.may_take_from(taker, run));
+                if run.is_unwanted || is_protected || !self.is_victim(run, priority) {
                     continue;
                 }
                 let member = (hosts.len(), *key, run.need);
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -28,6 +28,8 @@
     pub is_overdue: bool,
     /// Time for which it has had nothing running.
     pub idle_ms: u64,
+    /// Number of its tasks that may start in this turn; `u32::MAX` if shares do not limit it.
+    pub most_tasks: u32,
 }
 
 impl PlacementUnit {
@@ -192,6 +194,7 @@
                         is_lasting,
                         is_overdue,
                         idle_ms,
+                        most_tasks: u32::MAX,
                     });
                 }
             }
@@ -206,6 +209,7 @@
                 unit.step,
             )
         });
+        self.order_fairly(&mut units);
         for unit in &units {
             if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
                 state.ready_since_ms.get_or_insert(now_ms);
--- a/crates/domain/src/engine/waiting.rs
+++ b/crates/domain/src/engine/waiting.rs
@@ -160,6 +160,7 @@
             is_lasting: self.jobs[job].spec.steps[step as usize].is_long_running,
             is_overdue: false,
             idle_ms: 0,
+            most_tasks: u32::MAX,
         }
     }
 
--- a/crates/domain/tests/engine/main.rs
+++ b/crates/domain/tests/engine/main.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod capacity;
+mod fair_shares;
 mod faults;
 mod jobs;
 mod listed_starts;
