feat(domain): objectives count the waves of a step that is too wide to run at once

Cause: the critical path assumed that all tasks of a step run at once, which the maximum of an organisation or the capacity of the service may rule out. Change: the expected time of a step is multiplied by the number of its waves under the maximum, or under a quarter of the capacity of its service; gangs run in one. Without shares in the configuration nothing changes.

--- a/crates/domain/src/engine/forecast.rs
+++ b/crates/domain/src/engine/forecast.rs
@@ -112,7 +112,8 @@
         tasks * shape.need.weight_milli() * self.expected_ms(spec, step) / 1_000
     }
 
-    /// Returns the expected time from the start of each step to the end of the job, without waiting for workers.
+    /// Returns the expected time from the start of each step to the end of the job, without waiting for workers. A step that
+    /// is too wide to run at once takes the time of its waves.
     pub(super) fn critical_paths_ms(&self, spec: &Job) -> smallvec::SmallVec<[u64; 4]> {
         let mut critical_paths = smallvec::smallvec![0; spec.steps.len()];
         for step in (0..spec.steps.len()).rev() {
@@ -120,7 +121,10 @@
                 .filter(|later| spec.steps[*later].after.contains(&(step as u32)))
                 .map(|later| critical_paths[later])
                 .max();
-            critical_paths[step] = self.expected_ms(spec, step as u32) + after.unwrap_or(0);
+            let own_ms = self
+                .expected_ms(spec, step as u32)
+                .saturating_mul(self.waves_of(spec, step));
+            critical_paths[step] = own_ms + after.unwrap_or(0);
         }
         critical_paths
     }
--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -45,6 +45,7 @@
 mod waiting;
 mod waiting_starts;
 mod waves;
+mod waves_of_steps;
 mod worker;
 mod worker_loss;
 mod worker_speeds;
@@ -122,6 +123,7 @@
     next_unit: usize,
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
     usages: organisation_usage::OrganisationUsages,
+    service_quarters: waves_of_steps::ServiceQuarters,
     speeds: worker_speeds::WorkerSpeeds,
     stats: EngineStats,
     log_lines: Vec<String>,
@@ -185,6 +187,7 @@
             next_unit: 0,
             forecasts: HashMap::new(),
             usages: organisation_usage::OrganisationUsages::default(),
+            service_quarters: waves_of_steps::ServiceQuarters::default(),
             speeds: worker_speeds::WorkerSpeeds::default(),
             stats: EngineStats::default(),
             log_lines: Vec::new(),
@@ -300,6 +303,7 @@
         self.recall_silent(now_ms);
         self.check_last_runs(now_ms);
         self.expire_former_runs(now_ms);
+        self.take_service_quarters();
         self.forget_lost_processes(now_ms);
         if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
             self.ended_jobs.clear();
--- a/crates/domain/src/engine/organisation_usage.rs
+++ b/crates/domain/src/engine/organisation_usage.rs
@@ -96,6 +96,11 @@
         self.has_weight
     }
 
+    /// Returns whether any organisation has a maximum or a weight.
+    pub const fn has_shares(&self) -> bool {
+        self.has_maximum || self.has_weight
+    }
+
     /// Returns the entries by their index.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
--- a/crates/domain/tests/engine/fair_shares.rs
+++ b/crates/domain/tests/engine/fair_shares.rs
@@ -125,3 +125,53 @@
     });
     sim.assert_no_violations();
 }
+
+/// Guards against an objective that a step cannot meet because not all its tasks may run at once, and against a longer one
+/// where no organisation has a share.
+#[rstest]
+#[case::no_shares(0, 0, 32, false, 4_000)]
+#[case::fits_into_the_maximum(0, 8, 8, false, 4_000)]
+#[case::four_waves_of_the_maximum(0, 2, 8, false, 13_000)]
+#[case::part_of_a_wave(0, 3, 8, false, 10_000)]
+#[case::four_quarters_of_the_service(1, 0, 32, false, 13_000)]
+#[case::gang_runs_at_once(1, 0, 32, true, 4_000)]
+fn objective_counts_the_waves_of_a_step(
+    #[case] weight: u64,
+    #[case] most_accelerators: u64,
+    #[case] tasks: u32,
+    #[case] is_gang: bool,
+    #[case] objective_ms: u64,
+) {
+    let mut sim = shared([weight, 0, 0]);
+    let mut organisations = sim.organisations.clone();
+    organisations[0].maximum.accelerators = most_accelerators;
+    sim.configure(organisations);
+    sim.run_for(100);
+    let mut wide = step(tasks, 1, 1_000);
+    wide.is_gang = is_gang;
+    let mut job = job("a", 1, wide);
+    job.organisation = "large".into();
+    let id = sim.submit(job);
+    sim.run_for(100);
+    let now_ms = sim.now_ms;
+    let explanation = sim.engine.explain(&id, now_ms).unwrap();
+    assert_eq!(explanation.objective_ms, objective_ms);
+}
+
+/// Guards against urgent work beyond its guarantee that takes the place of an organisation with a smaller share.
+#[test]
+fn urgent_work_beyond_its_guarantee_takes_nothing_from_smaller_shares() {
+    let mut sim = shared([1, 1, 0]);
+    let small = submit(&mut sim, "small", 2, 8, 1);
+    submit(&mut sim, "large", 2, 24, 1);
+    sim.run_for(150);
+    assert_eq!(in_use(&sim), [24, 8, 0]);
+    submit(&mut sim, "large", 0, 60, 1);
+    sim.run_until(5_000, |sim| small.iter().all(|id| sim.state(id) == JobState::Done));
+    assert!(
+        small.iter().all(|id| sim.starts_of(&format!("{id}.0.0.0")) == 1),
+        "{}",
+        sim.log_lines.join("\n")
+    );
+    sim.assert_no_violations();
+}
