refactor(policy): the dominant share comes from the crate shares

Cause: policy and the shares of organisations computed the largest ratio of amounts each by itself. Change: Amount::dominant_share calls shares::largest_ratio.

--- a/crates/policy/src/amount.rs
+++ b/crates/policy/src/amount.rs
@@ -56,11 +56,12 @@
 
     /// Returns the largest ratio of a component to the same component of `total`.
     pub fn dominant_share(self, total: Self) -> f64 {
-        let ratio = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 0.0 };
-        ratio(self.slots.into(), total.slots.into())
-            .max(ratio(self.accelerators.into(), total.accelerators.into()))
-            .max(ratio(self.cpu_milli as f64, total.cpu_milli as f64))
-            .max(ratio(self.memory_mib as f64, total.memory_mib as f64))
+        shares::largest_ratio([
+            (self.slots.into(), total.slots.into()),
+            (self.accelerators.into(), total.accelerators.into()),
+            (self.cpu_milli as f64, total.cpu_milli as f64),
+            (self.memory_mib as f64, total.memory_mib as f64),
+        ])
     }
 }
 
