--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod crash_evidence;
 mod crashes;
 mod explain;
+mod fair_order;
 mod finished;
 mod forecast;
 mod former_runs;
@@ -47,6 +48,7 @@
 mod waiting;
 mod waiting_starts;
 mod waves;
+mod waves_of_steps;
 mod worker;
 mod worker_loss;
 mod worker_speeds;
@@ -124,6 +126,7 @@
     next_unit: usize,
     forecasts: HashMap<(CompactString, u32), forecast::Forecast>,
     usages: organisation_usage::OrganisationUsages,
+    service_quarters: waves_of_steps::ServiceQuarters,
     speeds: worker_speeds::WorkerSpeeds,
     overload: overload_order::OverloadState,
     stats: EngineStats,
@@ -188,6 +191,7 @@
             next_unit: 0,
             forecasts: HashMap::new(),
             usages: organisation_usage::OrganisationUsages::default(),
+            service_quarters: waves_of_steps::ServiceQuarters::default(),
             speeds: worker_speeds::WorkerSpeeds::default(),
             overload: overload_order::OverloadState::default(),
             stats: EngineStats::default(),
@@ -305,6 +309,7 @@
         self.recall_silent(now_ms);
         self.check_last_runs(now_ms);
         self.expire_former_runs(now_ms);
+        self.take_service_quarters();
         self.forget_lost_processes(now_ms);
         if now_ms > self.took_over_ms + Self::ENDED_JOBS_RETENTION_MS {
             self.ended_jobs.clear();
--- a/crates/domain/src/engine/queue.rs
+++ b/crates/domain/src/engine/queue.rs
@@ -32,6 +32,8 @@
     pub is_overdue: bool,
     /// Time for which it has had nothing running.
     pub idle_ms: u64,
+    /// Number of its tasks that may start in this turn; `u32::MAX` if shares do not limit it.
+    pub most_tasks: u32,
 }
 
 impl PlacementUnit {
@@ -203,6 +205,7 @@
                         is_lasting,
                         is_overdue,
                         idle_ms,
+                        most_tasks: u32::MAX,
                     });
                 }
             }
@@ -217,6 +220,7 @@
             )
         });
         self.order_under_load(&mut units, now_ms);
+        self.order_fairly(&mut units);
         for unit in &units {
             if let Some(state) = self.step_mut(unit.job, unit.occurrence, unit.step) {
                 state.ready_since_ms.get_or_insert(now_ms);
