feat(domain): victims are weighed by the delay that a stop causes

Cause: the cheapest victim was the one with the least unsaved work. A run that saves checkpoints was stopped 150 ms before its end, and work that then missed its objective was stopped beside work with slack. Change: a victim costs its whole work once more for its objective and for its late limit if it meets them only when it goes on. A run that is to end within 500 ms by its measured progress, and before the urgent work has to start, is not stopped; its worker is reserved, and there is time left to stop it if it does not end. Gangs are left out, as their members wait for the slowest. The limit on what may be lost still counts unsaved work only. The line preempt has delay_core_ms.

--- a/crates/domain/src/engine/mod.rs
+++ b/crates/domain/src/engine/mod.rs
@@ -38,6 +38,7 @@
 mod stops;
 mod throttle;
 mod unresponsive;
+mod victim_cost;
 mod victims;
 mod waiting;
 mod waiting_starts;
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -5,6 +5,7 @@
 use super::keys::{JobKey, RunKey, WorkerKey};
 use super::place::PreemptionReservation;
 use super::queue::PlacementUnit;
+use super::victim_cost::VictimTimesCache;
 use super::victims::{Host, Preemption, Victim, choose_victims};
 use super::{Engine, RunState};
 use crate::Step;
@@ -18,7 +19,7 @@
     const PREEMPT_RECHECK_MS: u64 = 100;
 
     /// Time until the end of a stopped run is reported and its capacity is given to the unit.
-    const STOP_REPORT_MS: u64 = 100;
+    pub(super) const STOP_REPORT_MS: u64 = 100;
 
     /// Time for which workers are reserved for a unit after preemption.
     const RESERVATION_MS: u64 = 1_000;
@@ -78,7 +79,7 @@
         }
         let Some(preemption) = preemption else { return true };
         let is_guaranteed = self.is_within_guarantee(&spec.organisation);
-        if preemption.cost > self.expected_work(&spec, unit.step, needed) {
+        if preemption.unsaved_core_ms > self.expected_work(&spec, unit.step, needed) {
             // Stopping would lose more work than the unit needs. Work beyond the guarantee waits for free capacity;
             // guaranteed work waits as long as its objective and its guarantee allow.
             let preemption_ms = self.limits.stop_grace_ms + Self::RESERVATION_MS;
@@ -96,7 +97,7 @@
         }
         let is_stop_pending = |worker: &WorkerKey| {
             let mut runs = self.workers[*worker].runs.iter().map(|run| &self.runs[*run]);
-            runs.any(|run| run.state == RunState::Stopping)
+            runs.any(|run| run.state == RunState::Stopping || self.may_end_for(run, unit, now_ms))
         };
         if preemption.victims.is_empty() && !preemption.workers.iter().any(is_stop_pending) {
             // There is room, so something else holds the unit back; a reservation would hold back others as well.
@@ -112,11 +113,12 @@
             return true;
         }
         self.log_lines.push(format!(
-            "preempt job={} step={} victims={} cost_core_ms={} is_owed={is_guaranteed}",
+            "preempt job={} step={} victims={} cost_core_ms={} delay_core_ms={} is_owed={is_guaranteed}",
             spec.id,
             unit.step,
             preemption.victims.len(),
-            preemption.cost
+            preemption.unsaved_core_ms,
+            preemption.cost - preemption.unsaved_core_ms
         ));
         for victim in preemption.victims {
             if let Some(task_run) = self.task_run_of(victim) {
@@ -140,7 +142,7 @@
         candidates: &[&Candidate],
         now_ms: u64,
     ) -> Option<Preemption> {
-        let (hosts, victims) = self.hosts_and_victims(candidates, unit.priority, now_ms);
+        let (hosts, victims) = self.hosts_and_victims(candidates, unit, now_ms);
         if !shape.is_gang || !shape.is_same_rack {
             return choose_victims(shape, needed, &hosts, &victims, None);
         }
@@ -154,7 +156,13 @@
     }
 
     /// Returns the hosts and the runs that may be stopped there; the members of a gang form one victim.
-    fn hosts_and_victims(&self, candidates: &[&Candidate], priority: u32, now_ms: u64) -> (Vec<Host>, Vec<Victim>) {
+    fn hosts_and_victims(
+        &self,
+        candidates: &[&Candidate],
+        unit: &PlacementUnit,
+        now_ms: u64,
+    ) -> (Vec<Host>, Vec<Victim>) {
+        let mut times = VictimTimesCache::default();
         let mut hosts = Vec::with_capacity(candidates.len());
         let mut victims = Vec::new();
         let mut gangs: BTreeMap<(JobKey, u32, u32), usize> = BTreeMap::new();
@@ -166,7 +174,11 @@
                     used = used.minus(&run.need);
                     continue;
                 }
-                if run.is_unwanted || !self.is_victim(run, priority) {
+                if self.may_end_for(run, unit, now_ms) {
+                    used = used.minus(&run.need);
+                    continue;
+                }
+                if run.is_unwanted || !self.is_victim(run, unit.priority) {
                     continue;
                 }
                 let member = (hosts.len(), *key, run.need);
@@ -177,8 +189,10 @@
                     next_index
                 };
                 if index == next_index {
+                    let unsaved_core_ms = self.stop_cost(*key, now_ms);
                     victims.push(Victim {
-                        cost: self.stop_cost(*key, now_ms),
+                        unsaved_core_ms,
+                        cost: self.victim_cost(*key, unsaved_core_ms, &mut times, now_ms),
                         members: Vec::new(),
                     });
                 }
@@ -194,6 +208,11 @@
         (hosts, victims)
     }
 
+    /// Returns whether a run ends so soon that a unit of higher priority waits for it.
+    fn may_end_for(&self, run: &super::Run, unit: &PlacementUnit, now_ms: u64) -> bool {
+        !run.is_unwanted && self.is_victim(run, unit.priority) && self.is_about_to_end(run, unit, now_ms)
+    }
+
     fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
         let spec = &self.job_of(run).spec;
         spec.priority > priority && !spec.steps[run.step as usize].is_non_preemptible()
--- a/crates/domain/src/engine/victims.rs
+++ b/crates/domain/src/engine/victims.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Victim {
     /// Work that is lost if it is stopped, in core-milliseconds.
+    pub unsaved_core_ms: u64,
+    /// That work and the cost of the delay, which decide between victims.
     pub cost: u64,
     /// Host index, run and resources of each member.
     pub members: Vec<(usize, RunKey, Resources)>,
@@ -28,6 +30,9 @@
 /// Victims to stop for a unit, and the workers on which it then fits.
 #[derive(Debug, Default)]
 pub(super) struct Preemption {
+    /// Work that is lost, in core-milliseconds.
+    pub unsaved_core_ms: u64,
+    /// That work and the cost of the delays.
     pub cost: u64,
     pub victims: Vec<RunKey>,
     pub workers: Vec<WorkerKey>,
@@ -243,6 +248,7 @@
             workers.push(self.hosts[host].worker);
         }
         Preemption {
+            unsaved_core_ms: selected().map(|victim| self.victims[victim].unsaved_core_ms).sum(),
             cost: selected().map(|victim| self.victims[victim].cost).sum(),
             victims: selected()
                 .flat_map(|victim| self.victims[victim].members.iter().map(|(_, run, _)| *run))
--- a/crates/domain/tests/engine/preemption.rs
+++ b/crates/domain/tests/engine/preemption.rs
@@ -97,3 +97,64 @@
     assert!(objective_ms.contains(&objective.parse().unwrap()), "{log_line}");
     sim.assert_no_violations();
 }
+
+fn urgent_task(id: &str) -> domain::Job {
+    let mut urgent = job(id, 0, step(1, 8, 4_000));
+    urgent.objective_factor = 1.5;
+    urgent.objective_ms = 250;
+    urgent
+}
+
+/// Guards against stopping a run that ends before the urgent work has to start (a victim near its end beside one that
+/// just began): a run that saves checkpoints loses little, so that it was the cheapest victim until its last moment.
+#[test]
+fn victim_near_its_end_beside_one_that_just_began() {
+    let mut sim = Simulation::new(1, 2);
+    let mut saving = step(1, 8, 4_000);
+    saving.saves_checkpoints = true;
+    let ending = sim.submit(job("a", 2, saving));
+    sim.run_for(3_000);
+    let recent = sim.submit(job("b", 2, step(1, 8, 60_000)));
+    sim.run_for(850);
+    let urgent = sim.submit(urgent_task("c"));
+    sim.run_until(700, |sim| !sim.workers_of(&urgent).is_empty());
+    assert_eq!(sim.engine.stats().preempted, 0, "{}", sim.log_lines.join("\n"));
+    assert_eq!(sim.starts_of(&format!("{ending}.0.0.0")), 1);
+    assert_eq!(sim.workers_of(&recent).len(), 1);
+    sim.assert_no_violations();
+}
+
+/// Guards against a wait for the end of a run that does not come: it is stopped in time for the urgent work.
+#[test]
+fn victim_that_does_not_end_as_expected_is_stopped() {
+    let mut sim = Simulation::new(1, 1);
+    let mut saving = step(1, 8, 4_000);
+    saving.saves_checkpoints = true;
+    sim.submit(job("a", 2, saving));
+    sim.run_for(3_700);
+    for worker in sim.workers.values_mut() {
+        worker.hangs = true;
+    }
+    let urgent = sim.submit(urgent_task("c"));
+    sim.run_until(2_700, |sim| !sim.workers_of(&urgent).is_empty());
+    assert_eq!(sim.engine.stats().preempted, 1);
+    sim.assert_no_violations();
+}
+
+/// Guards against stopping work that would then miss its objective although work with slack could give way (a victim with
+/// slack beside one that would miss its objective).
+#[test]
+fn victim_with_slack_beside_one_that_would_miss_its_objective() {
+    let mut sim = Simulation::new(1, 2);
+    let slack = sim.submit(job("a", 2, step(1, 8, 6_000)));
+    sim.run_for(1_000);
+    let mut tight = job("b", 2, step(1, 8, 6_000));
+    tight.objective_factor = 1.1;
+    tight.objective_ms = 400;
+    let tight = sim.submit(tight);
+    sim.run_for(1_000);
+    let urgent = sim.submit(urgent_task("c"));
+    sim.run_until(2_700, |sim| !sim.workers_of(&urgent).is_empty());
+    assert_eq!((sim.workers_of(&tight).len(), sim.workers_of(&slack).len()), (1, 0));
+    sim.assert_no_violations();
+}
