--- a/crates/cli/src/domain_commands.rs
+++ b/crates/cli/src/domain_commands.rs
@@ -142,6 +142,11 @@
         step.idle_ms
             .map(|idle_ms| format!("  nothing at work for {idle_ms} ms although its turn has come")),
     );
+    lines.extend(
+        step.standing
+            .iter()
+            .map(|standing| format!("  capacity is insufficient; its standing is {standing}")),
+    );
     lines.extend(step.workers.map(|tally| format!("  workers by rule: {tally}")));
     lines.extend(step.runs.iter().map(|run| {
         format!(
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -58,6 +58,7 @@
                 workers: 47,
             }),
             idle_ms: Some(2_400),
+            standing: Some("postponed".into()),
             workers: Some(WorkerTally {
                 full: 40,
                 reserved: 7,
--- a/crates/domain/src/engine/explain.rs
+++ b/crates/domain/src/engine/explain.rs
@@ -64,6 +64,10 @@
             runs,
             waits_for: (idle > 0).then(|| self.wait_cause(key, occurrence, step, now_ms)),
             idle_ms,
+            standing: self
+                .standing_of(key, occurrence, step)
+                .filter(|_| idle > 0)
+                .map(|standing| standing.code().into()),
             workers: (idle > 0).then(|| self.tally_workers(key, occurrence, step, now_ms)),
         }
     }
--- a/crates/domain/src/explanation.rs
+++ b/crates/domain/src/explanation.rs
@@ -37,6 +37,10 @@
     /// Time for which it has had a task whose turn has come and none at work, as counted for callers.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub idle_ms: Option<u64>,
+    /// Its standing in the order if it waits for a service without enough capacity: `aged`, `in_time`, `postponed`,
+    /// `late` or `beyond_limit`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub standing: Option<CompactString>,
     /// Which rule keeps its waiting tasks from which number of workers.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workers: Option<WorkerTally>,
--- a/crates/domain/tests/engine/overload.rs
+++ b/crates/domain/tests/engine/overload.rs
@@ -280,3 +280,36 @@
     assert!(load.jobs.values().all(|job| job.is_done_within(1)));
     load.sim.assert_no_violations();
 }
+
+/// Guards against a load that operators cannot see: the standing in `explain`, the counts, the backlog and the log line
+/// (more work waits than its service holds).
+#[test]
+fn insufficient_capacity_is_reported() {
+    let mut load = Recording::new();
+    for number in 0..4 {
+        load.submit(unguaranteed(&format!("a{number}"), 1, 8, 2_000));
+    }
+    load.run_for(100);
+    let mut long = unguaranteed("b", 1, 8, 6_000);
+    long.objective_factor = 1.2;
+    long.objective_ms = 0;
+    let long = load.submit(long);
+    for number in 0..20 {
+        load.submit(unguaranteed(&format!("c{number:02}"), 1, 8, 800));
+    }
+    load.run_for(300);
+    let now_ms = load.sim.now_ms;
+    let explanation = load.sim.engine.explain(&long, now_ms).expect("the job is open");
+    assert_eq!(explanation.steps[0].standing.as_deref(), Some("postponed"));
+    let stats = load.sim.engine.stats();
+    assert_eq!(stats.standings.iter().sum::<u64>(), 21, "{:?}", stats.standings);
+    assert!(stats.standings[2] > 0, "{:?}", stats.standings);
+    // 20 tasks of 800 ms and one of 6,000 ms, each of which takes a quarter of the accelerators.
+    assert_eq!(stats.backlog_ms, [0, (20 * 800 + 6_000) / 4, 0, 0]);
+    load.run_until_done(60_000);
+    let lines = load.sim.log_lines.iter().filter(|line| line.contains(" overload "));
+    let changes: Vec<bool> = lines.map(|line| line.contains("is_overloaded=true")).collect();
+    assert_eq!(changes, [true, false]);
+    assert_eq!(load.sim.engine.stats().backlog_ms, [0; 4]);
+    load.sim.assert_no_violations();
+}
--- a/crates/node/src/driver/stats.rs
+++ b/crates/node/src/driver/stats.rs
@@ -27,5 +27,23 @@
         set("waiting_steps", stats.waiting_steps);
         set("withheld_steps", stats.withheld_steps);
         set("longest_withheld_ms", stats.longest_withheld_ms);
+        for (standing, name) in [
+            "overload_aged_steps",
+            "overload_in_time_steps",
+            "overload_postponed_steps",
+            "overload_late_steps",
+            "overload_beyond_limit_steps",
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            set(name, stats.standings[standing]);
+        }
+        for (priority, name) in ["backlog_0_ms", "backlog_1_ms", "backlog_2_ms", "backlog_3_ms"]
+            .into_iter()
+            .enumerate()
+        {
+            set(name, stats.backlog_ms[priority]);
+        }
     }
 }
