--- a/crates/node/src/driver/stats.rs
+++ b/crates/node/src/driver/stats.rs
@@ -35,5 +35,23 @@
         set("lowest_speed_percent", stats.lowest_speed_percent);
         set("median_speed_percent", stats.median_speed_percent);
         set("highest_speed_percent", stats.highest_speed_percent);
+        for (standing, name) in [
+            "overload_aged_steps",
+            "overload_in_time_steps",
+            "overload_postponed_steps",
+            "overload_late_steps",
+            "overload_beyond_limit_steps",
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            set(name, stats.standings[standing]);
+        }
+        for (priority, name) in ["backlog_0_ms", "backlog_1_ms", "backlog_2_ms", "backlog_3_ms"]
+            .into_iter()
+            .enumerate()
+        {
+            set(name, stats.backlog_ms[priority]);
+        }
     }
 }
