feat(intake): limits on bytes, connections and time of callers

Change: the crate `intake` decides in a table without I/O which connection is closed; a stream around each socket charges what it reads. Front and ready listener share one budget. Queue, key and announced length are checked before the body is read (401, 404, 413); a body over the limit is 413 instead of 400. Bodies are held in segments. Sockets have fixed buffers. The limits of the configuration on the wire (header_bytes, header_timeout_ms, idle_timeout_ms) apply where given. Tests of intake, platform, conf and daemon pass; `domain` and `node` were not run. The listener of `entry` is not limited yet.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,13 +9,16 @@
 use conf::{DomainSettings, Settings};
 use daemon_error::DaemonError;
 use entry::{Entry, Listeners};
+use intake_limits::intake_limits;
 use node_settings::node_settings;
+use platform::front::BodyLimit;
 use platform::{Addresses, Instance};
 use signals::{reload_on_hangup, stop_signal};
 use spdlog::Logger;
 use trace::BoundedSink;
 
 mod daemon_error;
+mod intake_limits;
 mod node_settings;
 mod signals;
 
@@ -104,7 +107,13 @@
             machines: optional_address(&domain.machines_address),
             placement_hints: optional_address(&domain.advice_address),
         };
-        let instance = Instance::start(node_settings(settings, domain), &addresses)?;
+        let body_limit = BodyLimit(settings.max_body_bytes);
+        let instance = Instance::start(
+            node_settings(settings, domain),
+            intake_limits(settings),
+            body_limit,
+            &addresses,
+        )?;
         stop.await;
         instance.stop().await;
         Ok(())
--- a/crates/domain/src/config.rs
+++ b/crates/domain/src/config.rs
@@ -58,8 +58,14 @@
     pub services: Vec<Service>,
     /// Organisations.
     pub organisations: Vec<Organisation>,
-    /// Maximum size of a request body; 0 means no limit.
+    /// Maximum size of a request body; 0 means that the setting of the instance applies.
     pub max_body_bytes: u64,
+    /// Maximum size of a request head; 0 means that the setting of the instance applies.
+    pub max_header_bytes: u64,
+    /// Longest time for a request head; 0 means that the setting of the instance applies.
+    pub header_timeout_ms: u64,
+    /// Longest time without a request on a connection; 0 means that the setting of the instance applies.
+    pub idle_timeout_ms: u64,
 }
 
 impl Config {
--- /dev/null
+++ b/crates/intake/src/intake.rs
@@ -0,0 +1,106 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{Cause, Connection, ConnectionTable, Limits};
+
+/// Limits shared by all listeners of a process. It belongs to one thread.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    table: RefCell<ConnectionTable>,
+    configured: Limits,
+    origin: Instant,
+    /// Per cause: time of the last log line, and the count that it showed.
+    logged: RefCell<[(Option<u64>, u64); Cause::ALL.len()]>,
+}
+
+impl Intake {
+    /// Least time between two log lines of one cause.
+    const LOG_INTERVAL_MS: u64 = 1_000;
+
+    /// Creates the limits of a process.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            shared: Rc::new(Shared {
+                table: RefCell::new(ConnectionTable::new(limits)),
+                configured: limits,
+                origin: Instant::now(),
+                logged: RefCell::default(),
+            }),
+        }
+    }
+
+    /// Returns the limits from the settings of the instance.
+    pub fn settings(&self) -> Limits {
+        self.shared.configured
+    }
+
+    /// Replaces the limits in force.
+    pub fn set_limits(&self, limits: Limits) {
+        self.with(|table, _| table.set_limits(limits));
+    }
+
+    /// Returns the limits in force.
+    pub fn limits(&self) -> Limits {
+        self.with(|table, _| *table.limits())
+    }
+
+    /// Adds an accepted connection; `None` if it has to be closed at once.
+    pub fn accept(&self) -> Option<Connection> {
+        let accepted = self.with(ConnectionTable::accept);
+        self.log_closed();
+        accepted.ok().map(|key| Connection::new(self.clone(), key))
+    }
+
+    /// Returns whether the next connection has to wait until one that is closing has gone.
+    pub fn is_full(&self) -> bool {
+        self.with(|table, _| table.is_full())
+    }
+
+    /// Returns counters and gauges for the metrics, by name.
+    pub fn figures(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let table = self.shared.table.borrow();
+        let gauges = [
+            ("connections", table.connections() as u64),
+            ("held_bytes", table.held_bytes()),
+            ("budget_bytes", table.limits().budget_bytes),
+            ("max_connections", table.limits().max_connections as u64),
+        ];
+        let closed = Cause::ALL.map(|cause| (cause.name(), table.closed(cause)));
+        gauges.into_iter().chain(closed)
+    }
+
+    pub(crate) fn with<R>(&self, apply: impl FnOnce(&mut ConnectionTable, u64) -> R) -> R {
+        let now_ms = self.shared.origin.elapsed().as_millis() as u64;
+        apply(&mut self.shared.table.borrow_mut(), now_ms)
+    }
+
+    pub(crate) fn instant(&self, at_ms: u64) -> Instant {
+        self.shared.origin + Duration::from_millis(at_ms)
+    }
+
+    /// Logs closed connections, at most one line per second for each cause.
+    pub(crate) fn log_closed(&self) {
+        self.with(|table, now_ms| {
+            let mut logged = self.shared.logged.borrow_mut();
+            for cause in Cause::ALL {
+                let (logged_ms, shown) = &mut logged[cause as usize];
+                let closed = table.closed(cause);
+                let is_due = logged_ms.is_none_or(|at_ms| now_ms >= at_ms + Self::LOG_INTERVAL_MS);
+                if closed > *shown && is_due {
+                    let (count, held_bytes) = (closed - *shown, table.held_bytes());
+                    let connections = table.connections();
+                    spdlog::warn!("connections_closed", kv: { cause = cause.name(), count, connections, held_bytes });
+                    (*logged_ms, *shown) = (Some(now_ms), closed);
+                }
+            }
+        });
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -16,6 +16,8 @@
     pub lease_changes: IntCounterVec,
     /// Counters and gauges of the scheduler by name.
     pub scheduler: IntGaugeVec,
+    /// Connections and bytes held for callers, and connections closed, by name.
+    pub intake: IntGaugeVec,
 }
 
 impl Metrics {
@@ -35,6 +37,10 @@
             "galenaspool_scheduler",
             "Counters and gauges of the scheduler in this epoch",
         );
+        let intake = Opts::new(
+            "galenaspool_intake",
+            "Connections and bytes held for callers, and connections closed by cause",
+        );
         let metrics = Self {
             registry: Registry::new(),
             calls: counter(
@@ -54,6 +60,7 @@
                 "Changes of the scheduling lease",
                 &["kind"],
             ),
+            intake: IntGaugeVec::new(intake, &["name"]).expect("names are valid"),
             scheduler: IntGaugeVec::new(scheduler, &["name"]).expect("names are valid"),
         };
         let register = |collector: Box<dyn prometheus::core::Collector>| {
@@ -65,6 +72,7 @@
         register(Box::new(metrics.refusals.clone()));
         register(Box::new(metrics.lease_changes.clone()));
         register(Box::new(metrics.scheduler.clone()));
+        register(Box::new(metrics.intake.clone()));
         metrics
     }
 
--- a/crates/node/src/request_handler/mod.rs
+++ b/crates/node/src/request_handler/mod.rs
@@ -10,7 +10,7 @@
 
 use actix_rt::time::sleep;
 use admission::AdmittedRequest;
-use domain::{Job, JobState, Progress, Route};
+use domain::{Config, Job, JobState, Progress, Route};
 pub use job_request::JobRequest;
 pub use refused::Refused;
 pub use submission::Submission;
@@ -90,13 +90,18 @@
         self.shared.open_calls.get()
     }
 
-    /// Returns the configured maximum size of a request body; `None` if there is no limit.
-    pub fn max_body_bytes(&self) -> Option<u64> {
-        let view = self.shared.view.borrow();
-        view.config
-            .as_ref()
-            .map(|config| config.max_body_bytes)
-            .filter(|bytes| *bytes > 0)
+    /// Returns the configuration in force, which has the limits on requests.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.shared.view.borrow().config.clone()
+    }
+
+    /// Checks queue and key of a request before its body is read.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Refused`] that the request would get with any body.
+    pub fn check(&self, request: &JobRequest) -> Result<(), Refused> {
+        self.admit_now(request).map(drop)
     }
 
     /// Returns the metrics of the instance.
--- a/crates/node/src/request_handler/refused.rs
+++ b/crates/node/src/request_handler/refused.rs
@@ -18,6 +18,9 @@
     /// The request is malformed.
     #[error("{0}")]
     Invalid(&'static str),
+    /// The body is larger than the limit.
+    #[error("the body is larger than the limit")]
+    TooLarge,
     /// The id belongs to a job of another queue or organisation.
     #[error("the id is in use for another job")]
     IdInUse,
@@ -41,6 +44,7 @@
             Self::UnknownRoute => "unknown_route",
             Self::UnknownKey => "unknown_key",
             Self::Invalid(_) => "invalid",
+            Self::TooLarge => "too_large",
             Self::IdInUse => "id_in_use",
             Self::UnknownJob => "unknown_job",
             Self::StoreUnavailable => "store_unavailable",
