--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -19,6 +19,8 @@
     pub scheduler: IntGaugeVec,
     /// Usage, maximum and share of each organisation by name.
     pub organisations: IntGaugeVec,
+    /// Connections and bytes held for callers, and connections closed, by name.
+    pub intake: IntGaugeVec,
 }
 
 impl Metrics {
@@ -41,6 +43,9 @@
         let organisations = Opts::new(
             "galenaspool_organisation",
             "Usage, maximum, weight and share of each organisation as the scheduler of this epoch counts them",
+        let intake = Opts::new(
+            "galenaspool_intake",
+            "Connections and bytes held for callers, and connections closed by cause",
         );
         let metrics = Self {
             registry: Registry::new(),
@@ -61,6 +66,7 @@
                 "Changes of the scheduling lease",
                 &["kind"],
             ),
+            intake: IntGaugeVec::new(intake, &["name"]).expect("names are valid"),
             scheduler: IntGaugeVec::new(scheduler, &["name"]).expect("names are valid"),
             organisations: IntGaugeVec::new(organisations, &["organisation", "name"]).expect("names are valid"),
         };
@@ -74,6 +80,7 @@
         register(Box::new(metrics.lease_changes.clone()));
         register(Box::new(metrics.scheduler.clone()));
         register(Box::new(metrics.organisations.clone()));
+        register(Box::new(metrics.intake.clone()));
         metrics
     }
 
--- a/crates/node/src/request_handler/refused.rs
+++ b/crates/node/src/request_handler/refused.rs
@@ -21,6 +21,9 @@
     /// A gang or task of the job alone exceeds the maximum of its organisation, so that it could never run.
     #[error("a gang or task of the job exceeds the maximum of its organisation")]
     OverMaximum,
+    /// The body is larger than the limit.
+    #[error("the body is larger than the limit")]
+    TooLarge,
     /// The id belongs to a job of another queue or organisation.
     #[error("the id is in use for another job")]
     IdInUse,
@@ -45,6 +48,7 @@
             Self::UnknownKey => "unknown_key",
             Self::Invalid(_) => "invalid",
             Self::OverMaximum => "over_maximum",
+            Self::TooLarge => "too_large",
             Self::IdInUse => "id_in_use",
             Self::UnknownJob => "unknown_job",
             Self::StoreUnavailable => "store_unavailable",
