--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -121,6 +121,7 @@
                 limit: 432,
                 held_ms: 2_300,
             }),
+            standing: None,
             idle_ms: None,
             workers: None,
         }],
--- a/crates/conf/src/domain_settings.rs
+++ b/crates/conf/src/domain_settings.rs
@@ -30,6 +30,10 @@
     pub remote_factor: f64,
     /// Time within which guaranteed work must have started.
     pub reclaim_ms: u64,
+    /// Whether waiting work is ordered, and victims of preemption are chosen, by what the delay costs callers when
+    /// capacity is insufficient.
+    #[serde(default)]
+    pub weighs_delays: bool,
     /// Time after which a revoked key must be rejected.
     pub revoke_ms: u64,
     /// Time without disruption after which time limits hold for an instance.
--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -37,6 +37,7 @@
             worker_list_age_max_ms: feed_age_max_ms,
             jobs_age_max_ms: feed_age_max_ms,
             keep_finished_ms: (domain.status_s * 1_000.0) as u64 * RETENTION_FACTOR,
+            weighs_delays: domain.weighs_delays,
             // The store counts the encoded size, a third larger.
             value_bytes_max: domain.row_bytes as usize * 3 / 4,
         },
--- a/crates/domain/src/engine/overload_order.rs
+++ b/crates/domain/src/engine/overload_order.rs
@@ -71,6 +71,9 @@
         self.overload.standings.clear();
         self.stats.standings = [0; Standing::ALL.len()];
         self.stats.backlog_ms = Default::default();
+        if !self.limits.weighs_delays {
+            return;
+        }
         let loads = self.service_loads(units, now_ms);
         self.prune_aged();
         for (service, load) in &loads {
--- a/crates/domain/src/engine/preempt.rs
+++ b/crates/domain/src/engine/preempt.rs
@@ -169,7 +169,6 @@
         unit: &PlacementUnit,
         now_ms: u64,
     ) -> (Vec<Host>, Vec<Victim>) {
-        let priority = unit.priority;
         let organisation = self.jobs[unit.job].spec.organisation.as_str();
         let beyond_guarantee = (!self.is_within_guarantee(organisation)).then_some(organisation);
         let mut times = VictimTimesCache::default();
@@ -184,13 +183,12 @@
                     used = used.minus(&run.need);
                     continue;
                 }
-                let is_protected = beyond_guarantee.is_some_and(|taker| !self.may_take_from(taker, run));
-                if run.is_unwanted || is_protected || !self.is_victim(run, priority) {
                 if self.may_end_for(run, unit, now_ms) {
                     used = used.minus(&run.need);
                     continue;
                 }
-                if run.is_unwanted || !self.is_victim(run, unit.priority) {
+                let is_protected = beyond_guarantee.is_some_and(|taker| !self.may_take_from(taker, run));
+                if run.is_unwanted || is_protected || !self.is_victim(run, unit.priority) {
                     continue;
                 }
                 let member = (hosts.len(), *key, run.need);
@@ -220,13 +218,12 @@
         (hosts, victims)
     }
 
-    pub(super) fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
     /// Returns whether a run ends so soon that a unit of higher priority waits for it.
     fn may_end_for(&self, run: &super::Run, unit: &PlacementUnit, now_ms: u64) -> bool {
         !run.is_unwanted && self.is_victim(run, unit.priority) && self.is_about_to_end(run, unit, now_ms)
     }
 
-    fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
+    pub(super) fn is_victim(&self, run: &super::Run, priority: u32) -> bool {
         let spec = &self.job_of(run).spec;
         spec.priority > priority && !spec.steps[run.step as usize].is_non_preemptible()
     }
--- a/crates/domain/src/engine/victim_cost.rs
+++ b/crates/domain/src/engine/victim_cost.rs
@@ -34,7 +34,8 @@
     pub(super) fn is_about_to_end(&self, run: &Run, unit: &PlacementUnit, now_ms: u64) -> bool {
         let is_gang = self.job_of(run).spec.steps[run.step as usize].is_gang;
         let has_rate = run.progress.rate.is_some_and(|rate| rate > 0.0);
-        if run.state != RunState::Running || !has_rate || is_gang || run.is_lasting {
+        let may_wait = self.limits.weighs_delays && has_rate && !is_gang && !run.is_lasting;
+        if run.state != RunState::Running || !may_wait {
             return false;
         }
         // The progress is that of the last report.
@@ -55,6 +56,9 @@
         cache: &mut VictimTimesCache,
         now_ms: u64,
     ) -> u64 {
+        if !self.limits.weighs_delays {
+            return unsaved_core_ms;
+        }
         let run = &self.runs[key];
         let step = (run.job, run.occurrence, run.step);
         let times = *cache.0.entry(step).or_insert_with(|| self.victim_times(run));
--- a/crates/domain/src/limits.rs
+++ b/crates/domain/src/limits.rs
@@ -19,6 +19,9 @@
     pub jobs_age_max_ms: u64,
     /// Retention of the rows of a job in a final state.
     pub keep_finished_ms: u64,
+    /// Whether waiting work is ordered, and victims of preemption are chosen, by what the delay costs callers when
+    /// capacity is insufficient.
+    pub weighs_delays: bool,
     /// Maximum size of a row's value in the store.
     pub value_bytes_max: usize,
 }
@@ -58,6 +61,7 @@
             worker_list_age_max_ms: 2_400,
             jobs_age_max_ms: 2_400,
             keep_finished_ms: 600_000,
+            weighs_delays: true,
             value_bytes_max: 49_152,
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -43,6 +43,7 @@
         let organisations = Opts::new(
             "galenaspool_organisation",
             "Usage, maximum, weight and share of each organisation as the scheduler of this epoch counts them",
+        );
         let intake = Opts::new(
             "galenaspool_intake",
             "Connections and bytes held for callers, and connections closed by cause",
