--- a/crates/domain/tests/engine/maximum.rs
+++ b/crates/domain/tests/engine/maximum.rs
@@ -312,8 +312,8 @@
 }
 
 /// Guards against guaranteed work that never fits into the maximum, since waiting tasks of its own organisation take each
-/// part of it that becomes free (RECLAIM on shifted/lkvc-spool-now-grown, quiet-1: one job waited for 6.2 s while 28
-/// preemptions freed room for it).
+/// part of it that becomes free (RECLAIM on shifted/lkvc-spool-now-grown, quiet-1: one job waited for 6.2 s while ten
+/// rounds of stops freed room for it).
 #[test]
 fn waiting_tasks_of_its_organisation_do_not_refill_what_guaranteed_work_needs() {
     let mut sim = limited(2, 4, 16);
