--- a/crates/fleet/src/fleet_process.rs
+++ b/crates/fleet/src/fleet_process.rs
@@ -57,6 +57,36 @@
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
     }
 
+    /// Returns the last lines of the output.
+    pub fn log_tail(&self) -> String {
+        const LINES: usize = 20;
+        let log = self.log();
+        let lines: Vec<_> = log.lines().rev().take(LINES).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
+    /// Returns the largest resident size that the process has had.
+    pub fn peak_kib(&self) -> u64 {
+        self.status_kib("VmHWM:")
+    }
+
+    /// Returns the resident size of the process.
+    pub fn resident_kib(&self) -> u64 {
+        self.status_kib("VmRSS:")
+    }
+
+    /// Returns the number of open descriptors of the process.
+    pub fn open_fds(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.id())).map_or(0, Iterator::count)
+    }
+
+    fn status_kib(&self, field: &str) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
+        line.and_then(|value| value.split_whitespace().next()?.parse().ok())
+            .unwrap_or(0)
+    }
+
     /// Kills the process with `SIGKILL` and waits for it to exit.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/fleet/src/layout.rs
+++ b/crates/fleet/src/layout.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 
+use serde_json::Value;
+
 /// Size and settings of a deployment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Layout {
@@ -14,7 +16,7 @@
     /// Slots and accelerators of a worker.
     pub slots: u16,
     /// Settings of the entry instances that differ from the defaults.
-    pub settings: BTreeMap<String, u64>,
+    pub settings: BTreeMap<String, Value>,
     /// Configuration sheet that is applied at start; without it the deployment has no configuration.
     pub sheet: Option<String>,
 }
@@ -42,8 +44,8 @@
 
     /// Overrides a setting of all entry instances.
     #[must_use]
-    pub fn setting(mut self, key: &str, value: u64) -> Self {
-        self.settings.insert(key.to_owned(), value);
+    pub fn setting(mut self, key: &str, value: impl Into<Value>) -> Self {
+        self.settings.insert(key.to_owned(), value.into());
         self
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! `cargo build --workspace --bins`.
 
 mod binary;
+mod crowd;
 mod demo;
 mod faults;
 mod fleet_error;
@@ -16,6 +17,7 @@
 mod settings_file;
 mod start;
 
+pub use crowd::{BODY_BYTES, Crowd};
 pub use demo::run_demo;
 pub use fleet_error::FleetError;
 pub use fleet_process::FleetProcess;
--- a/crates/fleet/src/settings_file.rs
+++ b/crates/fleet/src/settings_file.rs
@@ -17,7 +17,7 @@
     http_address: SocketAddr,
     platform: SocketAddr,
     peers: &[Peer],
-    overrides: &BTreeMap<String, u64>,
+    overrides: &BTreeMap<String, Value>,
 ) -> String {
     let peers: Vec<Value> = peers
         .iter()
@@ -32,7 +32,7 @@
         "peers": peers,
     });
     for (key, value) in overrides {
-        document[key] = json!(value);
+        document[key] = value.clone();
     }
     format!("// Written by the fleet harness.\n{document:#}\n")
 }
