--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -131,7 +131,11 @@
     }
 
     /// Checks the URL, the peers and the limit on connections.
-    fn validate(&self) -> Result<(), SettingsError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] for the first setting that cannot be used.
+    pub fn validate(&self) -> Result<(), SettingsError> {
         if !self.platform_url.starts_with("http://") {
             return Err(SettingsError::InvalidUrl {
                 key: "platform_url",
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use daemon_error::DaemonError;
 use entry::{Entry, Listeners};
 use intake_limits::intake_limits;
+use machine_limits::MachineLimits;
 use node_settings::node_settings;
 use platform::front::BodyLimit;
 use platform::{Addresses, Instance};
@@ -19,6 +20,7 @@
 
 mod daemon_error;
 mod intake_limits;
+mod machine_limits;
 mod node_settings;
 mod signals;
 
@@ -38,6 +40,20 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Settings in JSON with comments"),
         )
+        .arg(
+            Arg::new("memory-mb")
+                .long("memory-mb")
+                .value_name("MIB")
+                .value_parser(value_parser!(u64).range(32..))
+                .help("Memory of the machine; replaces intake.memory_mb of the settings"),
+        )
+        .arg(
+            Arg::new("max-fds")
+                .long("max-fds")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(u64).range(64..))
+                .help("File descriptors of the machine; replaces intake.max_fds of the settings"),
+        )
         .arg(
             Arg::new("check-settings")
                 .long("check-settings")
@@ -46,12 +62,15 @@
         )
 }
 
-pub(crate) fn read_settings(path: &Path) -> Result<Settings, DaemonError> {
+pub(crate) fn read_settings(path: &Path, machine: MachineLimits) -> Result<Settings, DaemonError> {
     let text = std::fs::read_to_string(path).map_err(|source| DaemonError::Read {
         path: path.to_owned(),
         source,
     })?;
-    Ok(Settings::parse(&text)?)
+    let mut settings = Settings::parse(&text)?;
+    machine.apply(&mut settings);
+    settings.validate()?;
+    Ok(settings)
 }
 
 fn run() -> Result<(), DaemonError> {
@@ -59,14 +78,15 @@
     let path = matches
         .get_one::<PathBuf>("settings")
         .expect("the argument is required");
-    let settings = read_settings(path)?;
+    let machine = MachineLimits::from_matches(&matches);
+    let settings = read_settings(path, machine)?;
     if matches.get_flag("check-settings") {
         println!("{}: settings are valid", path.display());
         return Ok(());
     }
     if let Some(domain) = settings.domain.clone() {
         log_to_stdout()?;
-        return run_domain(path, &settings, &domain);
+        return run_domain(path, machine, &settings, &domain);
     }
     log_to_stdout()?;
     let listeners = Listeners::bind(&settings)?;
@@ -95,10 +115,15 @@
 }
 
 /// Runs an instance of a scheduling domain on the platform.
-fn run_domain(path: &Path, settings: &Settings, domain: &DomainSettings) -> Result<(), DaemonError> {
+fn run_domain(
+    path: &Path,
+    machine: MachineLimits,
+    settings: &Settings,
+    domain: &DomainSettings,
+) -> Result<(), DaemonError> {
     actix_rt::System::new().block_on(async {
         let stop = stop_signal()?;
-        let reload = reload_on_hangup(path.to_owned(), settings.clone())?;
+        let reload = reload_on_hangup(path.to_owned(), machine, settings.clone())?;
         actix_rt::spawn(reload);
         let addresses = Addresses {
             front: settings.http_address,
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -6,6 +6,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::daemon_error::DaemonError;
+use crate::machine_limits::MachineLimits;
 use crate::read_settings;
 
 /// Returns a future that completes on the first SIGTERM or SIGINT.
@@ -30,11 +31,15 @@
 /// # Errors
 ///
 /// Returns [`DaemonError::Signals`] if the handler cannot be installed.
-pub(crate) fn reload_on_hangup(path: PathBuf, mut settings: Settings) -> Result<impl Future<Output = ()>, DaemonError> {
+pub(crate) fn reload_on_hangup(
+    path: PathBuf,
+    machine: MachineLimits,
+    mut settings: Settings,
+) -> Result<impl Future<Output = ()>, DaemonError> {
     let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
     Ok(async move {
         while hangup.recv().await.is_some() {
-            match read_settings(&path) {
+            match read_settings(&path, machine) {
                 Ok(read) => {
                     let is_changed = read != settings;
                     spdlog::info!("settings_reloaded", kv: { is_changed });
