fix(intake): pipelined requests are not parsed all at once

Seen: 400 clients that send 500 short requests each and read no reply take an instance with 200 connections from 21 to 150 MB, although its budget is 16 MiB. Cause: the HTTP library parses every head that it has read, up to 200 in 4 KiB, and keeps some KiB for each (a table of headers with room for 16) until the request is handled; its limit on pipelined requests is not checked while it decodes. With unread replies none is handled. heaptrack: 29 of 30 MB in 4,510 heads of 50 connections. Ruled out: the write buffer (the same growth with 8 and 32 KiB), the replies themselves (20 requests for each connection add under 1 MB for 50). Change: a turn of reading ends after two ends of heads; what was read beyond them is delivered after the first request was handled. Ordinary requests, one head and a body, do not meet the limit. Why it works: at most two heads wait in the library for each connection, and nothing is read while a reply is unread.

--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -7,6 +7,7 @@
 mod cause;
 mod connection;
 mod connection_table;
+mod head_scanner;
 mod intake;
 mod limited_stream;
 mod limits;
@@ -15,6 +16,7 @@
 pub use cause::Cause;
 pub use connection::Connection;
 pub use connection_table::{ConnectionKey, ConnectionTable};
+pub use head_scanner::HeadScanner;
 pub use intake::Intake;
 pub use limited_stream::LimitedStream;
 pub use limits::Limits;
--- a/crates/intake/src/limited_stream.rs
+++ b/crates/intake/src/limited_stream.rs
@@ -4,7 +4,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{Connection, Limits, Stage};
+use crate::{Connection, HeadScanner, Limits, Stage};
 
 /// Socket that charges what it reads to its connection and reads nothing while a request is being answered.
 #[derive(Debug)]
@@ -13,6 +13,10 @@
     connection: Connection,
     /// Bytes read since other tasks could run.
     turn_bytes: u64,
+    scanner: HeadScanner,
+    /// Bytes read from the socket beyond the heads of a turn; those from `ahead_from` on are not delivered yet.
+    ahead: Vec<u8>,
+    ahead_from: usize,
     /// Whether part of the reply was written.
     has_written: bool,
     /// Task that waits until a reply has been written.
@@ -26,6 +30,9 @@
             inner,
             connection,
             turn_bytes: 0,
+            scanner: HeadScanner::new(),
+            ahead: Vec::new(),
+            ahead_from: 0,
             has_written: false,
             reader: None,
         }
@@ -35,6 +42,24 @@
     pub const fn connection(&self) -> &Connection {
         &self.connection
     }
+
+    /// Delivers bytes that were read ahead; returns whether there were any.
+    fn deliver_ahead(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
+        let ahead = &self.ahead[self.ahead_from..];
+        if ahead.is_empty() {
+            return false;
+        }
+        let ahead = &ahead[..ahead.len().min(buffer.remaining())];
+        let now = self.scanner.split(ahead, Limits::TURN_HEADS);
+        buffer.put_slice(&ahead[..now]);
+        self.ahead_from += now;
+        self.turn_bytes = Limits::TURN_BYTES;
+        if self.ahead_from == self.ahead.len() {
+            self.ahead = Vec::new();
+            self.ahead_from = 0;
+        }
+        true
+    }
 }
 
 fn closed<T>() -> Poll<io::Result<T>> {
@@ -58,6 +83,9 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if this.deliver_ahead(buffer) {
+            return Poll::Ready(Ok(()));
+        }
         let turn_bytes = (Limits::TURN_BYTES - this.turn_bytes) as usize;
         let mut turn = ReadBuf::new(buffer.initialize_unfilled_to(buffer.remaining().min(turn_bytes)));
         let result = Pin::new(&mut this.inner).poll_read(cx, &mut turn);
@@ -67,8 +95,15 @@
         }
         ready!(result)?;
         if bytes > 0 {
-            buffer.advance(bytes);
-            this.turn_bytes += bytes as u64;
+            let now = this.scanner.split(turn.filled(), Limits::TURN_HEADS);
+            if now < bytes {
+                this.ahead = turn.filled()[now..].to_vec();
+                this.ahead_from = 0;
+                this.turn_bytes = Limits::TURN_BYTES;
+            } else {
+                this.turn_bytes += bytes as u64;
+            }
+            buffer.advance(now);
             this.connection.read(bytes as u64);
         }
         Poll::Ready(Ok(()))
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -35,6 +35,10 @@
     /// for each chunk, at least 6 bytes on the wire, and keeps the capacity of the queue: 4 KiB bound it to 32 KiB.
     pub const TURN_BYTES: u64 = 4 * 1_024;
 
+    /// Ends of heads after which a connection reads no further before its first request is handled. The HTTP library
+    /// parses all heads that it has read and keeps some KiB for each, however short it is.
+    pub const TURN_HEADS: usize = 2;
+
     /// Size up to which a request counts as ordinary and is not dropped for the budget while larger ones exist.
     pub const ORDINARY_BYTES: u64 = 32 * 1_024;
 }
