fix(entry): bytes, connections and time of callers are limited

Seen: in a deployment of the demo, 400 clients that stop before the end of a body of 262,144 bytes take an instance from 31 to 342 MB; the machines have 120 MB. Cause: the HTTP listener of crates/entry accepted every connection, read every body in full and had no limit in time. Change: it uses the limited listener of crates/listen on a thread of its own, as before. Limits are those of the section `intake` of the settings. Bodies are refused by their announced length before they are read. A planned stop waits for open connections as before and closes those without a request after 5 s. New figures galenaspool_intake. Ruled out: the limits of the HTTP library (one body each, no sum); closing all bodies over the budget at once, which would meet ordinary callers. Why it works: what arrives is charged to a budget, unfinished requests give way to complete ones, and a reply that nobody reads stops its connection.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,8 +8,7 @@
 use compact_str::CompactString;
 use conf::{DomainSettings, Settings};
 use daemon_error::DaemonError;
-use entry::{Entry, Listeners};
-use intake_limits::intake_limits;
+use entry::{Entry, Listeners, intake_limits};
 use machine_limits::MachineLimits;
 use node_settings::node_settings;
 use platform::front::BodyLimit;
@@ -19,7 +18,6 @@
 use trace::BoundedSink;
 
 mod daemon_error;
-mod intake_limits;
 mod machine_limits;
 mod node_settings;
 mod signals;
@@ -135,7 +133,7 @@
         let body_limit = BodyLimit(settings.max_body_bytes);
         let instance = Instance::start(
             node_settings(settings, domain),
-            intake_limits(settings),
+            intake_limits(&settings.intake),
             body_limit,
             &addresses,
         )?;
--- a/crates/entry/src/entry_node.rs
+++ b/crates/entry/src/entry_node.rs
@@ -5,8 +5,6 @@
 use actix::prelude::*;
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{sleep, timeout};
-use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpServer};
 use conf::Settings;
 use net::peer::peer_server::PeerServer as PeerService;
 use timer::Timer;
@@ -16,16 +14,13 @@
 
 use crate::config::ConfigActor;
 use crate::context::{Clients, Context};
-use crate::http::{ApiState, OpenRequests, routes};
+use crate::http::{ApiState, HttpInterface, OpenRequests};
 use crate::jobs::JobActor;
 use crate::members::{Members, PeerLinks, PeerServer};
 use crate::scheduling::{Drivers, Schedulers, StopScheduling};
 use crate::urgent::{Flush, UrgentActor};
 use crate::{EntryError, Listeners};
 
-/// Time after which idle connections of callers are closed; also limits how long they delay a planned stop.
-const KEEP_ALIVE: Duration = Duration::from_secs(5);
-
 /// Time for which a planned stop waits for the connections of other instances to close after the shutdown signal.
 const PEER_STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -40,8 +35,7 @@
 #[derive(Debug)]
 pub struct Entry {
     context: Context,
-    http: ServerHandle,
-    http_address: SocketAddr,
+    http: HttpInterface,
     peer: PeerInterface,
     schedulers: Addr<Schedulers>,
     urgent: Addr<UrgentActor>,
@@ -78,13 +72,16 @@
             config,
             job_actor,
         };
-        let (http, http_address) = serve_http(&state, listeners.http)?;
+        let http_address = context.settings.http_address;
+        let http = HttpInterface::start(state, listeners.http).map_err(|source| EntryError::Listen {
+            address: http_address,
+            source,
+        })?;
         let event = Event::new(EventKind::InstanceStarted).data_centre(context.settings.data_centre.clone());
         context.timeline.push(event.cause(context.settings.instance.as_str()));
         Ok(Self {
             context,
             http,
-            http_address,
             peer,
             schedulers,
             urgent,
@@ -93,7 +90,7 @@
 
     /// Returns the address of the HTTP interface.
     pub const fn http_address(&self) -> SocketAddr {
-        self.http_address
+        self.http.address()
     }
 
     /// Performs a planned stop: no request is interrupted, and scheduling leases and grants are released.
@@ -108,7 +105,7 @@
         sleep(Duration::from_millis(settings.balancer_drain_ms)).await;
         // Another instance can schedule while the last requests are served here.
         let _ = self.schedulers.send(StopScheduling).await;
-        self.http.stop(true).await;
+        self.http.stop().await;
         let _ = self.urgent.send(Flush).await;
         // Calls of other instances ended with the grants; only their connections remain open.
         let _ = self.peer.stop.send(());
@@ -150,28 +147,3 @@
     });
     Ok(PeerInterface { stop, server_task })
 }
-
-fn serve_http(state: &ApiState, listener: std::net::TcpListener) -> Result<(ServerHandle, SocketAddr), EntryError> {
-    let settings = state.context.settings.clone();
-    let listen = |source| EntryError::Listen {
-        address: settings.http_address,
-        source,
-    };
-    let address = listener.local_addr().map_err(listen)?;
-    let state = state.clone();
-    let server = HttpServer::new(move || App::new().configure(|app| routes(&state, app)))
-        .workers(1)
-        .disable_signals()
-        .keep_alive(KEEP_ALIVE)
-        .shutdown_timeout(settings.stop_timeout_ms.div_ceil(1_000))
-        .listen(listener)
-        .map_err(listen)?
-        .run();
-    let handle = server.handle();
-    actix_rt::spawn(async move {
-        if let Err(error) = server.await {
-            spdlog::error!("http interface ended", kv: { cause = error.to_string() });
-        }
-    });
-    Ok((handle, address))
-}
--- a/crates/entry/src/http/config.rs
+++ b/crates/entry/src/http/config.rs
@@ -3,6 +3,7 @@
 use model::{Config, ConfigVersion};
 
 use super::ApiState;
+use super::read_json::read_json;
 use crate::config::{PutConfig, ReadConfig, config_status};
 use crate::{ApiError, HandlerResult};
 
@@ -11,9 +12,9 @@
     Ok(respond(&config))
 }
 
-pub(super) async fn put(state: web::Data<ApiState>, request: HttpRequest, config: web::Json<Config>) -> HandlerResult {
+pub(super) async fn put(state: web::Data<ApiState>, request: HttpRequest, body: web::Payload) -> HandlerResult {
     let put = PutConfig {
-        config: config.into_inner(),
+        config: read_json(&state, &request, body).await?,
         based_on: if_match(&request)?,
     };
     let config = state.config.send(put).await??;
--- a/crates/entry/src/http/jobs.rs
+++ b/crates/entry/src/http/jobs.rs
@@ -1,11 +1,12 @@
 use std::time::Duration;
 
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use model::{JobId, JobSpec, OrganisationId, Outcome, RequestId};
 use serde::Deserialize;
 use trace::{Event, EventKind};
 
 use super::ApiState;
+use super::read_json::read_json;
 use crate::jobs::{AuditJob, CancelRequest, JobReply, ListJobs, ReadAnswer, ReadStatus, SubmitJob};
 use crate::{ApiError, HandlerResult, JobPage};
 
@@ -32,15 +33,14 @@
 pub(super) async fn submit(
     state: web::Data<ApiState>,
     wait: web::Query<WaitQuery>,
-    spec: web::Json<JobSpec>,
+    request: HttpRequest,
+    body: web::Payload,
 ) -> Result<HttpResponse, ApiError> {
     let context = &state.context;
+    let spec: JobSpec = read_json(&state, &request, body).await?;
     let job = spec.id();
     let wait = Duration::from_millis(wait.wait_ms.min(context.settings.max_wait_ms));
-    let submit = SubmitJob {
-        spec: spec.into_inner(),
-        wait,
-    };
+    let submit = SubmitJob { spec, wait };
     let reply = state.job_actor.send(submit).await?;
     match &reply {
         Ok(reply) => record_outcome(&state, &job, &reply.outcome),
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -2,11 +2,15 @@
 
 mod config;
 mod data_centres;
+mod http_interface;
 mod jobs;
 mod operations;
+mod read_json;
 mod routes;
 mod state;
 mod track;
 
-pub(crate) use routes::routes;
+use routes::routes;
+
+pub(crate) use http_interface::HttpInterface;
 pub(crate) use state::{ApiState, OpenRequests};
--- a/crates/entry/src/http/operations.rs
+++ b/crates/entry/src/http/operations.rs
@@ -1,4 +1,5 @@
 use actix_web::{HttpResponse, web};
+use intake::Intake;
 use serde::Deserialize;
 
 use super::ApiState;
@@ -23,7 +24,8 @@
     Ok(HttpResponse::Ok().json(&state.context.published.members().peers))
 }
 
-pub(super) async fn metrics(state: web::Data<ApiState>) -> HandlerResult {
+pub(super) async fn metrics(state: web::Data<ApiState>, intake: web::Data<Intake>) -> HandlerResult {
+    state.context.metrics.report_intake("callers", intake.figures());
     let text = state.context.metrics.render();
     Ok(HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4; charset=utf-8")
--- a/crates/entry/src/http/routes.rs
+++ b/crates/entry/src/http/routes.rs
@@ -1,4 +1,3 @@
-use actix_web::error::JsonPayloadError;
 use actix_web::middleware::from_fn;
 use actix_web::web;
 
@@ -7,17 +6,11 @@
 use crate::ApiError;
 
 /// Registers all paths. Every path replies to an unsupported method with `method_not_allowed`.
-pub(crate) fn routes(state: &ApiState, app: &mut web::ServiceConfig) {
-    let limit_bytes = state.context.settings.max_body_bytes;
-    let json = web::JsonConfig::default()
-        .limit(limit_bytes as usize)
-        .content_type_required(false)
-        .error_handler(move |error, _| body_error(&error, limit_bytes).into());
+pub(super) fn routes(state: &ApiState, app: &mut web::ServiceConfig) {
     let path = web::PathConfig::default().error_handler(|error, _| parameter_error(&error).into());
     let query = web::QueryConfig::default().error_handler(|error, _| parameter_error(&error).into());
     let resource = |path: &str| web::resource(path).default_service(web::to(method_not_allowed));
     app.app_data(web::Data::new(state.clone()))
-        .app_data(json)
         .app_data(path)
         .app_data(query)
         .service(
@@ -60,17 +53,6 @@
     Err(ApiError::MethodNotAllowed)
 }
 
-fn body_error(error: &JsonPayloadError, limit_bytes: u64) -> ApiError {
-    match error {
-        JsonPayloadError::Overflow { .. } | JsonPayloadError::OverflowKnownLength { .. } => {
-            ApiError::BodyTooLarge { limit_bytes }
-        }
-        error => ApiError::MalformedBody {
-            reason: error.to_string().into(),
-        },
-    }
-}
-
 fn parameter_error(error: &impl ToString) -> ApiError {
     let reason = error.to_string().into();
     ApiError::InvalidParameter { reason }
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -19,8 +19,8 @@
     /// Returns [`EntryError::Listen`] with the address that cannot be bound.
     pub fn bind(settings: &Settings) -> Result<Self, EntryError> {
         Ok(Self {
-            http: listen(settings.http_address)?,
-            peer: listen(settings.peer_address)?,
+            http: open(settings.http_address)?,
+            peer: open(settings.peer_address)?,
         })
     }
 
@@ -30,6 +30,6 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address).map_err(|source| EntryError::Listen { address, source })
+fn open(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    listen::bind(address).map_err(|source| EntryError::Listen { address, source })
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) scheduler_figures: IntGaugeVec,
     /// Attempt records written in batches.
     pub(crate) recorded_attempts: IntCounter,
+    /// Limits on connections: what is held, and connections closed, by listener and name.
+    pub(crate) intake: IntGaugeVec,
 }
 
 impl Metrics {
@@ -112,12 +114,24 @@
                 "galenaspool_recorded_attempts_total",
                 "Attempt records written in batches.",
             ),
+            intake: gauges(
+                "galenaspool_intake",
+                "Limits on connections: what is held, and connections closed by cause.",
+                &["listener", "name"],
+            ),
             registry: Arc::new(registry),
         };
         metrics.register();
         metrics
     }
 
+    /// Sets the gauges of the limits on the connections of a listener.
+    pub(crate) fn report_intake(&self, listener: &str, figures: impl Iterator<Item = (&'static str, u64)>) {
+        for (name, value) in figures {
+            self.intake.with_label_values(&[listener, name]).set(value as i64);
+        }
+    }
+
     /// Renders all metrics in the text format of Prometheus.
     pub(crate) fn render(&self) -> String {
         let mut text = Vec::new();
@@ -147,6 +161,7 @@
             Box::new(self.store_reachable.clone()),
             Box::new(self.scheduler_figures.clone()),
             Box::new(self.recorded_attempts.clone()),
+            Box::new(self.intake.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("metric names are distinct");
--- /dev/null
+++ b/crates/fleet/tests/crowds.rs
@@ -0,0 +1,134 @@
+//! Clients that nobody controls at the listeners of an instance: the process stays within its memory and descriptors and
+//! answers ordinary callers.
+//!
+//! The limits are lowered so that a small crowd exceeds them. Crowd and bounds were fixed on the code without limits.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use fleet::{BODY_BYTES, Crowd, Fleet, Layout};
+use rstest::rstest;
+use serde_json::json;
+
+const SHEET: &str = include_str!("../../../examples/sheets/lochside.csv");
+
+/// Number of clients of a crowd of callers.
+const CLIENTS: usize = 400;
+
+/// Largest growth of the resident size over that of the idle process.
+const GROWTH_MAX_KIB: u64 = 48 * 1_024;
+
+/// Most descriptors above those of the idle process: the connections, and some of the process's own calls.
+const EXTRA_FDS_MAX: usize = 264;
+
+/// Tries of a request that has to be answered in the end, and the time between them.
+const TRIES: u32 = 20;
+const TRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Starts a deployment whose instances have a budget of 16 MiB and 200 connections.
+async fn start() -> Fleet {
+    let mut layout = Layout::new().workers(24).sheet(SHEET);
+    layout.entries_per_data_centre = 1;
+    let intake = json!({ "budget_bytes": 16 << 20, "max_connections": 200 });
+    let layout = layout.setting("intake", intake).setting("max_body_bytes", BODY_BYTES);
+    Fleet::start(layout).await.expect("the deployment starts")
+}
+
+fn submission_head(path: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nhost: demo.example\r\ncontent-type: application/json\r\n")
+}
+
+/// Guards against clients that take more memory or descriptors than the machine has, or that keep ordinary callers out.
+#[rstest]
+#[case::announced_whole(Crowd::Announced { piece_bytes: BODY_BYTES })]
+#[case::announced_in_pieces(Crowd::Announced { piece_bytes: 4_096 })]
+#[case::large_chunks(Crowd::Chunked { chunk_bytes: 32_768, wire_bytes: BODY_BYTES })]
+#[case::very_small_chunks(Crowd::Chunked { chunk_bytes: 1, wire_bytes: 32_768 })]
+#[case::announced_over_the_limit(Crowd::OverLimit)]
+#[case::sent_over_the_limit(Crowd::Chunked { chunk_bytes: 32_768, wire_bytes: 2 << 20 })]
+#[case::heads_without_end(Crowd::Head)]
+#[case::idle(Crowd::Idle)]
+#[case::replies_not_read(Crowd::UnreadReplies { path: "/metrics", host: "demo.example", requests: 100 })]
+#[actix_rt::test]
+async fn crowd_of_callers(#[case] crowd: Crowd) {
+    let fleet = start().await;
+    let address = fleet.instances[0].http_address;
+    let head = submission_head("/v1/jobs");
+    check(fleet, CLIENTS, |_| {
+        let head = head.clone();
+        async move { crowd.attack(address, &head).await }
+    })
+    .await;
+}
+
+/// Guards against the operators' paths that read bodies as well.
+#[actix_rt::test]
+async fn crowd_at_the_configuration() {
+    let fleet = start().await;
+    let address = fleet.instances[0].http_address;
+    let crowd = Crowd::Announced {
+        piece_bytes: BODY_BYTES,
+    };
+    let head = submission_head("/v1/config").replace("POST", "PUT");
+    check(fleet, CLIENTS, |_| {
+        let head = head.clone() + "if-match: \"1\"\r\n";
+        async move { crowd.attack(address, &head).await }
+    })
+    .await;
+}
+
+/// Submits an ordinary job until it is accepted; returns whether it was.
+async fn accepts(fleet: &Fleet, id: &str) -> bool {
+    let job = json!({ "organisation": "tay-koi", "request_id": id });
+    for _ in 0..TRIES {
+        let reply = fleet.client().post(format!("{}/v1/jobs", fleet.instances[0].url()));
+        if matches!(reply.send_json(&job).await, Ok(reply) if reply.status().is_success()) {
+            return true;
+        }
+        sleep(TRY_INTERVAL).await;
+    }
+    false
+}
+
+async fn check<T: 'static, F: Future<Output = Option<T>> + 'static>(
+    mut fleet: Fleet,
+    clients: usize,
+    attack: impl Fn(usize) -> F,
+) {
+    assert!(accepts(&fleet, "before").await);
+    let process = fleet.instances[0].process.take().expect("the instance runs");
+    let (idle_kib, idle_fds) = (process.resident_kib(), process.open_fds());
+    let process = Rc::new(process);
+    let is_over = Rc::new(Cell::new(false));
+    let watch = actix_rt::spawn({
+        let (process, is_over) = (Rc::clone(&process), Rc::clone(&is_over));
+        async move {
+            let mut fds = 0;
+            while !is_over.get() {
+                fds = process.open_fds().max(fds);
+                sleep(Duration::from_millis(50)).await;
+            }
+            fds
+        }
+    });
+    let clients: Vec<_> = (0..clients).map(|number| actix_rt::spawn(attack(number))).collect();
+    let mut open = Vec::new();
+    for client in clients {
+        open.extend(client.await.expect("a client of the crowd does not panic"));
+    }
+    let is_accepted = accepts(&fleet, "after").await;
+    is_over.set(true);
+    let growth_kib = process.peak_kib().saturating_sub(idle_kib);
+    let fds = watch.await.expect("the watch does not panic");
+    drop(open);
+    let mut process = Rc::into_inner(process).expect("all tasks have ended");
+    let seen = format!("growth {growth_kib} KiB from {idle_kib}, descriptors {fds} from {idle_fds}");
+    println!("{seen}, accepted {is_accepted}");
+    assert!(!process.has_exited(), "the process ended: {}", process.log_tail());
+    assert!(growth_kib <= GROWTH_MAX_KIB, "{seen}");
+    assert!(fds <= idle_fds + EXTRA_FDS_MAX, "{seen}");
+    assert!(is_accepted, "no ordinary job was accepted; {seen}");
+}
--- a/crates/intake/src/cause.rs
+++ b/crates/intake/src/cause.rs
@@ -19,11 +19,13 @@
     WriteTimeout,
     /// The rest of a refused body was too long or took too long.
     Linger,
+    /// The process stops.
+    Stopping,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Budget,
         Self::Evicted,
         Self::Full,
@@ -33,6 +35,7 @@
         Self::IdleTimeout,
         Self::WriteTimeout,
         Self::Linger,
+        Self::Stopping,
     ];
 
     /// Returns the name for logs and metrics.
@@ -47,6 +50,7 @@
             Self::IdleTimeout => "idle_timeout",
             Self::WriteTimeout => "write_timeout",
             Self::Linger => "linger",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/intake/src/connection_table.rs
+++ b/crates/intake/src/connection_table.rs
@@ -214,6 +214,15 @@
         true
     }
 
+    /// Closes all connections without a request.
+    pub fn close_idle(&mut self) {
+        let idle = self.slots.iter().filter(|(_, slot)| slot.stage == Stage::Idle);
+        let idle: Vec<_> = idle.map(|(key, _)| key).collect();
+        for key in idle {
+            self.close(key, Cause::Stopping);
+        }
+    }
+
     /// Sets the waker of the task that serves a connection.
     pub(crate) fn set_waker(&mut self, key: ConnectionKey, waker: &Waker) {
         if let Some(slot) = self.slots.get_mut(key)
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -64,6 +64,16 @@
         self.with(|table, _| table.is_full())
     }
 
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.with(|table, _| table.connections())
+    }
+
+    /// Closes all connections without a request.
+    pub fn close_idle(&self) {
+        self.with(|table, _| table.close_idle());
+    }
+
     /// Returns counters and gauges for the metrics, by name.
     pub fn figures(&self) -> impl Iterator<Item = (&'static str, u64)> {
         let table = self.shared.table.borrow();
