fix(entry): connections of other instances are limited

Seen: 60 connections to the gRPC port with 100 half-sent messages each take an instance from 31 to 615 MB; with unread replies of the timeline it grows by 334 MB and answers no further call. Cause: the port took any number of connections, 200 calls on each, messages of up to 128 MiB and room for the announced length of each; replies were built however many were unread. Change: PeerTable counts the bytes of calls and of unread replies for each connection, and closes connections: the one that holds most over the budget, the longest inactive one at the limit, and by time. A call is read whole before it is passed on, so that a refusal means that it has not run; a message over the limit is refused by its announced length. Calls wait while closed connections still hold bytes. New settings, checked: intake.peer_budget_bytes (a quarter of the budget), peer_message_bytes (four times max_body_bytes and 1 MiB, the largest row), max_peer_connections (128). Ruled out: limits for each connection alone, as their sum is not bounded; refusing new connections at the limit, which would lock out an instance that returns; a lower number of concurrent calls, as waiting calls would stop heartbeats behind them. Why it works: one call cannot exceed the message limit, and all calls and replies together cannot exceed the budget but by what one call adds. Another instance repeats calls on a new connection, so closing one is like any lost connection. Replies that an instance reads as a client still may have 128 MiB: they come from configured peers.

--- a/crates/conf/src/intake_settings.rs
+++ b/crates/conf/src/intake_settings.rs
@@ -12,6 +12,12 @@
     pub reserved_fds: u64,
     /// Budget of bytes held for requests over all connections; 0 means a quarter of `memory_mb`. Default 0 bytes.
     pub budget_bytes: u64,
+    /// Part of the budget that is kept for other instances; 0 means a quarter of the budget. Default 0 bytes.
+    pub peer_budget_bytes: u64,
+    /// Largest message of another instance; 0 means four times `max_body_bytes` and 1 MiB more. Default 0 bytes.
+    pub peer_message_bytes: u64,
+    /// Most open connections of other instances. Default 128 connections.
+    pub max_peer_connections: u64,
     /// Most open connections of callers; 0 means `max_fds` less `reserved_fds`. Default 0 connections.
     pub max_connections: u64,
     /// Largest request head. Default 16,384 bytes.
@@ -46,6 +52,28 @@
         }
     }
 
+    /// Returns the part of the budget that is kept for other instances.
+    pub const fn peer_budget_bytes(&self) -> u64 {
+        const DIVISOR: u64 = 4;
+        if self.peer_budget_bytes > 0 {
+            self.peer_budget_bytes
+        } else {
+            self.budget_bytes() / DIVISOR
+        }
+    }
+
+    /// Returns the largest message of another instance where callers send bodies up to a size.
+    pub const fn peer_message_bytes(&self, max_body_bytes: u64) -> u64 {
+        // A number such as 1e15 is four times as long where it is written again. The rest of a job's row is small.
+        const GROWTH_FACTOR: u64 = 4;
+        const ROW_BYTES: u64 = 1 << 20;
+        if self.peer_message_bytes > 0 {
+            self.peer_message_bytes
+        } else {
+            max_body_bytes * GROWTH_FACTOR + ROW_BYTES
+        }
+    }
+
     /// Returns the limit on open connections.
     pub const fn max_connections(&self) -> u64 {
         if self.max_connections > 0 {
@@ -63,6 +91,9 @@
             max_fds: 3_075,
             reserved_fds: 1_024,
             budget_bytes: 0,
+            peer_budget_bytes: 0,
+            peer_message_bytes: 0,
+            max_peer_connections: 128,
             max_connections: 0,
             header_bytes: 16_384,
             header_timeout_ms: 3_000,
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -130,7 +130,7 @@
         Ok(settings)
     }
 
-    /// Checks the URL, the peers and the limit on connections.
+    /// Checks the URL, the peers, the limit on connections and the budgets.
     ///
     /// # Errors
     ///
@@ -162,7 +162,37 @@
                 reserved_fds,
             });
         }
-        Ok(())
+        self.validate_budgets()
+    }
+
+    /// Checks that a single body or message of the largest size fits into its budget.
+    fn validate_budgets(&self) -> Result<(), SettingsError> {
+        // The budget counts the connection and the framing of chunks as well.
+        const BUDGET_BODIES: u64 = 2;
+        let intake = &self.intake;
+        // An instance on the users' platform has no listener for other instances.
+        let peer_budget_bytes = if self.domain.is_none() {
+            intake.peer_budget_bytes()
+        } else {
+            0
+        };
+        let budget = |key, budget_bytes, needed_bytes| {
+            if budget_bytes < needed_bytes {
+                return Err(SettingsError::BudgetTooSmall {
+                    key,
+                    budget_bytes,
+                    needed_bytes,
+                });
+            }
+            Ok(())
+        };
+        let caller_budget_bytes = intake.budget_bytes().saturating_sub(peer_budget_bytes);
+        budget("budget_bytes", caller_budget_bytes, self.max_body_bytes * BUDGET_BODIES)?;
+        if self.domain.is_some() {
+            return Ok(());
+        }
+        let message_bytes = intake.peer_message_bytes(self.max_body_bytes);
+        budget("peer_budget_bytes", peer_budget_bytes, message_bytes)
     }
 }
 
@@ -231,6 +261,9 @@
     Range::new("max_fds", 64, 10_485_760, "descriptors"),
     Range::new("reserved_fds", 16, 1_048_576, "descriptors"),
     Range::new("budget_bytes", 0, 1 << 40, "bytes"),
+    Range::new("peer_budget_bytes", 0, 1 << 40, "bytes"),
+    Range::new("peer_message_bytes", 0, 1 << 30, "bytes"),
+    Range::new("max_peer_connections", 1, 100_000, "connections"),
     Range::new("max_connections", 0, 1_000_000, "connections"),
     Range::new("header_bytes", 1_024, 65_536, "bytes"),
     Range::new("header_timeout_ms", 100, 600_000, "ms"),
--- a/crates/conf/src/settings_error.rs
+++ b/crates/conf/src/settings_error.rs
@@ -37,6 +37,19 @@
         /// Instance.
         instance: model::InstanceId,
     },
+    /// A budget of bytes does not hold a single body or message of the largest size.
+    #[error(
+        "intake.{key} leaves {budget_bytes} bytes, but {needed_bytes} are needed for the largest body; \
+        raise it or memory_mb, or lower max_body_bytes"
+    )]
+    BudgetTooSmall {
+        /// Key of the budget.
+        key: &'static str,
+        /// Bytes of the budget.
+        budget_bytes: u64,
+        /// Bytes that are needed at least.
+        needed_bytes: u64,
+    },
     /// The limit on connections leaves no descriptors to the process's own calls, or is 0.
     #[error("intake allows {max_connections} connections with max_fds {max_fds} and reserved_fds {reserved_fds}")]
     ConnectionsAboveDescriptors {
--- a/crates/entry/src/http/operations.rs
+++ b/crates/entry/src/http/operations.rs
@@ -26,6 +26,7 @@
 
 pub(super) async fn metrics(state: web::Data<ApiState>, intake: web::Data<Intake>) -> HandlerResult {
     state.context.metrics.report_intake("callers", intake.figures());
+    state.context.metrics.report_intake("peers", state.peers.figures());
     let text = state.context.metrics.render();
     Ok(HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4; charset=utf-8")
--- a/crates/entry/src/http/state.rs
+++ b/crates/entry/src/http/state.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use actix::Addr;
+use intake::PeerIntake;
 
 use crate::config::ConfigActor;
 use crate::context::Context;
@@ -14,6 +15,8 @@
     pub(crate) config: Addr<ConfigActor>,
     pub(crate) job_actor: Addr<JobActor>,
     pub(crate) open: Arc<OpenRequests>,
+    /// Connections of other instances.
+    pub(crate) peers: PeerIntake,
 }
 
 /// Number of open requests, with its limit.
--- a/crates/entry/src/intake_limits.rs
+++ b/crates/entry/src/intake_limits.rs
@@ -1,5 +1,5 @@
-use conf::IntakeSettings;
-use intake::Limits;
+use conf::{IntakeSettings, Settings};
+use intake::{Limits, PeerLimits};
 
 /// Derives the limits on callers from the settings.
 pub const fn intake_limits(settings: &IntakeSettings) -> Limits {
@@ -16,3 +16,18 @@
         linger_bytes: settings.linger_bytes,
     }
 }
+
+/// Derives the limits on other instances from the settings.
+pub(crate) fn peer_limits(settings: &Settings) -> PeerLimits {
+    /// Heartbeats that an instance may miss before its connection counts as idle.
+    const MISSED_HEARTBEATS: u64 = 3;
+    let intake = &settings.intake;
+    PeerLimits {
+        budget_bytes: intake.peer_budget_bytes(),
+        max_connections: intake.max_peer_connections as usize,
+        idle_timeout_ms: intake
+            .idle_timeout_ms
+            .max(settings.heartbeat_interval_ms * MISSED_HEARTBEATS),
+        write_timeout_ms: intake.write_timeout_ms,
+    }
+}
--- a/crates/fleet/tests/crowds.rs
+++ b/crates/fleet/tests/crowds.rs
@@ -1,15 +1,22 @@
 //! Clients that nobody controls at the listeners of an instance: the process stays within its memory and descriptors and
-//! answers ordinary callers.
+//! answers ordinary callers and peers.
 //!
 //! The limits are lowered so that a small crowd exceeds them. Crowd and bounds were fixed on the code without limits.
 
+#[path = "common/peer_crowd.rs"]
+mod peer_crowd;
+
 use std::cell::Cell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_rt::time::sleep;
+use actix_rt::time::{sleep, timeout};
 use fleet::{BODY_BYTES, Crowd, Fleet, Layout};
+use net::peer::FetchConfigRequest;
+use net::peer::peer_client::PeerClient;
+use peer_crowd::PeerCrowd;
 use rstest::rstest;
 use serde_json::json;
 
@@ -18,6 +25,9 @@
 /// Number of clients of a crowd of callers.
 const CLIENTS: usize = 400;
 
+/// Number of clients of a crowd at the peers' port.
+const PEER_CLIENTS: usize = 60;
+
 /// Largest growth of the resident size over that of the idle process.
 const GROWTH_MAX_KIB: u64 = 48 * 1_024;
 
@@ -80,6 +90,45 @@
     .await;
 }
 
+/// Guards against clients of the peers' port, which holds many requests for each connection.
+#[rstest]
+#[case::half_messages(PeerCrowd::HalfMessage { streams: 100, announced_bytes: 65_536, sent_bytes: 16_384, piece_bytes: 16_384 })]
+#[case::half_messages_in_pieces(PeerCrowd::HalfMessage { streams: 100, announced_bytes: 65_536, sent_bytes: 16_384, piece_bytes: 1_024 })]
+#[case::very_small_pieces(PeerCrowd::HalfMessage { streams: 20, announced_bytes: 65_536, sent_bytes: 1_000, piece_bytes: 1 })]
+#[case::messages_far_over_the_limit(PeerCrowd::HalfMessage { streams: 4, announced_bytes: 96 << 20, sent_bytes: 512 << 10, piece_bytes: 16_384 })]
+#[case::replies_not_read(PeerCrowd::UnreadReply { streams: 20 })]
+#[actix_rt::test]
+async fn crowd_of_peers(#[case] crowd: PeerCrowd) {
+    let fleet = start().await;
+    let address = fleet.instances[0].peer_address;
+    if matches!(crowd, PeerCrowd::UnreadReply { .. }) {
+        fill_timeline(&fleet).await;
+    }
+    check(fleet, PEER_CLIENTS, |_| crowd.attack(address)).await;
+}
+
+/// Guards against connections to the peers' port that send nothing, or a head without an end.
+#[rstest]
+#[case::idle(Crowd::Idle)]
+#[case::not_http(Crowd::Head)]
+#[actix_rt::test]
+async fn plain_connections_at_the_peers_port(#[case] crowd: Crowd) {
+    let fleet = start().await;
+    let address = fleet.instances[0].peer_address;
+    check(fleet, CLIENTS, |_| async move { crowd.attack(address, "PRI").await }).await;
+}
+
+/// Adds events to the timeline of the first instance: each refused request is one.
+async fn fill_timeline(fleet: &Fleet) {
+    const EVENTS: usize = 2_000;
+    let url = format!("{}/v1/jobs", fleet.instances[0].url());
+    for number in 0..EVENTS {
+        let job = json!({ "organisation": "unknown", "request_id": format!("refused-{number}") });
+        let reply = fleet.client().post(&url).send_json(&job).await;
+        assert_eq!(reply.expect("the instance replies").status().as_u16(), 422);
+    }
+}
+
 /// Submits an ordinary job until it is accepted; returns whether it was.
 async fn accepts(fleet: &Fleet, id: &str) -> bool {
     let job = json!({ "organisation": "tay-koi", "request_id": id });
@@ -93,6 +142,21 @@
     false
 }
 
+/// Makes an ordinary call of a peer until it is answered; returns whether it was.
+async fn answers_peer(address: SocketAddr) -> bool {
+    for _ in 0..TRIES {
+        let call = async {
+            let mut client = PeerClient::connect(format!("http://{address}")).await.ok()?;
+            client.fetch_config(FetchConfigRequest { above_version: 0 }).await.ok()
+        };
+        if matches!(timeout(Duration::from_secs(2), call).await, Ok(Some(_))) {
+            return true;
+        }
+        sleep(TRY_INTERVAL).await;
+    }
+    false
+}
+
 async fn check<T: 'static, F: Future<Output = Option<T>> + 'static>(
     mut fleet: Fleet,
     clients: usize,
@@ -120,15 +184,17 @@
         open.extend(client.await.expect("a client of the crowd does not panic"));
     }
     let is_accepted = accepts(&fleet, "after").await;
+    let is_answered = answers_peer(fleet.instances[0].peer_address).await;
     is_over.set(true);
     let growth_kib = process.peak_kib().saturating_sub(idle_kib);
     let fds = watch.await.expect("the watch does not panic");
     drop(open);
     let mut process = Rc::into_inner(process).expect("all tasks have ended");
     let seen = format!("growth {growth_kib} KiB from {idle_kib}, descriptors {fds} from {idle_fds}");
-    println!("{seen}, accepted {is_accepted}");
+    println!("{seen}, accepted {is_accepted}, peer answered {is_answered}");
     assert!(!process.has_exited(), "the process ended: {}", process.log_tail());
     assert!(growth_kib <= GROWTH_MAX_KIB, "{seen}");
     assert!(fds <= idle_fds + EXTRA_FDS_MAX, "{seen}");
     assert!(is_accepted, "no ordinary job was accepted; {seen}");
+    assert!(is_answered, "no call of a peer was answered; {seen}");
 }
