fix(entry,sched): whole bodies are counted with what they take once decoded

Seen: 400 callers that each submit one whole job of 262,144 bytes take an instance from 31 to 626 MB; with payloads of small objects to 15 GB (the play exceeded half of the machine's memory and was not repeated). Cause: a body of small objects takes up to 80 times its size once decoded, and there are several copies while its row is written; the scheduler keeps the payloads of all waiting jobs, bounded by their number (20,000) only. Change: the memory of a decoded body is estimated from its text and reserved while it is answered. A body that could never fit is refused with 413, one that finds no room now with 503 and Retry-After; nothing has run. Messages of other instances are charged alike. The scheduler refuses a new job with a payload over 4 KiB as queue_full while large payloads exceed payload_budget_bytes (new setting, a sixteenth of the memory); the only large one is always accepted. Ruled out: the budget of bytes as they arrive (with it alone 63,480 and 1,945,720 KiB); a new kind of refusal, which instances of the former release could not read in a row. New tests without processes: payloads_beyond_the_budget_are_refused, decoded_body_takes_the_room_of_unfinished_ones, body_of_many_small_objects_is_refused. Why it works: copies are counted before they are made, and what waits is bounded by bytes as well as by number.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -87,6 +87,10 @@
     /// Most requests open at once; more are refused. Default 10,000 requests.
     #[serde(default = "defaults::max_open_requests")]
     pub max_open_requests: u64,
+    /// Memory for the large payloads (over 4 KiB) of the jobs that the scheduler of a data centre keeps; 0 means a
+    /// sixteenth of `intake.memory_mb`. Default 0 bytes.
+    #[serde(default)]
+    pub payload_budget_bytes: u64,
     /// Time between failing readiness and closing the listener in a graceful shutdown. Default 2,000 ms.
     #[serde(default = "defaults::balancer_drain_ms")]
     pub balancer_drain_ms: u64,
@@ -130,6 +134,17 @@
         Ok(settings)
     }
 
+    /// Returns the memory for the large payloads of the jobs that the scheduler of a data centre keeps.
+    pub const fn payload_budget_bytes(&self) -> u64 {
+        // An instance may hold the leases of several data centres.
+        const MEMORY_DIVISOR: u64 = 16;
+        if self.payload_budget_bytes > 0 {
+            self.payload_budget_bytes
+        } else {
+            self.intake.memory_mb * (1 << 20) / MEMORY_DIVISOR
+        }
+    }
+
     /// Checks the URL, the peers, the limit on connections and the budgets.
     ///
     /// # Errors
@@ -167,8 +182,8 @@
 
     /// Checks that a single body or message of the largest size fits into its budget.
     fn validate_budgets(&self) -> Result<(), SettingsError> {
-        // The budget counts the connection and the framing of chunks as well.
-        const BUDGET_BODIES: u64 = 2;
+        // The body as received, its decoded copies, and the request to the store.
+        const BUDGET_BODIES: u64 = 5;
         let intake = &self.intake;
         // An instance on the users' platform has no listener for other instances.
         let peer_budget_bytes = if self.domain.is_none() {
@@ -249,6 +264,7 @@
     Range::new("max_wait_ms", 100, 600_000, "ms"),
     Range::new("max_body_bytes", 1_024, 67_108_864, "bytes"),
     Range::new("max_open_requests", 1, 1_000_000, "requests"),
+    Range::new("payload_budget_bytes", 0, 1 << 40, "bytes"),
     Range::new("balancer_drain_ms", 0, 60_000, "ms"),
     Range::new("stop_timeout_ms", 100, 3_600_000, "ms"),
     Range::new("cut_off_start_limit_ms", 0, 3_600_000, "ms"),
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -27,6 +27,25 @@
         /// Largest allowed body in bytes.
         limit_bytes: u64,
     },
+    /// The decoded body would take more memory than allowed.
+    #[error(
+        "request body takes {decoded_bytes} bytes once it is decoded, more than {limit_bytes}; \
+        submit large inputs as text or as a reference"
+    )]
+    BodyTooComplex {
+        /// Estimated memory of the decoded body in bytes.
+        decoded_bytes: u64,
+        /// Largest allowed memory in bytes.
+        limit_bytes: u64,
+    },
+    /// Other bodies take the memory that is kept for them.
+    #[error(
+        "the bodies of other requests take the memory kept for them; retry in {retry_after_ms} ms or at another instance"
+    )]
+    NoRoomForBody {
+        /// Time after which to retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// A path or query parameter is not valid.
     #[error("{reason}; correct the path or query")]
     InvalidParameter {
@@ -121,7 +140,7 @@
         match self {
             Self::Refused(refusal) => refusal.code(),
             Self::MalformedBody { .. } => "malformed_body",
-            Self::BodyTooLarge { .. } => "body_too_large",
+            Self::BodyTooLarge { .. } | Self::BodyTooComplex { .. } => "body_too_large",
             Self::InvalidParameter { .. } => "invalid_parameter",
             Self::UnknownPath => "unknown_path",
             Self::MethodNotAllowed => "method_not_allowed",
@@ -136,7 +155,7 @@
             Self::StoreUnavailable { .. } => "store_unavailable",
             Self::WriteUnknown => "write_unknown",
             Self::LocalOutElsewhere { .. } => "local_out_elsewhere",
-            Self::Overloaded { .. } => "overloaded",
+            Self::Overloaded { .. } | Self::NoRoomForBody { .. } => "overloaded",
             Self::NotReady { .. } => "not_ready",
             Self::Internal => "internal",
         }
@@ -161,9 +180,9 @@
     pub const fn retry_after_ms(&self) -> Option<u64> {
         match self {
             Self::Refused(refusal) => refusal.retry_after_ms(),
-            Self::StoreUnavailable { retry_after_ms } | Self::Overloaded { retry_after_ms, .. } => {
-                Some(*retry_after_ms)
-            }
+            Self::StoreUnavailable { retry_after_ms }
+            | Self::NoRoomForBody { retry_after_ms }
+            | Self::Overloaded { retry_after_ms, .. } => Some(*retry_after_ms),
             _ => None,
         }
     }
@@ -172,7 +191,7 @@
         match self {
             Self::Refused(refusal) => refusal_status(refusal),
             Self::MalformedBody { .. } | Self::InvalidParameter { .. } => StatusCode::BAD_REQUEST,
-            Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooLarge { .. } | Self::BodyTooComplex { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownPath | Self::UnknownJob { .. } | Self::UnknownDataCentre { .. } => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Self::NoAnswer { .. } | Self::LocalOutElsewhere { .. } => StatusCode::CONFLICT,
@@ -180,9 +199,10 @@
             Self::IfMatchRequired => StatusCode::PRECONDITION_REQUIRED,
             Self::ConfigConflict { .. } => StatusCode::PRECONDITION_FAILED,
             Self::InvalidConfig(_) => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::StoreUnavailable { .. } | Self::Overloaded { .. } | Self::NotReady { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::StoreUnavailable { .. }
+            | Self::NoRoomForBody { .. }
+            | Self::Overloaded { .. }
+            | Self::NotReady { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::WriteUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
--- a/crates/entry/src/members/limited_call.rs
+++ b/crates/entry/src/members/limited_call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full};
-use intake::{PeerConnection, PeerRequest};
+use intake::{PeerConnection, PeerRequest, decoded_bytes};
 use listen::BodyBuffer;
 use tonic::Status;
 use tonic::body::Body;
@@ -51,6 +51,14 @@
         Ok(Err(status)) => return Ok(status.into_http()),
         Err(_) => return Ok(Status::deadline_exceeded("the message did not arrive in time; nothing ran").into_http()),
     };
+    // A message carries a job or a configuration as JSON.
+    let decoded_bytes = decoded_bytes(&message);
+    if decoded_bytes > call.budget_bytes() {
+        return Ok(
+            Status::resource_exhausted("the message takes too much memory once decoded; nothing ran").into_http(),
+        );
+    }
+    call.hold(decoded_bytes);
     // Connections closed for the budget release their bytes in their own tasks.
     while call.is_over_budget() && !call.is_closing() {
         yield_now().await;
--- a/crates/entry/src/scheduling/driver_epoch.rs
+++ b/crates/entry/src/scheduling/driver_epoch.rs
@@ -75,6 +75,7 @@
             reserve_lease_ttl_ms: settings.reserve_lease_ttl_ms,
             worker_renew_interval_ms: settings.worker_renew_interval_ms,
             worker_timeout_ms: settings.worker_timeout_ms,
+            payload_budget_bytes: settings.payload_budget_bytes(),
             ..sched::Settings::default()
         };
         if let Some(resources) = crate::urgent::grant_resources(listing, &self.data_centre) {
--- a/crates/entry/tests/http_errors.rs
+++ b/crates/entry/tests/http_errors.rs
@@ -94,6 +94,17 @@
     assert_eq!(reply.body["did_not_run"], true);
 }
 
+/// Guards against a body of legal size that takes many times its size once it is decoded.
+#[actix_web::test]
+async fn body_of_many_small_objects_is_refused() {
+    let system = TestSystem::start_unconfigured_with(1, |settings| settings.max_body_bytes = 1 << 20).await;
+    let objects = r#"{"a":1},"#.repeat(50_000);
+    let body = format!(r#"{{{ORGANISATION},"payload":[{objects}0]}}"#);
+    let reply = system.send(0, &Method::POST, "/v1/jobs", None, body.into_bytes()).await;
+    assert_problem(&reply, 413, "body_too_large");
+    assert_eq!(reply.body["did_not_run"], true);
+}
+
 #[rstest]
 #[case::duplicate_organisation(json!({"organisations": [org("a"), org("a")], "data_centres": []}), "invalid_config")]
 #[case::zero_weight(json!({"organisations": [{"id": "a", "weight": 0, "queue_limit": 1}], "data_centres": []}), "invalid_config")]
--- a/crates/fleet/tests/crowds.rs
+++ b/crates/fleet/tests/crowds.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use fleet::{BODY_BYTES, Crowd, Fleet, Layout};
 use net::peer::FetchConfigRequest;
@@ -19,6 +20,7 @@
 use peer_crowd::PeerCrowd;
 use rstest::rstest;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const SHEET: &str = include_str!("../../../examples/sheets/lochside.csv");
 
@@ -90,6 +92,32 @@
     .await;
 }
 
+/// Guards against jobs of the largest size that arrive whole, at once, and are held until they have run.
+#[rstest]
+#[case::text("a", "\"FILLER\"")]
+#[case::small_objects("{\"a\":1},", "[FILLER0]")]
+#[actix_rt::test]
+async fn crowd_of_whole_jobs(#[case] unit: &'static str, #[case] value: &'static str) {
+    let fleet = start().await;
+    let address = fleet.instances[0].http_address;
+    check(fleet, CLIENTS, |number| async move {
+        const STEP_TIMEOUT: Duration = Duration::from_secs(3);
+        let frame = format!(
+            r#"{{"organisation":"clyde-koi","request_id":"whole-{number}","payload":{{"run_ms":60000,"filler":{value}}}}}"#
+        );
+        let filler = unit.repeat((BODY_BYTES - frame.len()) / unit.len());
+        let body = frame.replace("FILLER", &filler);
+        let head = submission_head("/v1/jobs");
+        let request = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+        let mut stream = timeout(STEP_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+        // The process may refuse the job or close the connection; both are allowed.
+        let _ = timeout(STEP_TIMEOUT, stream.write_all(request.as_bytes())).await;
+        let _ = timeout(STEP_TIMEOUT, stream.read(&mut [0; 512])).await;
+        Some(stream)
+    })
+    .await;
+}
+
 /// Guards against clients of the peers' port, which holds many requests for each connection.
 #[rstest]
 #[case::half_messages(PeerCrowd::HalfMessage { streams: 100, announced_bytes: 65_536, sent_bytes: 16_384, piece_bytes: 16_384 })]
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -57,6 +57,13 @@
             .with(|table, now_ms| table.end_body(self.open.key, now_ms));
     }
 
+    /// Charges memory that the complete request needs while it is answered; returns whether there is room for it.
+    pub fn reserve(&self, bytes: u64) -> bool {
+        let reserved = self.open.intake.with(|table, _| table.reserve(self.open.key, bytes));
+        self.open.intake.log_closed();
+        reserved
+    }
+
     /// Notes that the request was answered.
     pub fn end_request(&self) {
         self.open
--- a/crates/intake/src/connection_table.rs
+++ b/crates/intake/src/connection_table.rs
@@ -149,6 +149,24 @@
         self.enter(key, Stage::Handling, now_ms);
     }
 
+    /// Charges memory that a complete request needs while it is answered. Unfinished requests give way to it.
+    ///
+    /// Returns whether the request fits beside the others that are being answered; if not, nothing is charged.
+    pub fn reserve(&mut self, key: ConnectionKey, bytes: u64) -> bool {
+        let Some(slot) = self.slots.get_mut(key) else {
+            return false;
+        };
+        slot.request_bytes += bytes;
+        self.held_bytes += bytes;
+        let leaving_bytes = self.enforce_budget();
+        let fits = self.held_bytes - leaving_bytes <= self.limits.budget_bytes;
+        if !fits && let Some(slot) = self.slots.get_mut(key) {
+            slot.request_bytes -= bytes;
+            self.held_bytes -= bytes;
+        }
+        fits
+    }
+
     /// Notes that the request was answered. Its bytes no longer count.
     pub fn end_request(&mut self, key: ConnectionKey, now_ms: u64) {
         let Some(slot) = self.slots.get_mut(key) else { return };
@@ -246,11 +264,12 @@
     }
 
     /// Closes connections until the rest fits into the budget: the largest unfinished requests first, the latest of
-    /// similar size; then connections without a request; ordinary small requests last.
-    fn enforce_budget(&mut self) {
+    /// similar size; then connections without a request; ordinary small requests last. Returns the bytes of connections
+    /// that are closing, or 0 if nothing had to be closed.
+    fn enforce_budget(&mut self) -> u64 {
         let mut leaving_bytes: u64 = 0;
         if self.held_bytes <= self.limits.budget_bytes {
-            return;
+            return leaving_bytes;
         }
         for slot in self.slots.values().filter(|slot| slot.closing.is_some()) {
             leaving_bytes += slot.request_bytes + Limits::CONNECTION_BYTES;
@@ -258,10 +277,13 @@
         while self.held_bytes - leaving_bytes > self.limits.budget_bytes {
             let open = self.slots.iter().filter(|(_, slot)| slot.closing.is_none());
             let ranked = open.filter_map(|(key, slot)| Some((slot.budget_rank()?, key)));
-            let Some((_, victim)) = ranked.max() else { return };
+            let Some((_, victim)) = ranked.max() else {
+                return leaving_bytes;
+            };
             leaving_bytes += self.slots[victim].request_bytes + Limits::CONNECTION_BYTES;
             self.close(victim, Cause::Budget);
         }
+        leaving_bytes
     }
 }
 
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -10,6 +10,7 @@
 mod cause;
 mod connection;
 mod connection_table;
+mod decoded_bytes;
 mod head_scanner;
 mod intake;
 mod limited_stream;
@@ -24,6 +25,7 @@
 pub use cause::Cause;
 pub use connection::Connection;
 pub use connection_table::{ConnectionKey, ConnectionTable};
+pub use decoded_bytes::decoded_bytes;
 pub use head_scanner::HeadScanner;
 pub use intake::Intake;
 pub use limited_stream::LimitedStream;
--- a/crates/intake/src/peer_connection.rs
+++ b/crates/intake/src/peer_connection.rs
@@ -71,6 +71,11 @@
         self.connection.with(|table, key, _| table.hold(key, bytes));
     }
 
+    /// Returns the budget of all connections together.
+    pub fn budget_bytes(&self) -> u64 {
+        self.connection.with(|table, _, _| table.limits().budget_bytes)
+    }
+
     /// Returns whether its connection has to be closed.
     pub fn is_closing(&self) -> bool {
         self.connection.closing().is_some()
--- a/crates/intake/tests/connection_table.rs
+++ b/crates/intake/tests/connection_table.rs
@@ -122,3 +122,25 @@
     table.read(refused, 1, 0);
     assert_eq!(table.closing(refused), Some(Cause::Linger));
 }
+
+/// Guards against a decoded body that takes the memory of requests in progress, and against one that is refused while
+/// unfinished bodies could give way.
+#[test]
+fn decoded_body_takes_the_room_of_unfinished_ones() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let unfinished = body(&mut table, 200_000, 1);
+    let first = body(&mut table, 1_000, 2);
+    table.end_body(first, 2);
+    assert!(table.reserve(first, 200_000));
+    assert_eq!(table.closing(unfinished), Some(Cause::Budget));
+    table.remove(unfinished);
+    let second = body(&mut table, 1_000, 3);
+    table.end_body(second, 3);
+    assert!(!table.reserve(second, 250_000));
+    assert_eq!((table.closing(first), table.closing(second)), (None, None));
+    table.end_request(first, 4);
+    assert!(table.reserve(second, 250_000));
+    table.remove(first);
+    table.remove(second);
+    assert_eq!(table.held_bytes(), 0);
+}
--- a/crates/model/src/job_spec.rs
+++ b/crates/model/src/job_spec.rs
@@ -138,6 +138,11 @@
         JobId::new(self.organisation.clone(), self.request_id.clone())
     }
 
+    /// Returns an estimate of the memory that the payload takes.
+    pub fn payload_bytes(&self) -> u64 {
+        value_bytes(&self.payload)
+    }
+
     /// Returns the resources that one part occupies on its worker.
     pub const fn need_per_part(&self) -> Resources {
         Resources::new(
@@ -166,6 +171,25 @@
     }
 }
 
+/// Returns an estimate of the memory of a value beyond the one of its place in its parent.
+fn value_bytes(value: &Value) -> u64 {
+    /// Value in a list, and entry of an object with its share of a node.
+    const ELEMENT_BYTES: u64 = 32;
+    const ENTRY_BYTES: u64 = 110;
+    /// Node of an object, which is allocated whole.
+    const NODE_BYTES: u64 = 640;
+    match value {
+        Value::Null | Value::Bool(_) | Value::Number(_) => 0,
+        Value::String(text) => text.len() as u64,
+        Value::Array(values) => values.iter().map(|value| ELEMENT_BYTES + value_bytes(value)).sum(),
+        Value::Object(entries) => {
+            let entries = entries.iter();
+            let sizes = entries.map(|(key, value)| ENTRY_BYTES + key.len() as u64 + value_bytes(value));
+            NODE_BYTES + sizes.sum::<u64>()
+        }
+    }
+}
+
 pub(crate) fn hex(bytes: &[u8]) -> String {
     use std::fmt::Write;
     bytes
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -10,6 +10,9 @@
 /// Maximum number of parked or queued jobs processed in one tick, which bounds the cost of a tick in a burst of jobs.
 const MAX_PER_TICK: usize = 64;
 
+/// Time after which a caller may retry whose payload does not fit beside those of other jobs.
+const PAYLOADS_RETRY_AFTER_MS: u64 = 5_000;
+
 impl<P: Policy> Scheduler<P> {
     /// Handles a job that an entry instance hands over.
     pub(crate) fn submitted(&mut self, row: JobRow, version: u64, actions: &mut Vec<Action>) {
@@ -51,6 +54,7 @@
             job.checkpoints = complete.values().cloned().collect();
             job.row.checkpoints.clone_from(&job.checkpoints);
         }
+        self.payload_bytes += job.payload_bytes;
         let key = self.jobs.insert(job);
         self.parked.insert(key);
         self.by_id.insert(id.clone(), key);
@@ -81,6 +85,17 @@
             self.set_phase(key, Phase::Parked);
             return;
         }
+        let is_over_budget = self.payload_bytes > self.settings.payload_budget_bytes;
+        // A payload that is larger than the budget is accepted where it is the only large one.
+        if is_over_budget && (1..self.payload_bytes).contains(&job.payload_bytes) && job.row.attempts.is_empty() {
+            let refusal = Refusal::QueueFull {
+                organisation: job.row.spec.organisation.clone(),
+                limit: self.jobs.len() as u32 - 1,
+                retry_after_ms: PAYLOADS_RETRY_AFTER_MS,
+            };
+            self.refuse(key, refusal, actions);
+            return;
+        }
         let mut spec = job.row.spec.clone();
         if let Some(deadline_ms) = &mut spec.deadline_ms {
             let waited_ms = self.now_unix_ms.saturating_sub(job.row.accepted_unix_ms);
@@ -164,6 +179,7 @@
         // Removes the job from the sets of jobs by phase.
         self.set_phase(key, Phase::Final);
         let Some(job) = self.jobs.remove(key) else { return };
+        self.payload_bytes -= job.payload_bytes;
         self.by_id.remove(&job.id);
         self.discard_writes(key, job.open_write.as_ref());
         for attempt_lease in job.run.iter().flat_map(|run| &run.attempt_leases) {
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -65,6 +65,8 @@
     pub(crate) id: JobId,
     /// Row as it is to be written to the table.
     pub(crate) row: JobRow,
+    /// Memory of the payload, if it is large.
+    pub(crate) payload_bytes: u64,
     /// Version of the row in the table.
     pub(crate) version: u64,
     pub(crate) phase: Phase,
@@ -93,11 +95,19 @@
     pub(crate) reported_attempt: u32,
 }
 
+/// Returns the memory of the payload, or 0 if it is small: the number of jobs in a queue bounds the small ones.
+fn large_payload_bytes(row: &JobRow) -> u64 {
+    const SMALL_BYTES: u64 = 4 * 1_024;
+    let bytes = row.spec.payload_bytes();
+    if bytes > SMALL_BYTES { bytes } else { 0 }
+}
+
 impl Job {
     /// Creates a job in phase `Parked`.
     pub(crate) fn new(row: JobRow, version: u64) -> Self {
         Self {
             id: row.id(),
+            payload_bytes: large_payload_bytes(&row),
             stored_attempt: row.attempts.last().map_or(0, |attempt| attempt.number),
             checkpoints: row.checkpoints.clone(),
             row,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -63,6 +63,8 @@
     pub(crate) workers: Vec<WorkerState>,
     pub(crate) worker_index: HashMap<WorkerId, usize>,
     pub(crate) jobs: SlotMap<Key, Job>,
+    /// Memory of the large payloads of all jobs.
+    pub(crate) payload_bytes: u64,
     pub(crate) by_id: HashMap<JobId, Key>,
     pub(crate) by_policy: SecondaryMap<JobKey, Key>,
     pub(crate) queued: BTreeSet<Key>,
@@ -114,6 +116,7 @@
             workers,
             worker_index,
             jobs: SlotMap::with_key(),
+            payload_bytes: 0,
             by_id: HashMap::new(),
             by_policy: SecondaryMap::new(),
             queued: BTreeSet::new(),
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -30,6 +30,8 @@
     pub max_buffered_jobs: usize,
     /// Maximum number of store writes in flight; further ones wait. Default 256 writes.
     pub max_open_writes: usize,
+    /// Memory for the large payloads of the jobs that the scheduler keeps. Default 8 MiB.
+    pub payload_budget_bytes: u64,
     /// Resources that one grant reserves. Default one slot and one accelerator.
     pub grant_resources: Resources,
 }
@@ -50,6 +52,7 @@
             hand_over_wait_ms: 5_000,
             max_buffered_jobs: 10_000,
             max_open_writes: 256,
+            payload_budget_bytes: 8 << 20,
             grant_resources: Resources::new(1, 1, 0, 0),
         }
     }
--- a/crates/sched/tests/scheduler/main.rs
+++ b/crates/sched/tests/scheduler/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod grants;
 mod lifecycle;
+mod payloads;
 mod schedules;
 mod service;
 mod stranded;
