fix(listen): large replies that nobody reads are counted

Seen: 400 clients that ask for a timeline of 2,000 events and do not read it take an instance with 200 connections from 33 to 114 MB; a timeline holds 20,000 events. Cause: a reply was not charged while it waits for its reader, only its connection was; the time limit of 10 s ends it late. Change: a reply over 32 KiB is charged, with its copy in the write buffer, until it is written. Over the budget, connections with the largest unread replies are closed like those with unfinished bodies. A request waits until closed connections have released their bytes before its handler builds a reply. Why it works: built replies are bounded by the budget and the one that is being built. Only replies over 32 KiB are affected, on the users' platform those of operators.

--- a/crates/fleet/tests/crowds.rs
+++ b/crates/fleet/tests/crowds.rs
@@ -92,6 +92,20 @@
     .await;
 }
 
+/// Guards against large replies that nobody reads.
+#[actix_rt::test]
+async fn crowd_that_reads_no_timeline() {
+    let fleet = start().await;
+    let address = fleet.instances[0].http_address;
+    fill_timeline(&fleet).await;
+    let crowd = Crowd::UnreadReplies {
+        path: "/v1/timeline",
+        host: "demo.example",
+        requests: 5,
+    };
+    check(fleet, CLIENTS, |_| async move { crowd.attack(address, "").await }).await;
+}
+
 /// Guards against jobs of the largest size that arrive whole, at once, and are held until they have run.
 #[rstest]
 #[case::text("a", "\"FILLER\"")]
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep_until;
 
-use crate::{ConnectionKey, Intake, Stage};
+use crate::{ConnectionKey, Intake, Limits, Stage};
 
 /// Handle of an open connection; the connection counts as open until the last clone is dropped.
 #[derive(Debug, Clone)]
@@ -71,6 +71,14 @@
             .with(|table, now_ms| table.end_request(self.open.key, now_ms));
     }
 
+    /// Charges a reply until it was written, if it is large.
+    pub fn hold_reply(&self, bytes: u64) {
+        if bytes > Limits::ORDINARY_BYTES {
+            self.open.intake.with(|table, _| table.hold_reply(self.open.key, bytes));
+            self.open.intake.log_closed();
+        }
+    }
+
     /// Runs the future that serves the connection until it ends or the connection has to be closed; then the future is
     /// dropped with all that it holds.
     pub async fn serve<F: Future>(&self, serving: F) -> Option<F::Output> {
--- a/crates/intake/src/connection_table.rs
+++ b/crates/intake/src/connection_table.rs
@@ -179,11 +179,29 @@
         slot.enter(stage, now_ms);
     }
 
+    /// Charges a large reply until it was written to the socket. Over the budget, its connection may be closed.
+    pub fn hold_reply(&mut self, key: ConnectionKey, bytes: u64) {
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.request_bytes += bytes;
+            self.held_bytes += bytes;
+            self.enforce_budget();
+        }
+    }
+
     /// Notes that the reply was written to the socket.
     pub fn flushed(&mut self, key: ConnectionKey, now_ms: u64) {
-        if self.stage(key) == Some(Stage::Reply) {
-            self.enter(key, Stage::Idle, now_ms);
+        let Some(slot) = self.slots.get_mut(key) else { return };
+        if matches!(slot.stage, Stage::Reply | Stage::Linger) {
+            self.held_bytes -= std::mem::take(&mut slot.request_bytes);
         }
+        if slot.stage == Stage::Reply {
+            slot.enter(Stage::Idle, now_ms);
+        }
+    }
+
+    /// Returns whether more is held than the budget because connections that are closing have not gone yet.
+    pub fn is_clearing(&self) -> bool {
+        self.held_bytes > self.limits.budget_bytes && self.slots.values().any(|slot| slot.closing.is_some())
     }
 
     /// Returns the bytes read since the current stage began.
@@ -298,7 +316,10 @@
     /// request, connection without a request, latest acceptance.
     fn budget_rank(&self) -> Option<(u32, bool, Reverse<u64>, u64)> {
         let is_idle = matches!(self.stage, Stage::Idle | Stage::Linger);
-        self.stage.eviction_rank()?;
+        let is_large_reply = self.stage == Stage::Reply && self.request_bytes > Limits::ORDINARY_BYTES;
+        if self.stage.eviction_rank().is_none() && !is_large_reply {
+            return None;
+        }
         let size_class = if self.request_bytes > Limits::ORDINARY_BYTES {
             self.request_bytes.ilog2()
         } else {
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -64,6 +64,11 @@
         self.with(|table, _| table.is_full())
     }
 
+    /// Returns whether a request has to wait until connections that are closing have released their bytes.
+    pub fn is_clearing(&self) -> bool {
+        self.with(|table, _| table.is_clearing())
+    }
+
     /// Returns the number of open connections.
     pub fn connections(&self) -> usize {
         self.with(|table, _| table.connections())
--- a/crates/intake/tests/connection_table.rs
+++ b/crates/intake/tests/connection_table.rs
@@ -144,3 +144,25 @@
     table.remove(second);
     assert_eq!(table.held_bytes(), 0);
 }
+
+/// Guards against large replies that nobody reads, and against a small one that is dropped for the budget.
+#[test]
+fn large_unread_reply_is_dropped_over_the_budget() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let [small, large] = [100, 400_000].map(|reply_bytes| {
+        let key = body(&mut table, 10, 0);
+        table.end_body(key, 0);
+        table.end_request(key, 0);
+        table.hold_reply(key, reply_bytes);
+        key
+    });
+    assert_eq!(
+        [small, large].map(|key| table.closing(key)),
+        [None, Some(Cause::Budget)]
+    );
+    assert!(table.is_clearing(), "the bytes count until the connection has gone");
+    table.remove(large);
+    assert!(!table.is_clearing());
+    table.flushed(small, 1);
+    assert_eq!(table.held_bytes(), Limits::CONNECTION_BYTES);
+}
--- a/crates/listen/src/serve.rs
+++ b/crates/listen/src/serve.rs
@@ -8,6 +8,7 @@
 use actix_rt::task::yield_now;
 use actix_rt::time::sleep;
 use actix_service::{Service, ServiceFactory, map_config};
+use actix_web::body::{BodySize, MessageBody as _};
 use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
 use actix_web::http::header;
 use actix_web::{App, Error, HttpResponse};
@@ -98,14 +99,28 @@
         Either::Right(service.call(request))
     };
     async move {
+        // Handlers run when they are first polled, and their replies may be large.
+        while let Some(connection) = &connection
+            && connection.intake().is_clearing()
+        {
+            yield_now().await;
+        }
         let reply = serving.await;
         if let Some(connection) = connection {
             connection.end_request();
+            if let Ok(reply) = &reply
+                && let BodySize::Sized(bytes) = reply.response().body().size()
+            {
+                connection.hold_reply(bytes * REPLY_COPIES);
+            }
         }
         reply
     }
 }
 
+/// Copies of a reply while it is written: its body and the write buffer of the HTTP library.
+const REPLY_COPIES: u64 = 2;
+
 /// Returns the approximate size of a head on the wire.
 fn head_bytes(request: &ServiceRequest) -> u64 {
     const SEPARATORS_BYTES: usize = 4;
