fix(conf): large payloads are part of the budget of bytes

Cause: the budget of callers and the memory for the payloads of waiting jobs were set apart from each other, so that both together took more than the quarter of the memory that the budget stands for. Change: payload_budget_bytes is an eighth of intake.budget_bytes by default and is taken from the part of callers, like that of other instances. The settings are checked with it. On the users' platform callers have the whole budget, as before.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -87,8 +87,8 @@
     /// Most requests open at once; more are refused. Default 10,000 requests.
     #[serde(default = "defaults::max_open_requests")]
     pub max_open_requests: u64,
-    /// Memory for the large payloads (over 4 KiB) of the jobs that the scheduler of a data centre keeps; 0 means a
-    /// sixteenth of `intake.memory_mb`. Default 0 bytes.
+    /// Memory for the large payloads (over 4 KiB) of the jobs that the scheduler of a data centre keeps; 0 means
+    /// an eighth of `intake.budget_bytes`. It is part of that budget. Default 0 bytes.
     #[serde(default)]
     pub payload_budget_bytes: u64,
     /// Time between failing readiness and closing the listener in a graceful shutdown. Default 2,000 ms.
@@ -136,15 +136,26 @@
 
     /// Returns the memory for the large payloads of the jobs that the scheduler of a data centre keeps.
     pub const fn payload_budget_bytes(&self) -> u64 {
-        // An instance may hold the leases of several data centres.
-        const MEMORY_DIVISOR: u64 = 16;
+        const BUDGET_DIVISOR: u64 = 8;
         if self.payload_budget_bytes > 0 {
             self.payload_budget_bytes
         } else {
-            self.intake.memory_mb * (1 << 20) / MEMORY_DIVISOR
+            self.intake.budget_bytes() / BUDGET_DIVISOR
         }
     }
 
+    /// Returns the part of the budget that callers have: all on the users' platform, where an instance has no listener for
+    /// other instances and payloads are small.
+    pub const fn caller_budget_bytes(&self) -> u64 {
+        let budget_bytes = self.intake.budget_bytes();
+        if self.domain.is_some() {
+            return budget_bytes;
+        }
+        budget_bytes
+            .saturating_sub(self.intake.peer_budget_bytes())
+            .saturating_sub(self.payload_budget_bytes())
+    }
+
     /// Checks the URL, the peers, the limit on connections and the budgets.
     ///
     /// # Errors
@@ -185,12 +196,6 @@
         // The body as received, its decoded copies, and the request to the store.
         const BUDGET_BODIES: u64 = 5;
         let intake = &self.intake;
-        // An instance on the users' platform has no listener for other instances.
-        let peer_budget_bytes = if self.domain.is_none() {
-            intake.peer_budget_bytes()
-        } else {
-            0
-        };
         let budget = |key, budget_bytes, needed_bytes| {
             if budget_bytes < needed_bytes {
                 return Err(SettingsError::BudgetTooSmall {
@@ -201,13 +206,13 @@
             }
             Ok(())
         };
-        let caller_budget_bytes = intake.budget_bytes().saturating_sub(peer_budget_bytes);
+        let caller_budget_bytes = self.caller_budget_bytes();
         budget("budget_bytes", caller_budget_bytes, self.max_body_bytes * BUDGET_BODIES)?;
         if self.domain.is_some() {
             return Ok(());
         }
         let message_bytes = intake.peer_message_bytes(self.max_body_bytes);
-        budget("peer_budget_bytes", peer_budget_bytes, message_bytes)
+        budget("peer_budget_bytes", intake.peer_budget_bytes(), message_bytes)
     }
 }
 
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -41,7 +41,7 @@
 )]
 #[case::reserve_given_to_callers("intake: {max_connections: 3000}", "intake allows 3000 connections")]
 #[case::no_peers("intake: {max_peer_connections: 0}", "max_peer_connections is 0; allowed")]
-#[case::body_over_the_budget("max_body_bytes: 8388608", "intake.budget_bytes leaves 23592960 bytes, but 41943040")]
+#[case::body_over_the_budget("max_body_bytes: 8388608", "intake.budget_bytes leaves 19660800 bytes, but 41943040")]
 #[case::message_over_the_budget(
     "intake: {peer_budget_bytes: 1048576}",
     "intake.peer_budget_bytes leaves 1048576 bytes, but 5242880"
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -133,7 +133,7 @@
         let body_limit = BodyLimit(settings.max_body_bytes);
         let instance = Instance::start(
             node_settings(settings, domain),
-            intake_limits(&settings.intake),
+            intake_limits(settings),
             body_limit,
             &addresses,
         )?;
--- a/crates/entry/src/http/http_interface.rs
+++ b/crates/entry/src/http/http_interface.rs
@@ -78,10 +78,7 @@
             return;
         }
     };
-    let settings = &state.context.settings.intake;
-    let mut limits = intake_limits(settings);
-    limits.budget_bytes -= settings.peer_budget_bytes();
-    let intake = Intake::new(limits);
+    let intake = Intake::new(intake_limits(&state.context.settings));
     let app = App::new()
         .app_data(web::Data::new(intake.clone()))
         .configure(|app| routes(&state, app));
--- a/crates/entry/src/intake_limits.rs
+++ b/crates/entry/src/intake_limits.rs
@@ -1,10 +1,12 @@
-use conf::{IntakeSettings, Settings};
+use conf::Settings;
 use intake::{Limits, PeerLimits};
 
 /// Derives the limits on callers from the settings.
-pub const fn intake_limits(settings: &IntakeSettings) -> Limits {
+pub const fn intake_limits(settings: &Settings) -> Limits {
+    let budget_bytes = settings.caller_budget_bytes();
+    let settings = &settings.intake;
     Limits {
-        budget_bytes: settings.budget_bytes(),
+        budget_bytes,
         max_connections: settings.max_connections() as usize,
         header_bytes: settings.header_bytes,
         header_timeout_ms: settings.header_timeout_ms,
--- a/crates/fleet/src/crowd.rs
+++ b/crates/fleet/src/crowd.rs
@@ -29,6 +29,15 @@
     Head,
     /// Nothing.
     Idle,
+    /// A whole body of a unit that is repeated within a frame, in the place of `FILLER`.
+    Whole {
+        /// Frame of the body.
+        frame: &'static str,
+        /// Unit that is repeated.
+        unit: &'static str,
+        /// Number of units.
+        units: usize,
+    },
     /// Requests whose replies are not read.
     UnreadReplies {
         /// Path of the requests.
@@ -75,6 +84,11 @@
                 pieces.extend(bytes.chunks(8_192).map(<[u8]>::to_vec));
             }
             Self::Idle => {}
+            Self::Whole { frame, unit, units } => {
+                let body = frame.replace("FILLER", &unit.repeat(units));
+                pieces.push(head(&format!("content-length: {}", body.len())));
+                pieces.push(body.into_bytes());
+            }
             Self::UnreadReplies { path, host, requests } => {
                 let request = format!("GET {path} HTTP/1.1\r\nhost: {host}\r\n\r\n");
                 let all = request.repeat(requests).into_bytes();
--- a/crates/intake/src/connection_table.rs
+++ b/crates/intake/src/connection_table.rs
@@ -149,7 +149,7 @@
         self.enter(key, Stage::Handling, now_ms);
     }
 
-    /// Charges memory that a complete request needs while it is answered. Unfinished requests give way to it.
+    /// Charges memory that a complete request needs while it is answered. Large unfinished requests give way to it.
     ///
     /// Returns whether the request fits beside the others that are being answered; if not, nothing is charged.
     pub fn reserve(&mut self, key: ConnectionKey, bytes: u64) -> bool {
@@ -158,8 +158,7 @@
         };
         slot.request_bytes += bytes;
         self.held_bytes += bytes;
-        let leaving_bytes = self.enforce_budget();
-        let fits = self.held_bytes - leaving_bytes <= self.limits.budget_bytes;
+        let fits = self.close_for_budget(|(size_class, ..)| *size_class > 0);
         if !fits && let Some(slot) = self.slots.get_mut(key) {
             slot.request_bytes -= bytes;
             self.held_bytes -= bytes;
@@ -282,29 +281,35 @@
     }
 
     /// Closes connections until the rest fits into the budget: the largest unfinished requests first, the latest of
-    /// similar size; then connections without a request; ordinary small requests last. Returns the bytes of connections
-    /// that are closing, or 0 if nothing had to be closed.
-    fn enforce_budget(&mut self) -> u64 {
-        let mut leaving_bytes: u64 = 0;
+    /// similar size; then connections without a request; ordinary small requests last.
+    fn enforce_budget(&mut self) {
+        self.close_for_budget(|_| true);
+    }
+
+    /// Closes connections whose rank is accepted until the rest fits into the budget. Returns whether it fits.
+    fn close_for_budget(&mut self, may_close: impl Fn(&BudgetRank) -> bool) -> bool {
         if self.held_bytes <= self.limits.budget_bytes {
-            return leaving_bytes;
-        }
-        for slot in self.slots.values().filter(|slot| slot.closing.is_some()) {
-            leaving_bytes += slot.request_bytes + Limits::CONNECTION_BYTES;
+            return true;
         }
+        let closing = self.slots.values().filter(|slot| slot.closing.is_some());
+        let mut leaving_bytes: u64 = closing.map(|slot| slot.request_bytes + Limits::CONNECTION_BYTES).sum();
         while self.held_bytes - leaving_bytes > self.limits.budget_bytes {
             let open = self.slots.iter().filter(|(_, slot)| slot.closing.is_none());
-            let ranked = open.filter_map(|(key, slot)| Some((slot.budget_rank()?, key)));
+            let ranked = open.filter_map(|(key, slot)| Some((slot.budget_rank().filter(&may_close)?, key)));
             let Some((_, victim)) = ranked.max() else {
-                return leaving_bytes;
+                return false;
             };
             leaving_bytes += self.slots[victim].request_bytes + Limits::CONNECTION_BYTES;
             self.close(victim, Cause::Budget);
         }
-        leaving_bytes
+        true
     }
 }
 
+/// Rank in which connections are closed for the budget, the largest first: size class of a large request, connection
+/// without a request, longest idle, latest acceptance.
+type BudgetRank = (u32, bool, Reverse<u64>, u64);
+
 impl Slot {
     const fn enter(&mut self, stage: Stage, now_ms: u64) {
         self.stage = stage;
@@ -312,9 +317,8 @@
         self.stage_bytes = 0;
     }
 
-    /// Returns the rank in which connections are closed for the budget, the largest first: size class of a large
-    /// request, connection without a request, latest acceptance.
-    fn budget_rank(&self) -> Option<(u32, bool, Reverse<u64>, u64)> {
+    /// Returns the rank of the connection, or `None` if it may not be closed for the budget.
+    fn budget_rank(&self) -> Option<BudgetRank> {
         let is_idle = matches!(self.stage, Stage::Idle | Stage::Linger);
         let is_large_reply = self.stage == Stage::Reply && self.request_bytes > Limits::ORDINARY_BYTES;
         if self.stage.eviction_rank().is_none() && !is_large_reply {
--- a/crates/node/src/request_handler/refused.rs
+++ b/crates/node/src/request_handler/refused.rs
@@ -24,6 +24,9 @@
     /// The body is larger than the limit.
     #[error("the body is larger than the limit")]
     TooLarge,
+    /// The requests that are being answered take the memory that is kept for them; the call had no effect.
+    #[error("other requests take the memory kept for them")]
+    NoRoom,
     /// The id belongs to a job of another queue or organisation.
     #[error("the id is in use for another job")]
     IdInUse,
@@ -48,6 +51,7 @@
             Self::UnknownKey => "unknown_key",
             Self::Invalid(_) => "invalid",
             Self::OverMaximum => "over_maximum",
+            Self::NoRoom => "no_room",
             Self::TooLarge => "too_large",
             Self::IdInUse => "id_in_use",
             Self::UnknownJob => "unknown_job",
