fix(intake,platform): decoding waits until closed connections have released their bytes

In the product the reservation closed connections and decoding began while they still held their bytes. Why it works: what is decoded and what was read are never resident beyond the budget at the same time.

--- a/crates/entry/src/http/read_json.rs
+++ b/crates/entry/src/http/read_json.rs
@@ -31,12 +31,12 @@
             BodyError::TooLarge => ApiError::BodyTooLarge { limit_bytes },
             BodyError::CutOff => malformed(&error.to_string()),
         })?;
-    reserve(request, &bytes)?;
+    reserve(request, &bytes).await?;
     serde_json::from_slice(&bytes).map_err(|error| malformed(&error.to_string()))
 }
 
 /// Reserves the memory that a body takes once it is decoded, which is many times its size for some.
-fn reserve(request: &HttpRequest, body: &[u8]) -> Result<(), ApiError> {
+async fn reserve(request: &HttpRequest, body: &[u8]) -> Result<(), ApiError> {
     let Some(connection) = request.conn_data::<Connection>() else {
         return Ok(());
     };
@@ -50,7 +50,7 @@
     }
     // The request to the store is a further copy of the text.
     let needed_bytes = decoded_bytes * DECODED_COPIES + body.len() as u64;
-    if !connection.reserve(needed_bytes) {
+    if !connection.reserve(needed_bytes).await {
         return Err(ApiError::NoRoomForBody {
             retry_after_ms: RETRY_AFTER_MS,
         });
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -57,11 +57,16 @@
             .with(|table, now_ms| table.end_body(self.open.key, now_ms));
     }
 
-    /// Charges memory that the complete request needs while it is answered; returns whether there is room for it.
-    pub fn reserve(&self, bytes: u64) -> bool {
-        let reserved = self.open.intake.with(|table, _| table.reserve(self.open.key, bytes));
-        self.open.intake.log_closed();
-        reserved
+    /// Charges memory that the complete request needs while it is answered; returns whether there is room for it. Waits
+    /// until connections that are closed for it have released theirs.
+    pub async fn reserve(&self, bytes: u64) -> bool {
+        let intake = self.intake();
+        let is_reserved = intake.with(|table, _| table.reserve(self.open.key, bytes));
+        intake.log_closed();
+        if is_reserved {
+            intake.cleared().await;
+        }
+        is_reserved
     }
 
     /// Notes that the request was answered.
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 use crate::{Cause, Connection, ConnectionTable, Limits};
@@ -64,9 +65,11 @@
         self.with(|table, _| table.is_full())
     }
 
-    /// Returns whether a request has to wait until connections that are closing have released their bytes.
-    pub fn is_clearing(&self) -> bool {
-        self.with(|table, _| table.is_clearing())
+    /// Waits while more is held than the budget because connections that are closing have not released their bytes.
+    pub async fn cleared(&self) {
+        while self.with(|table, _| table.is_clearing()) {
+            yield_now().await;
+        }
     }
 
     /// Returns the number of open connections.
--- a/crates/listen/src/serve.rs
+++ b/crates/listen/src/serve.rs
@@ -100,10 +100,8 @@
     };
     async move {
         // Handlers run when they are first polled, and their replies may be large.
-        while let Some(connection) = &connection
-            && connection.intake().is_clearing()
-        {
-            yield_now().await;
+        if let Some(connection) = &connection {
+            connection.intake().cleared().await;
         }
         let reply = serving.await;
         if let Some(connection) = connection {
