feat(intake): closed connections of other instances are logged

Cause: each limit needs a log line without a flood; PeerTable had counters only. Change: ClosedLog, taken from Intake, writes at most one line per second and cause for both; the line names the listener, `callers` or `peers`.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -5,6 +5,7 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
+use crate::closed_log::ClosedLog;
 use crate::{Cause, Connection, ConnectionTable, Limits};
 
 /// Limits shared by all listeners of a process. It belongs to one thread.
@@ -18,14 +19,10 @@
     table: RefCell<ConnectionTable>,
     configured: Limits,
     origin: Instant,
-    /// Per cause: time of the last log line, and the count that it showed.
-    logged: RefCell<[(Option<u64>, u64); Cause::ALL.len()]>,
+    log: RefCell<ClosedLog>,
 }
 
 impl Intake {
-    /// Least time between two log lines of one cause.
-    const LOG_INTERVAL_MS: u64 = 1_000;
-
     /// Creates the limits of a process.
     pub fn new(limits: Limits) -> Self {
         Self {
@@ -33,7 +30,7 @@
                 table: RefCell::new(ConnectionTable::new(limits)),
                 configured: limits,
                 origin: Instant::now(),
-                logged: RefCell::default(),
+                log: RefCell::default(),
             }),
         }
     }
@@ -104,21 +101,12 @@
         self.shared.origin + Duration::from_millis(at_ms)
     }
 
-    /// Logs closed connections, at most one line per second for each cause.
+    /// Logs closed connections.
     pub(crate) fn log_closed(&self) {
         self.with(|table, now_ms| {
-            let mut logged = self.shared.logged.borrow_mut();
-            for cause in Cause::ALL {
-                let (logged_ms, shown) = &mut logged[cause as usize];
-                let closed = table.closed(cause);
-                let is_due = logged_ms.is_none_or(|at_ms| now_ms >= at_ms + Self::LOG_INTERVAL_MS);
-                if closed > *shown && is_due {
-                    let (count, held_bytes) = (closed - *shown, table.held_bytes());
-                    let connections = table.connections();
-                    spdlog::warn!("connections_closed", kv: { cause = cause.name(), count, connections, held_bytes });
-                    (*logged_ms, *shown) = (Some(now_ms), closed);
-                }
-            }
+            let held = (table.connections(), table.held_bytes());
+            let mut log = self.shared.log.borrow_mut();
+            log.update(now_ms, "callers", held, |cause| table.closed(cause));
         });
     }
 }
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -8,6 +8,7 @@
 //! among threads, [`PeerConnection`] and [`PeerRequest`] are the handles, and [`PeerStream`] wraps the socket.
 
 mod cause;
+mod closed_log;
 mod connection;
 mod connection_table;
 mod decoded_bytes;
--- a/crates/intake/src/peer_intake.rs
+++ b/crates/intake/src/peer_intake.rs
@@ -3,6 +3,7 @@
 
 use tokio::time::Instant;
 
+use crate::closed_log::ClosedLog;
 use crate::{Cause, PeerConnection, PeerLimits, PeerTable};
 
 /// Limits on the connections of other instances, shared among threads.
@@ -13,16 +14,25 @@
 
 #[derive(Debug)]
 struct Shared {
-    table: Mutex<PeerTable>,
+    state: Mutex<State>,
     origin: Instant,
 }
 
+#[derive(Debug)]
+struct State {
+    table: PeerTable,
+    log: ClosedLog,
+}
+
 impl PeerIntake {
     /// Creates the limits of a listener.
     pub fn new(limits: PeerLimits) -> Self {
         Self {
             shared: Arc::new(Shared {
-                table: Mutex::new(PeerTable::new(limits)),
+                state: Mutex::new(State {
+                    table: PeerTable::new(limits),
+                    log: ClosedLog::default(),
+                }),
                 origin: Instant::now(),
             }),
         }
@@ -55,9 +65,16 @@
 
     pub(crate) fn with<R>(&self, apply: impl FnOnce(&mut PeerTable, u64) -> R) -> R {
         let now_ms = self.shared.origin.elapsed().as_millis() as u64;
-        // The table has no state between two calls that a panic could leave half changed.
-        let mut table = self.shared.table.lock().unwrap_or_else(PoisonError::into_inner);
-        apply(&mut table, now_ms)
+        // Each call leaves the table complete, so that a panic elsewhere does not spoil it.
+        let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let State { table, log } = &mut *state;
+        let closed = table.closed_in_all();
+        let result = apply(table, now_ms);
+        if table.closed_in_all() > closed {
+            let held = (table.connections(), table.held_bytes());
+            log.update(now_ms, "peers", held, |cause| table.closed(cause));
+        }
+        result
     }
 
     pub(crate) fn instant(&self, at_ms: u64) -> Instant {
--- a/crates/intake/src/peer_table.rs
+++ b/crates/intake/src/peer_table.rs
@@ -72,6 +72,11 @@
         self.closed[cause as usize]
     }
 
+    /// Returns how many connections were closed for any cause.
+    pub fn closed_in_all(&self) -> u64 {
+        self.closed.iter().sum()
+    }
+
     /// Adds a connection. At the limit, the one that was inactive for longest is closed for it, those without a request
     /// first.
     pub fn accept(&mut self, now_ms: u64) -> PeerKey {
