fix(listen): a request with a body does not wait for closed connections

Seen: crowd_at_the_front::case_1 and case_2 with an ordinary client, which held before, grew by 52,584 and 53,120 KiB beside load, and crowd_of_whole_jobs::case_2 by 52,164 (bound 49,152), in a run of all crowds on. Cause: since a request waits before its handler runs while closed connections still hold bytes. Its body went on to arrive, into buffers of the HTTP library that grow by doubling, instead of the segments that a handler fills. Ruled out: load alone.

--- a/crates/listen/src/serve.rs
+++ b/crates/listen/src/serve.rs
@@ -84,11 +84,11 @@
     S: Service<ServiceRequest, Response = ServiceResponse, Error = Error>,
 {
     let connection = request.conn_data::<Connection>().cloned();
+    let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let length = request.headers().get(header::CONTENT_LENGTH);
+    let has_body = is_chunked || length.is_some_and(|length| length != "0");
     let is_too_large = connection.as_ref().is_some_and(|connection| {
-        let headers = request.headers();
-        let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
-        let length = headers.get(header::CONTENT_LENGTH);
-        connection.begin_request(is_chunked || length.is_some_and(|length| length != "0"));
+        connection.begin_request(has_body);
         head_bytes(&request) > connection.intake().limits().header_bytes
     });
     let serving = if is_too_large {
@@ -99,8 +99,11 @@
         Either::Right(service.call(request))
     };
     async move {
-        // Handlers run when they are first polled, and their replies may be large.
-        if let Some(connection) = &connection {
+        // Handlers run when they are first polled, and their replies may be large. A body has to be read meanwhile, as it
+        // takes more room in the buffers of the HTTP library.
+        if let Some(connection) = &connection
+            && !has_body
+        {
             connection.intake().cleared().await;
         }
         let reply = serving.await;
