refactor(intake): the check of a peer's connection says that it registers the task

Cause: read as a newcomer, is_closing with a task context looked like a plain query. Change: poll_closing, with its effect in the comment; the reason for the short interval of the check is said plainly. Before / after: no change of behaviour.

--- a/crates/intake/src/peer_stream.rs
+++ b/crates/intake/src/peer_stream.rs
@@ -39,8 +39,9 @@
         &self.connection
     }
 
-    /// Closes the connection if its time has run out. Returns whether it has to be closed.
-    fn is_closing(&mut self, cx: &mut Context<'_>) -> bool {
+    /// Closes the connection if its time has run out, and registers the task for closing by others. Returns whether it
+    /// has to be closed.
+    fn poll_closing(&mut self, cx: &mut Context<'_>) -> bool {
         let (intake, key) = (self.connection.intake(), self.connection.key());
         intake.with(|table, _| table.set_waker(key, cx.waker()));
         while self.check.as_mut().poll(cx).is_ready() {
@@ -56,7 +57,7 @@
             if self.connection.closing().is_some() {
                 return true;
             }
-            // A deadline may end before an earlier one that was set for another stage.
+            // A later state of the connection may have an earlier deadline.
             let next = Instant::now() + Self::CHECK_INTERVAL;
             let next = deadline.map_or(next, |(at_ms, _)| intake.instant(at_ms).min(next));
             self.check.as_mut().reset(next);
@@ -72,7 +73,7 @@
 impl<T: AsyncRead + Unpin> AsyncRead for PeerStream<T> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.is_closing(cx) {
+        if this.poll_closing(cx) {
             return closed();
         }
         // The library queues some hundred bytes for each frame, however small, until the task of its request runs.
@@ -98,7 +99,7 @@
 impl<T: AsyncWrite + Unpin> AsyncWrite for PeerStream<T> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if this.is_closing(cx) {
+        if this.poll_closing(cx) {
             return closed();
         }
         Pin::new(&mut this.inner).poll_write(cx, bytes)
@@ -110,7 +111,7 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if this.is_closing(cx) {
+        if this.poll_closing(cx) {
             return closed();
         }
         Pin::new(&mut this.inner).poll_write_vectored(cx, bytes)
