fix(intake): a reply that nobody reads makes room after one second

Cause: a connection whose reply waits for its reader counted as answering a request, so at the limit on connections new ones were refused until write_timeout_ms (10 s) had passed. Clients that return at once could keep it so. Change: at the limit, if nothing else can give way, the connection whose reply has waited longest, and at least 1 s, is closed. Takes effect at the limit on connections only.

--- a/crates/intake/src/connection_table.rs
+++ b/crates/intake/src/connection_table.rs
@@ -77,12 +77,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Cause::Full`] if every other connection is answering a request.
+    /// Returns [`Cause::Full`] if every other connection is answering a request or has just answered one.
     pub fn accept(&mut self, now_ms: u64) -> Result<ConnectionKey, Cause> {
         // A connection that is closing still has its descriptor until its task has ended.
         let closing = self.slots.values().filter(|slot| slot.closing.is_some()).count();
         if self.slots.len() - closing >= self.limits.max_connections {
-            let victim = self.oldest_evictable();
+            let victim = self.oldest_evictable().or_else(|| self.oldest_unread(now_ms));
             if victim.is_none_or(|victim| !self.close(victim, Cause::Evicted)) {
                 self.closed[Cause::Full as usize] += 1;
                 return Err(Cause::Full);
@@ -273,6 +273,17 @@
         }
     }
 
+    /// Returns the connection whose reply has waited for its reader for longest, if that is no longer ordinary.
+    fn oldest_unread(&self, now_ms: u64) -> Option<ConnectionKey> {
+        let waiting = self.slots.iter().filter(|(_, slot)| {
+            let is_late = slot.since_ms + Limits::UNREAD_REPLY_MS <= now_ms;
+            slot.stage == Stage::Reply && slot.closing.is_none() && is_late
+        });
+        waiting
+            .min_by_key(|(_, slot)| (slot.since_ms, slot.number))
+            .map(|(key, _)| key)
+    }
+
     fn oldest_evictable(&self) -> Option<ConnectionKey> {
         let open = self.slots.iter().filter(|(_, slot)| slot.closing.is_none());
         open.filter_map(|(key, slot)| Some(((slot.stage.eviction_rank()?, slot.since_ms, slot.number), key)))
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -39,6 +39,9 @@
     /// parses all heads that it has read and keeps some KiB for each, however short it is.
     pub const TURN_HEADS: usize = 2;
 
+    /// Time after which a reply that was not read makes room for a new connection at the limit on connections.
+    pub const UNREAD_REPLY_MS: u64 = 1_000;
+
     /// Size up to which a request counts as ordinary and is not dropped for the budget while larger ones exist.
     pub const ORDINARY_BYTES: u64 = 32 * 1_024;
 }
--- a/crates/intake/tests/connection_table.rs
+++ b/crates/intake/tests/connection_table.rs
@@ -166,3 +166,20 @@
     table.flushed(small, 1);
     assert_eq!(table.held_bytes(), Limits::CONNECTION_BYTES);
 }
+
+/// Guards against clients that lock out all others until the time limit of replies by not reading theirs.
+#[test]
+fn unread_reply_makes_room_for_a_new_connection() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let [first, second, handled] = [0, 1, 2].map(|now_ms| {
+        let key = body(&mut table, 10, now_ms);
+        table.end_body(key, now_ms);
+        key
+    });
+    table.end_request(first, 3);
+    table.end_request(second, 4);
+    assert_eq!(table.accept(1_002), Err(Cause::Full));
+    assert!(table.accept(1_003).is_ok());
+    let closing = [first, second, handled].map(|key| table.closing(key));
+    assert_eq!(closing, [Some(Cause::Evicted), None, None]);
+}
