--- a/review/standin-3/platform_standin.py
+++ b/review/standin-3/platform_standin.py
@@ -116,10 +116,15 @@
     def __init__(self, journal):
         self.journal = journal
         self.rows = {}
+        self.holders = {}
         self.changes = []
         self.version = 0
         self.changed = threading.Condition()
         self.last_conditional_writer = None
+        # Returns whether an instance is cut off from the store.
+        self.is_cut_off = lambda instance: False
+        # Time that each call takes beyond the usual.
+        self.slow_s = 0.0
         # Returns for how many seconds a transaction of an instance gets no reply and is done late; None for an ordinary one.
         self.lose = lambda instance, txn: None
 
@@ -137,7 +142,14 @@
             row = self.rows.get((table, part, key))
         return None if row is None else json.loads(base64.b64decode(row[0]))
 
+    def holder_of(self, epoch):
+        """The instance that took the lease in an epoch, which is the fence number of its calls."""
+        return self.holders.get(epoch)
+
     def _write(self, key, value):
+        if key[0] == "lease" and key[2] == "epoch" and value is not None:
+            row = json.loads(base64.b64decode(value))
+            self.holders[row["epoch"]] = row["holder"]
         if value is None:
             self.rows.pop(key, None)
         else:
@@ -175,10 +187,26 @@
     store = None
     instance = None
 
+    def reply(self, status, document=None):
+        if not self.is_held_up():
+            super().reply(status, document)
+
+    def is_held_up(self):
+        """Waits while the instance is cut off; what was on its way is lost, as the sender has given up the channel."""
+        is_cut_off = False
+        while self.store.is_cut_off(self.instance):
+            is_cut_off = True
+            time.sleep(0.02)
+        if is_cut_off:
+            self.hang_up()
+        return is_cut_off
+
     def do_POST(self):
         txn = self.body()
         store = self.store
-        time.sleep(ANSWER_S + TXN_LATENCY_S * (2 if txn.get("cross_region") else 1))
+        if self.is_held_up():
+            return
+        time.sleep(store.slow_s + ANSWER_S + TXN_LATENCY_S * (2 if txn.get("cross_region") else 1))
         late_s = store.lose(self.instance, txn)
         if late_s is not None:
 
@@ -198,7 +226,9 @@
     def do_GET(self):
         url = urlparse(self.path)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
-        time.sleep(ANSWER_S)
+        if self.is_held_up():
+            return
+        time.sleep(self.store.slow_s + ANSWER_S)
         if url.path == "/api/rows-get":
             self.read(query)
         elif url.path == "/api/rows-feed":
@@ -254,9 +284,13 @@
 
     CAPACITY = {"cpu": 32000, "mem_mb": 65536, "gpu": 8}
 
-    def __init__(self, store, journal, number, work_s, stop_s):
+    def __init__(self, store, journal, number, work_s, stop_s, zone="colombo", rack="r1-0"):
         self.store, self.journal, self.work_s, self.stop_s = store, journal, work_s, stop_s
-        self.id, self.rack = f"i-{number:08x}", f"r1-{number // 8}"
+        self.number = number
+        self.id, self.rack, self.zone = f"i-{number:08x}", rack, zone
+        # Returns whether the worker is cut off from an instance.
+        self.is_cut_off = lambda instance: False
+        self.history = []
         self.born = int(time.time() * 1000)
         self.clock_start = time.monotonic()
         self.changed = threading.Condition()
@@ -272,10 +306,12 @@
         return int((time.monotonic() - self.clock_start) * 1000)
 
     def beat(self):
+        # Workers do not write at the same moment.
+        time.sleep(HEARTBEAT_S * (self.number % 7) / 7)
         while True:
             self.sequence += 1
             entry = {
-                "service": SERVICE, "address": self.address, "zone": "colombo", "version": "v1", "slots": 8,
+                "service": SERVICE, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "ready", "cold_left_ms": 0, "capacity": self.CAPACITY, "labels": ["a", self.rack],
                 "clock_ms": self.clock_ms(), "born": self.born, "sequence": self.sequence,
             }
@@ -305,6 +341,7 @@
             self.settled[run.task] = max(self.settled.get(run.task, 0), run.number)
             self.ends.append([self.next_end, run.task, run.number, how, ""])
             self.next_end += 1
+            self.history.append((run.task, run.number, run.started - self.journal.origin, self.journal.now(), how))
             self.journal.add(f"worker {self.id}: {run.task} run {run.number} ended {how}")
             self.changed.notify_all()
 
@@ -363,8 +400,21 @@
 class WorkerHandler(Handler):
     worker = None
 
+    def is_held_up(self, caller):
+        """Waits while the worker is cut off; what was on its way is lost, as the sender has given up the channel."""
+        is_cut_off = False
+        while self.worker.is_cut_off(caller):
+            is_cut_off = True
+            time.sleep(0.02)
+        if is_cut_off:
+            self.hang_up()
+        return is_cut_off
+
     def do_POST(self):
         call, worker = self.body(), self.worker
+        caller = worker.store.holder_of(call.get("fencing_token"))
+        if self.is_held_up(caller):
+            return
         expected = self.headers.get("Galenaspool-Expect-Instance")
         if expected not in (None, worker.id):
             self.reply(421, {"clock_ms": worker.clock_ms()})
@@ -382,6 +432,8 @@
             else:
                 reason = None
             document |= {"clock_ms": worker.clock_ms(), "born": worker.born}
+        if self.is_held_up(caller):
+            return
         if reason is None:
             self.reply(200, document)
         else:
@@ -420,7 +472,7 @@
     """An entry instance: the process and its settings."""
 
     def __init__(self, root, folder, name, store_address, other_address, zone="colombo"):
-        self.root, self.folder, self.name = root, folder, name
+        self.root, self.folder, self.name, self.zone = root, folder, name, zone
         self.front = f"{LOOPBACK}:{free_port()}"
         self.ready = f"{LOOPBACK}:{free_port()}"
         values = {
@@ -501,15 +553,25 @@
 class Deployment:
     """Store, workers and instances of a scenario."""
 
+    ZONES = ("colombo", "gampaha", "kalutara")
+
     def __init__(self, root, instances, workers, work_s, stop_s=0.15, priority=1):
         self.journal = Journal()
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(self.journal)
         self.store.put("op", "config", operators_config(priority=priority))
-        self.workers = [Worker(self.store, self.journal, number, work_s, stop_s) for number in range(workers)]
+        # Workers and instances are spread over the zones in turn; each zone is a rack.
+        zone_of = [self.ZONES[number % 3] for number in range(max(workers, instances))]
+        self.workers = [
+            Worker(self.store, self.journal, number, work_s, stop_s, zone_of[number], f"r1-{number % 3}")
+            for number in range(workers)
+        ]
         other = listen(Nothing)
-        names = [f"edge-{zone}-{1 + number // 3}" for number, zone in zip(range(instances), ["colombo", "gampaha", "kalutara"] * 9)]
-        self.instances = [Instance(root, self.folder, name, self.store.address_for(name), other) for name in names]
+        self.instances = []
+        for number in range(instances):
+            name = f"edge-{zone_of[number]}-{1 + number // 3}"
+            address = self.store.address_for(name)
+            self.instances.append(Instance(root, self.folder, name, address, other, zone_of[number]))
         for instance in self.instances:
             instance.start()
 
