--- a/review/standin-3/platform_standin.py
+++ b/review/standin-3/platform_standin.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -47,6 +48,10 @@
 TXN_LATENCY_S = 0.003
 
 
+# A scenario that is told to end still ends its processes.
+signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+
+
 class Journal:
     """What was sent, answered and run, in order of time."""
 
